--- /dev/null
+++ b/tests/features/steps/loop_steps.py
@@ -0,0 +1,106 @@
+"""Steps for the event loop."""
+
+import behave
+import circuits
+
+from jasminehold import loop as loop_module
+
+CRASH = b'crash'
+
+
+class _Quiet(circuits.Component):
+    def init(self):
+        self.seen = []
+
+    @circuits.handler('exception', channel='*')
+    def _on_exception(self, *args, **kwargs):
+        self.seen.append(args[:2])
+
+
+@behave.given('a loop with an echo server')
+def given_echo(context):
+    context.root = circuits.Component()
+    context.quiet = _Quiet().register(context.root)
+    context.loop = loop_module.Loop().register(context.root)
+
+    def on_accept(conn):
+        def on_data(data):
+            if data == CRASH:
+                raise RuntimeError('deliberate fault')
+            conn.write(data)
+
+        conn.on_data = on_data
+
+    context.listener = context.loop.listen('127.0.0.1', 0, on_accept)
+    context.sent = b''
+    context.received = bytearray()
+    context.errors = []
+
+
+def _echo_once(context, size):
+    context.sent = bytes(range(256)) * (size // 256 + 1)
+    context.sent = context.sent[:size]
+
+    def on_open(conn):
+        def on_data(data):
+            context.received.extend(data)
+            if len(context.received) >= size:
+                context.root.stop()
+
+        conn.on_data = on_data
+        conn.write(context.sent)
+
+    context.loop.connect(
+        '127.0.0.1', context.listener.port, on_open, context.errors.append
+    )
+
+
+def _run(context):
+    context.loop.call_later(20, context.root.stop)
+    context.root.run()
+
+
+@behave.when('a client sends {size:d} bytes and reads them back')
+def when_echo(context, size):
+    _echo_once(context, size)
+    _run(context)
+
+
+@behave.when(
+    'one client makes the server raise and another sends {size:d} bytes'
+)
+def when_crash(context, size):
+    def on_open(conn):
+        conn.on_close = lambda exc: _echo_once(context, size)
+        conn.write(CRASH)
+
+    context.loop.connect(
+        '127.0.0.1', context.listener.port, on_open, context.errors.append
+    )
+    _run(context)
+    kinds = [kind for kind, _ in context.quiet.seen]
+    assert kinds == [RuntimeError], context.quiet.seen
+
+
+@behave.when('a client connects to a port that nobody listens on')
+def when_refused(context):
+    port = context.listener.port
+    context.listener.close()
+
+    def on_error(exc):
+        context.errors.append(exc)
+        context.loop.call_later(0.2, context.root.stop)
+
+    context.loop.connect('127.0.0.1', port, lambda conn: None, on_error)
+    _run(context)
+
+
+@behave.then('the client received exactly what it sent')
+def then_same(context):
+    assert bytes(context.received) == context.sent, len(context.received)
+    assert not context.errors
+
+
+@behave.then('the error callback was called once')
+def then_error(context):
+    assert len(context.errors) == 1, context.errors
