--- /dev/null
+++ b/src/jasminehold/decisions/health.py
@@ -0,0 +1,200 @@
+"""Outlier ejection and slow start of upstreams.
+
+Ejection follows what the requests themselves show. Reports from health and
+load endpoints may lag or mislead, so they only lower an upstream's weight.
+
+Source: docs/design.md, section 3 (``health``).
+"""
+
+import typing
+
+
+class HealthConfig(typing.NamedTuple):
+    """Settings of :class:`Health`.
+
+    Attributes:
+        consecutive: failures in a row that eject an upstream.
+        rate_samples: least number of results before the failure rate counts.
+        rate: failure rate, share 0 to 1, that ejects an upstream.
+        eject_s: seconds of the first ejection; later ones double.
+        eject_max_s: longest ejection in seconds.
+        max_out: largest share of a service's upstreams out together.
+        slow_start_s: seconds until a returned upstream has its full weight.
+        slow_start_floor: weight at the return, share 0 to 1.
+        report_max_age_s: age in seconds after which a report is ignored.
+        quiet_s: seconds without failures that halve the next ejection.
+    """
+
+    consecutive: int = 3
+    rate_samples: int = 10
+    rate: float = 0.5
+    eject_s: float = 5.0
+    eject_max_s: float = 60.0
+    max_out: float = 1 / 3
+    slow_start_s: float = 10.0
+    slow_start_floor: float = 0.1
+    report_max_age_s: float = 5.0
+    quiet_s: float = 60.0
+
+
+class _State:
+    def __init__(self):
+        self.failures_in_row = 0
+        self.failure_rate = 0.0
+        self.samples = 0
+        self.ejected_until = None
+        self.ejections = 0
+        self.last_failure = None
+        self.returned_at = None
+        self.report = None
+
+
+class Health:
+    """Health of the upstreams of one service as one instance sees it."""
+
+    def __init__(self, cfg=HealthConfig()):
+        self._cfg = cfg
+        self._states = {}
+
+    def set_upstreams(self, names, now):
+        """Set the upstreams of the service; new ones start slowly.
+
+        Args:
+            names: names of all upstreams.
+            now: seconds, monotonic.
+        """
+        first = not self._states
+        for name in names:
+            if name not in self._states:
+                state = self._states[name] = _State()
+                state.returned_at = None if first else now
+        for name in set(self._states) - set(names):
+            del self._states[name]
+
+    def note(self, name, succeeded, now):
+        """Record the result of one request.
+
+        Refusals by a busy or draining upstream are no failures and are not
+        reported here.
+
+        Args:
+            name: the upstream.
+            succeeded: whether a whole answer came in time.
+            now: seconds, monotonic.
+
+        Returns:
+            Whether this result ejected the upstream.
+        """
+        state = self._states.get(name)
+        if state is None:
+            return False
+        state.samples = min(state.samples + 1, 1000)
+        weight = max(1 / state.samples, 1 / 20)
+        state.failure_rate += weight * ((not succeeded) - state.failure_rate)
+        if succeeded:
+            state.failures_in_row = 0
+            return False
+        state.failures_in_row += 1
+        last, state.last_failure = state.last_failure, now
+        if last is not None and now - last > self._cfg.quiet_s:
+            state.ejections //= 2
+        if not self._is_outlier(state):
+            return False
+        return self._eject(name, state, now)
+
+    def lost(self, name, now):
+        """Record that connections to an upstream are refused.
+
+        A refused connection leaves no doubt, so one is enough.
+
+        Returns:
+            Whether this ejected the upstream.
+        """
+        state = self._states.get(name)
+        if state is None:
+            return False
+        state.last_failure = now
+        return self._eject(name, state, now)
+
+    def report(self, name, load, healthy, now):
+        """Record an endpoint's report.
+
+        Args:
+            name: the upstream.
+            load: share of its slots in use, 0 to 1.
+            healthy: what the health endpoint says.
+            now: seconds, monotonic.
+        """
+        state = self._states.get(name)
+        if state is not None:
+            state.report = (now, load, healthy)
+
+    def weight(self, name, now):
+        """Return an upstream's weight, 0 (ejected) to 1.
+
+        Args:
+            name: the upstream.
+            now: seconds, monotonic.
+        """
+        state = self._states.get(name)
+        if state is None:
+            return 0.0
+        if state.ejected_until is not None:
+            if now < state.ejected_until:
+                return 0.0
+            self._return(state, now)
+        weight = 1.0
+        if state.returned_at is not None:
+            age = now - state.returned_at
+            if age >= self._cfg.slow_start_s:
+                state.returned_at = None
+            else:
+                floor = self._cfg.slow_start_floor
+                share = age / self._cfg.slow_start_s
+                weight = floor + (1 - floor) * share
+        if state.report is not None:
+            weight *= self._trust(state.report, now)
+        return weight
+
+    def ejected(self, now):
+        """Return the names of the upstreams that are out."""
+        return [
+            name
+            for name, state in self._states.items()
+            if state.ejected_until is not None and now < state.ejected_until
+        ]
+
+    def _trust(self, report, now):
+        at, load, healthy = report
+        if now - at > self._cfg.report_max_age_s:
+            return 1.0
+        if not healthy:
+            return 0.5
+        return 1.0 if load < 1.0 else 0.75
+
+    def _is_outlier(self, state):
+        if state.failures_in_row >= self._cfg.consecutive:
+            return True
+        enough = state.samples >= self._cfg.rate_samples
+        return enough and state.failure_rate >= self._cfg.rate
+
+    def _eject(self, name, state, now):
+        if state.ejected_until is not None and now < state.ejected_until:
+            return False
+        if len(self.ejected(now)) >= self._most_out():
+            return False
+        length = self._cfg.eject_s * 2**state.ejections
+        state.ejected_until = now + min(length, self._cfg.eject_max_s)
+        state.ejections += 1
+        state.failures_in_row = 0
+        return True
+
+    def _most_out(self):
+        count = len(self._states)
+        return min(max(int(count * self._cfg.max_out), 1), count - 1)
+
+    def _return(self, state, now):
+        state.returned_at = state.ejected_until
+        state.ejected_until = None
+        state.failure_rate = 0.0
+        state.samples = 0
