--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each is a command that prints its figures and its seed."""
--- a/tests/run.py
+++ b/tests/run.py
@@ -50,7 +50,12 @@
     """
     env = dict(os.environ)
     env['PYTHONPATH'] = os.pathsep.join(
-        [str(ROOT / 'src'), str(ROOT / 'tests'), env.get('PYTHONPATH', '')]
+        [
+            str(ROOT / 'src'),
+            str(ROOT / 'tests'),
+            str(ROOT),
+            env.get('PYTHONPATH', ''),
+        ]
     )
     command = [sys.executable, '-m', 'behave', '--no-color']
     command += ['-f', 'json', '-o', '/dev/fd/1', '-f', 'null']
