Add the platform's client and its stand-in

Change: the stand-in serves keys, leases, watches and the lagging instance list over h11, with faults set over HTTP on a control port that outlives an outage. The client repeats reads with back-off and jitter, sends writes at most once and limits reconnects.

--- /dev/null
+++ b/src/jasminehold/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's key-value service."""
--- /dev/null
+++ b/src/jasminehold/platform/http.py
@@ -0,0 +1,297 @@
+"""Small keep-alive HTTP client for one address, on the event loop."""
+
+import collections
+import typing
+
+import h11
+
+from jasminehold import errors
+
+MAX_BODY_BYTES = 2 * 1024 * 1024
+MAX_CONNS = 16
+MAX_QUEUE = 1024
+BACKOFF_FIRST_S = 0.1
+BACKOFF_MAX_S = 2.0
+CONNECT_TIMEOUT_S = 1.0
+
+
+class Response(typing.NamedTuple):
+    """An HTTP answer; header names are lower case."""
+
+    status: int
+    headers: dict
+    body: bytes
+
+
+class RequestFailed(errors.JasmineholdError):
+    """Raised when a request got no whole answer.
+
+    Attributes:
+        sent: whether any byte of the request may have left this process.
+    """
+
+    def __init__(self, message, *, sent):
+        super().__init__(message)
+        self.sent = sent
+
+
+class Client:
+    """Connections to one address, with a bounded queue and back-off.
+
+    After a failed attempt to connect, requests fail at once until a back-off
+    with full jitter has passed; then a single attempt is made. So an outage
+    ends without a burst of connections.
+
+    Args:
+        loop: the event loop.
+        host: IP address.
+        port: port.
+        rng: random source of the jitter.
+        max_conns: connections at most.
+        max_body: bytes of an answer at most.
+    """
+
+    def __init__(
+        self,
+        loop,
+        host,
+        port,
+        rng,
+        max_conns=MAX_CONNS,
+        max_body=MAX_BODY_BYTES,
+    ):
+        self.connects = 0
+        self._loop = loop
+        self._host = host
+        self._port = port
+        self._rng = rng
+        self._max_conns = max_conns
+        self.max_body = max_body
+        self._idle = []
+        self._conns = set()
+        self._opening = 0
+        self._queue = collections.deque()
+        self._failures = 0
+        self._retry_at = 0.0
+        self._closed = False
+
+    def available(self):
+        """Return whether a request would be tried now."""
+        return not self._failures or (
+            self._loop.now() >= self._retry_at and not self._opening
+        )
+
+    def request(self, method, target, body, timeout, done):
+        """Send a request.
+
+        Args:
+            method: HTTP method.
+            target: path and query.
+            body: bytes.
+            timeout: seconds until the whole answer.
+            done: called once, ``done(Response or None, RequestFailed or
+                None)``, never before this returns.
+        """
+        call = _Call(self._loop, method, target, body, timeout, done)
+        if self._closed:
+            call.fail('the client is closed', False, soon=True)
+        elif self._idle:
+            self._loop.call_soon(self._start, call)
+        elif not self.available():
+            call.fail('waiting to reconnect', False, soon=True)
+        elif len(self._queue) >= MAX_QUEUE:
+            call.fail('too many requests wait', False, soon=True)
+        else:
+            self._queue.append(call)
+            self._open()
+
+    def close(self):
+        """Close all connections; requests in flight fail."""
+        self._closed = True
+        for link in list(self._conns):
+            link.conn.abort()
+        while self._queue:
+            self._queue.popleft().fail('the client is closed', False)
+
+    def _start(self, call):
+        if call.done is None:
+            return
+        while self._idle:
+            link = self._idle.pop()
+            if not link.conn.closed:
+                link.send(call)
+                return
+        if not self.available():
+            call.fail('waiting to reconnect', False)
+            return
+        self._queue.append(call)
+        self._open()
+
+    def _open(self):
+        if self._closed or not self._queue:
+            return
+        limit = 1 if self._failures else self._max_conns
+        if len(self._conns) + self._opening >= self._max_conns:
+            return
+        if self._opening >= min(limit, len(self._queue)):
+            return
+        self._opening += 1
+        self.connects += 1
+        self._loop.connect(
+            self._host,
+            self._port,
+            self._on_open,
+            self._on_error,
+            CONNECT_TIMEOUT_S,
+        )
+
+    def _on_open(self, conn):
+        self._opening -= 1
+        self._failures = 0
+        if self._closed:
+            conn.abort()
+            return
+        link = _Link(self, conn)
+        self._conns.add(link)
+        self.on_free(link)
+        self._open()
+
+    def _on_error(self, exc):
+        self._opening -= 1
+        self._failures += 1
+        ceiling = min(
+            BACKOFF_MAX_S, BACKOFF_FIRST_S * 2 ** min(self._failures - 1, 10)
+        )
+        # The first half is fixed, so that attempts keep a minimum distance.
+        delay = ceiling * (0.5 + 0.5 * self._rng.random())
+        self._retry_at = self._loop.now() + delay
+        calls, self._queue = self._queue, collections.deque()
+        for call in calls:
+            call.fail('connect: %s' % exc, False)
+
+    def on_free(self, link):
+        """Use a connection for the next request or keep it."""
+        while self._queue:
+            call = self._queue.popleft()
+            if call.done is not None:
+                link.send(call)
+                return
+        self._idle.append(link)
+
+    def on_end(self, link):
+        """Forget a closed connection and serve those that wait."""
+        self._conns.discard(link)
+        if link in self._idle:
+            self._idle.remove(link)
+        self._open()
+
+
+class _Call:
+    """One request with its time-out."""
+
+    def __init__(self, loop, method, target, body, timeout, done):
+        self.method = method
+        self.target = target
+        self.body = body
+        self.done = done
+        self.link = None
+        self._loop = loop
+        self._timer = loop.call_later(timeout, self._expire)
+
+    def _expire(self):
+        link = self.link
+        self.fail('timed out', link is not None)
+        if link is not None:
+            link.conn.abort()
+
+    def fail(self, message, sent, soon=False):
+        self.finish(None, RequestFailed(message, sent=sent), soon)
+
+    def finish(self, response, exc, soon=False):
+        done, self.done = self.done, None
+        if done is None:
+            return
+        self._timer.cancel()
+        if soon:
+            self._loop.call_soon(done, response, exc)
+        else:
+            done(response, exc)
+
+
+class _Link:
+    """One connection; runs one request at a time."""
+
+    def __init__(self, client, conn):
+        self.conn = conn
+        self._client = client
+        self._http = h11.Connection(h11.CLIENT)
+        self._call = None
+        self._head = None
+        self._body = bytearray()
+        conn.on_data = self._on_data
+        conn.on_close = self._on_close
+
+    def send(self, call):
+        """Send a request on this free connection."""
+        self._call = call
+        call.link = self
+        self._body.clear()
+        headers = [
+            ('Host', '%s:%d' % self.conn.peer),
+            ('Content-Length', str(len(call.body))),
+        ]
+        request = h11.Request(
+            method=call.method, target=call.target, headers=headers
+        )
+        out = self._http.send(request)
+        if call.body:
+            out += self._http.send(h11.Data(data=call.body))
+        self.conn.write(out + self._http.send(h11.EndOfMessage()))
+
+    def _on_close(self, exc):
+        call, self._call = self._call, None
+        self._client.on_end(self)
+        if call is not None:
+            call.fail('connection lost: %s' % exc, True)
+
+    def _on_data(self, data):
+        if self._call is None:
+            self.conn.abort()
+            return
+        try:
+            self._http.receive_data(data)
+            self._pump()
+        except h11.RemoteProtocolError:
+            self.conn.abort()
+
+    def _pump(self):
+        while not self.conn.closed:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Response):
+                self._head = event
+            elif isinstance(event, h11.Data):
+                self._body.extend(event.data)
+                if len(self._body) > self._client.max_body:
+                    self.conn.abort()
+            elif isinstance(event, h11.EndOfMessage):
+                self._answer()
+                return
+            elif isinstance(event, h11.ConnectionClosed):
+                self.conn.abort()
+
+    def _answer(self):
+        call, self._call = self._call, None
+        head = self._head
+        headers = {
+            name.decode(): value.decode('latin-1')
+            for name, value in head.headers
+        }
+        response = Response(head.status_code, headers, bytes(self._body))
+        if self._http.our_state is h11.DONE:
+            self._http.start_next_cycle()
+            self._client.on_free(self)
+        else:
+            self.conn.abort()
+        call.finish(response, None)
--- /dev/null
+++ b/src/jasminehold/standin/store.py
@@ -0,0 +1,156 @@
+"""State of the stand-in's key-value service: keys, leases and events."""
+
+import bisect
+import collections
+import itertools
+import typing
+
+EVENTS_KEPT = 10_000
+# Answers stay near one megabyte although base64 adds a third to each value.
+PAGE_VALUE_BYTES = 700_000
+
+
+class Item(typing.NamedTuple):
+    """A stored value."""
+
+    value: bytes
+    version: int
+    lease: str
+
+
+class Event(typing.NamedTuple):
+    """A change; the value of a deletion is empty."""
+
+    key: str
+    value: bytes
+    version: int
+    deleted: bool
+
+
+class Mismatch(Exception):
+    """Raised when the expected version is not the one found."""
+
+    def __init__(self, version):
+        super().__init__(version)
+        self.version = version
+
+
+class Missing(Exception):
+    """Raised when a key or a lease does not exist."""
+
+
+class Store:
+    """Keys with global revisions, leases and a bounded log of events."""
+
+    def __init__(self, events_kept=EVENTS_KEPT):
+        self.revision = 0
+        self.events = collections.deque(maxlen=events_kept)
+        self._items = {}
+        self._keys = []
+        self._leases = {}
+        self._ids = itertools.count(1)
+
+    def get(self, key):
+        """Return the :class:`Item` of a key or None."""
+        return self._items.get(key)
+
+    def put(self, key, value, if_version, lease=''):
+        """Store a value by compare-and-swap and return its version."""
+        self._check(key, if_version)
+        if lease and lease not in self._leases:
+            raise Missing()
+        old = self._items.get(key)
+        if old is None:
+            bisect.insort(self._keys, key)
+        elif old.lease in self._leases:
+            self._leases[old.lease][2].discard(key)
+        if lease:
+            self._leases[lease][2].add(key)
+        self.revision += 1
+        self._items[key] = Item(value, self.revision, lease)
+        self.events.append(Event(key, value, self.revision, False))
+        return self.revision
+
+    def delete(self, key, if_version):
+        """Delete a key by compare-and-swap and return the revision."""
+        self._check(key, if_version)
+        if key not in self._items:
+            raise Missing()
+        self._remove(key)
+        return self.revision
+
+    def list(self, prefix, after):
+        """Return ``(items, more)`` of the keys beyond ``after``."""
+        index = bisect.bisect_left(self._keys, prefix)
+        if after:
+            index = max(index, bisect.bisect_right(self._keys, after))
+        found, size = [], 0
+        for key in itertools.islice(self._keys, index, None):
+            if not key.startswith(prefix):
+                break
+            item = self._items[key]
+            size += len(item.value) + len(key) + 64
+            if found and size > PAGE_VALUE_BYTES:
+                return found, True
+            found.append((key, item))
+        return found, False
+
+    def since(self, prefix, revision):
+        """Return ``(events, revision reached)`` or None if compacted."""
+        if revision < self.revision and (
+            not self.events or self.events[0].version > revision + 1
+        ):
+            return None
+        found, size = [], 0
+        # Event versions are consecutive, so the start is an index.
+        start = len(self.events) - (self.revision - revision)
+        for event in itertools.islice(self.events, max(start, 0), None):
+            if not event.key.startswith(prefix):
+                continue
+            size += len(event.value) + len(event.key) + 64
+            if found and size > PAGE_VALUE_BYTES:
+                return found, found[-1].version
+            found.append(event)
+        return found, max(self.revision, revision)
+
+    def grant(self, ttl, now):
+        """Create a lease of ``ttl`` seconds and return its id."""
+        lease = 'lease-%d' % next(self._ids)
+        self._leases[lease] = [now + ttl, ttl, set()]
+        return lease
+
+    def renew(self, lease, now):
+        """Extend a lease and return its time to live."""
+        if lease not in self._leases:
+            raise Missing()
+        cell = self._leases[lease]
+        cell[0] = now + cell[1]
+        return cell[1]
+
+    def revoke(self, lease):
+        """End a lease and remove its keys."""
+        if lease not in self._leases:
+            raise Missing()
+        for key in sorted(self._leases.pop(lease)[2]):
+            self._remove(key)
+
+    def expire(self, now):
+        """End the leases that are past their time."""
+        for lease in [
+            key for key, cell in self._leases.items() if cell[0] <= now
+        ]:
+            self.revoke(lease)
+
+    def _check(self, key, if_version):
+        item = self._items.get(key)
+        found = item.version if item else 0
+        if found != if_version:
+            raise Mismatch(found)
+
+    def _remove(self, key):
+        item = self._items.pop(key)
+        if item.lease in self._leases:
+            self._leases[item.lease][2].discard(key)
+        self._keys.pop(bisect.bisect_left(self._keys, key))
+        self.revision += 1
+        self.events.append(Event(key, b'', self.revision, True))
--- /dev/null
+++ b/tests/features/steps/platform_steps.py
@@ -0,0 +1,170 @@
+"""Steps for the platform's client and stand-in."""
+
+import json
+
+import behave
+from builders import platform_world
+
+from jasminehold import errors
+from jasminehold.platform import http
+
+
+@behave.given('an embedded platform')
+def given_platform(context):
+    context.world = platform_world.World()
+
+
+@behave.then(
+    'compare-and-swap refuses a stale version and reports the current one'
+)
+def then_cas(context):
+    call = context.world.call
+    version, exc = call('put', 'a/x y', b'\x00\xff', 0)
+    assert exc is None and version == 1
+    _, exc = call('put', 'a/x y', b'2', 0)
+    assert isinstance(exc, errors.VersionMismatch) and exc.version == 1
+    item, exc = call('get', 'a/x y')
+    assert (item.value, item.version) == (b'\x00\xff', 1)
+    assert call('delete', 'a/x y', 1)[1] is None
+    assert isinstance(call('get', 'a/x y')[1], errors.KeyNotFound)
+    assert call('put', 'a/x y', b'3', 0)[0] == 3
+    _, exc = call('put', 'big', bytes(1_000_001), 0)
+    assert isinstance(exc, errors.PlatformUnavailable)
+    assert call('put', 'big', bytes(1_000_000), 0)[0] == 4
+
+
+@behave.then('a list is paged and a watch returns later changes and deletions')
+def then_list(context):
+    call = context.world.call
+    for index in range(4):
+        assert call('put', 'p/%d' % index, bytes(300_000), 0)[1] is None
+    page, _ = call('list', 'p/', '')
+    assert page.more and len(page.items) == 2
+    page, _ = call('list', 'p/', page.items[-1].key)
+    assert not page.more and [i.key for i in page.items] == ['p/2', 'p/3']
+    answers = []
+    world = context.world
+    world.client.watch('p/', page.revision, 5, lambda *a: answers.append(a))
+    world.run_until(lambda: world.standin.stats()['watches'] == 1)
+    call('put', 'q', b'', 0)
+    assert not answers
+    call('delete', 'p/2', page.items[0].version)
+    world.run_until(lambda: answers)
+    events = answers[0][0].events
+    assert [(e.key, e.deleted) for e in events] == [('p/2', True)], events
+    assert world.standin.counts['watch'] == 1
+
+
+@behave.then('keys end with their lease and a compacted watch says so')
+def then_lease(context):
+    call = context.world.call
+    lease, _ = call('grant', 0.4)
+    assert call('put', 'l', b'', 0, lease=lease)[1] is None
+    context.world.run_for(0.25)
+    assert call('renew', lease)[1] is None
+    context.world.run_for(0.25)
+    assert call('get', 'l')[1] is None
+    context.world.run_for(0.4)
+    assert isinstance(call('get', 'l')[1], errors.KeyNotFound)
+    assert isinstance(call('renew', lease)[1], errors.KeyNotFound)
+    store = context.world.standin.store
+    for _ in range(10_001):
+        store.put('c', b'', store.get('c').version if store.get('c') else 0)
+    _, exc = call('watch', 'p/', 1, 1)
+    assert isinstance(exc, errors.Compacted), exc
+
+
+@behave.when('the platform is down by "{how}"')
+def when_down(context, how):
+    context.world.standin.set_faults(down=how)
+
+
+@behave.when('the next write loses its reply')
+def when_lose(context):
+    context.world.standin.set_faults(lose_next=1)
+
+
+@behave.then('a put fails with {name} and {effect}')
+def then_put(context, name, effect):
+    world = context.world
+    _, exc = world.call('put', 'k', b'v', 0)
+    assert type(exc).__name__ == name, exc
+    world.standin.set_faults(down='', lose_next=0)
+    world.run_for(0.3)
+    item, exc = world.call('get', 'k')
+    if effect == 'has no effect':
+        assert isinstance(exc, errors.KeyNotFound), (item, exc)
+    else:
+        assert item.version == 1
+        assert world.standin.counts['put'] == 1
+
+
+@behave.when('the platform refuses for 2 s while 200 calls a second are made')
+def when_outage(context):
+    world = context.world
+    assert world.call('put', 'k', b'v', 0)[1] is None
+    context.done = []
+    world.standin.set_faults(down='refuse')
+    context.before = world.client._pools[0].connects
+
+    def more(left):
+        world.client.get('k', lambda *answer: context.done.append(answer))
+        if left:
+            world.loop.call_later(0.005, more, left - 1)
+
+    more(400)
+    world.run_for(2.0)
+    context.tried = world.client._pools[0].connects - context.before
+    world.standin.set_faults(down='')
+    world.run_for(3.0)
+
+
+@behave.then('few connections were tried and the platform is used again')
+def then_bounded(context):
+    world = context.world
+    # Back-off doubles from at least 0.05 s: 5 attempts reach 1.5 s.
+    assert context.tried <= 8, context.tried
+    assert world.standin.stats()['connections'] <= http.MAX_CONNS
+    assert world.call('get', 'k')[1] is None
+    assert len(context.done) == 401, len(context.done)
+
+
+@behave.then('a registered instance appears and disappears after the lag')
+def then_instances(context):
+    world = context.world
+    world.standin.set_faults(list_lag_s=0.3)
+    entry = {'id': 'i1', 'state': 'live'}
+    pool = http.Client(
+        world.loop, '127.0.0.1', world.standin.port, world.client._rng
+    )
+    done = []
+    pool.request(
+        'POST',
+        '/v1/instances',
+        json.dumps(entry).encode(),
+        1.0,
+        lambda *answer: done.append(answer),
+    )
+    world.run_until(lambda: done)
+    assert world.call('instances')[0] == []
+    world.run_for(0.4)
+    assert world.call('instances')[0] == [entry]
+    world.standin.set_faults(down='refuse')
+    world.run_for(0.5)
+    world.standin.set_faults(down='')
+    world.run_for(1.0)
+    assert world.call('instances')[0] == [entry], 'a running one was dropped'
+    done.clear()
+    pool.request(
+        'POST',
+        '/v1/instances',
+        json.dumps(entry).encode(),
+        1.0,
+        lambda *answer: done.append(answer),
+    )
+    world.run_until(lambda: done)
+    pool.close()
+    world.run_for(0.1)
+    assert world.call('instances')[0] == [entry]
+    world.run_for(0.4)
+    assert world.call('instances')[0] == []
