Add the settings file with one table of keys

Cause: an instance learns its addresses, place and limits from its settings. Change: settings.py reads JSON with comments, checks each key against the table KEYS and writes docs/settings.md from the same table.

--- /dev/null
+++ b/src/jasminehold/settings.py
@@ -0,0 +1,532 @@
+"""Settings file of an instance: JSON with comments, checked key by key.
+
+The table :data:`KEYS` is the only list of keys. It drives the type
+:class:`Settings`, the check in :func:`parse` and the page that
+:func:`markdown` writes.
+
+Example:
+    >>> parse('{place: "sul-1", region: "sul"}').contact_timeout
+    3.0
+"""
+
+import ipaddress
+import json
+import math
+import os
+import re
+import typing
+
+import json5
+
+from jasminehold import errors
+
+# json5 takes about 0.3 s per 100 KB, so files with comments are kept small.
+MAX_JSON5_BYTES = 256 * 1024
+# A fleet's whole configuration in one file, at 520,000 client blocks.
+MAX_FILE_BYTES = 64 * 1024 * 1024
+# json5 parses recursively; deeper files would exhaust the stack.
+MAX_DEPTH = 16
+
+_NAME = re.compile(r'[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?')
+_REQUIRED = object()
+
+
+class Address(typing.NamedTuple):
+    """An IP address and a TCP port."""
+
+    host: str
+    port: int
+
+
+class Key(typing.NamedTuple):
+    """One key of the settings file.
+
+    Attributes:
+        name: the key.
+        type: type of the checked value.
+        check: function from the JSON value to the checked value; raises
+            ``ValueError``.
+        allowed: what is allowed, for messages and the page.
+        default: the JSON value used when the key is absent.
+        doc: one sentence on the meaning.
+    """
+
+    name: str
+    type: object
+    check: typing.Callable
+    allowed: str
+    default: object
+    doc: str
+
+
+def _number(low, high, whole=False):
+    def check(value):
+        if isinstance(value, bool) or not isinstance(value, (int, float)):
+            raise ValueError
+        if whole and not isinstance(value, int):
+            raise ValueError
+        if not math.isfinite(value) or not low <= value <= high:
+            raise ValueError
+        return value if whole else float(value)
+
+    return check
+
+
+def _name(value):
+    if not isinstance(value, str) or not _NAME.fullmatch(value):
+        raise ValueError
+    return value
+
+
+def _address(value):
+    if not isinstance(value, str):
+        raise ValueError
+    host, _, port = value.rpartition(':')
+    if not re.fullmatch(r'[0-9]{1,5}', port) or int(port) > 65535:
+        raise ValueError
+    host = str(ipaddress.ip_address(host.strip('[]')))
+    return Address(host, int(port))
+
+
+def _addresses(value):
+    if not isinstance(value, list) or len(value) > 64:
+        raise ValueError
+    result = tuple(_address(item) for item in value)
+    if any(address.port == 0 for address in result):
+        raise ValueError
+    return result
+
+
+def _hex_map(pattern):
+    def check(value):
+        if not isinstance(value, dict) or len(value) > 1000:
+            raise ValueError
+        for name, text in value.items():
+            _name(name)
+            if not isinstance(text, str) or not re.fullmatch(pattern, text):
+                raise ValueError
+        return {name: text.lower() for name, text in value.items()}
+
+    return check
+
+
+def _choice(*values):
+    def check(value):
+        if value not in values:
+            raise ValueError
+        return value
+
+    return check
+
+
+def _id(value):
+    if value is None:
+        return 'i-' + os.urandom(8).hex()
+    return _name(value)
+
+
+def _key_id(value):
+    return value if value is None else _name(value)
+
+
+_NAME_TEXT = 'lower-case letters, digits and hyphens, at most 63'
+_ADDRESS_TEXT = '"IP:port", the port from 0 to 65535'
+_ADDRESSES_TEXT = 'list of at most 64 "IP:port", the ports from 1 to 65535'
+
+
+def _text(name, check, allowed, default, doc, kind=str):
+    return Key(name, kind, check, allowed, default, doc)
+
+
+def _whole(name, default, low, high, doc):
+    allowed = 'integer from %d to %d' % (low, high)
+    return Key(name, int, _number(low, high, True), allowed, default, doc)
+
+
+def _seconds(name, default, low, high, doc):
+    allowed = 'seconds from %g to %g' % (low, high)
+    return Key(name, float, _number(low, high), allowed, default, doc)
+
+
+KEYS = (
+    _text('id', _id, _NAME_TEXT, None, 'Id of the instance; random if unset.'),
+    _text('place', _name, _NAME_TEXT, _REQUIRED, 'Place of the instance.'),
+    _text('region', _name, _NAME_TEXT, _REQUIRED, 'Region of the place.'),
+    _text(
+        'caller_listen',
+        _address,
+        _ADDRESS_TEXT,
+        '127.0.0.1:0',
+        'Address for callers.',
+        Address,
+    ),
+    _text(
+        'api_listen',
+        _address,
+        _ADDRESS_TEXT,
+        '127.0.0.1:0',
+        'Address for operators, metrics and health.',
+        Address,
+    ),
+    _text(
+        'peer_listen',
+        _address,
+        _ADDRESS_TEXT,
+        '127.0.0.1:0',
+        'Address for other instances.',
+        Address,
+    ),
+    _text(
+        'platform',
+        _addresses,
+        _ADDRESSES_TEXT,
+        [],
+        "Addresses of the platform's service, tried in turn.",
+        tuple[Address, ...],
+    ),
+    _text(
+        'peers',
+        _addresses,
+        _ADDRESSES_TEXT,
+        [],
+        'Instances to start from.',
+        tuple[Address, ...],
+    ),
+    _text(
+        'peer_keys',
+        _hex_map(r'([0-9a-fA-F]{2}){16,64}'),
+        'object from key id to a key of 16 to 64 bytes in hex',
+        {},
+        'Key ring for the streams between instances.',
+        dict[str, str],
+    ),
+    _text(
+        'peer_key_id',
+        _key_id,
+        'an id in peer_keys',
+        None,
+        'Key that this instance proves itself with.',
+        typing.Optional[str],
+    ),
+    _text(
+        'operators',
+        _hex_map(r'[0-9a-fA-F]{64}'),
+        "object from the operator's name to 64 hex digits (SHA-256)",
+        {},
+        "SHA-256 of each operator's bearer token.",
+        dict[str, str],
+    ),
+    _text(
+        'log_level',
+        _choice('debug', 'info', 'warning', 'error'),
+        '"debug", "info", "warning" or "error"',
+        'info',
+        'Lowest level of the log lines that are written.',
+    ),
+    _whole(
+        'max_header_bytes',
+        16384,
+        1024,
+        1048576,
+        'Limit on the headers of one request.',
+    ),
+    _whole(
+        'max_body_bytes',
+        1048576,
+        1024,
+        67108864,
+        "Limit on the body of a caller's request.",
+    ),
+    _whole(
+        'api_max_body_bytes',
+        524288,
+        1024,
+        1048576,
+        "Limit on the body of an operator's request.",
+    ),
+    _whole(
+        'max_document_bytes',
+        524288,
+        1024,
+        524288,
+        'Limit on one stored resource.',
+    ),
+    _whole(
+        'max_frame_bytes',
+        1114112,
+        65536,
+        1114112,
+        'Limit on one frame between instances.',
+    ),
+    _whole(
+        'max_connections', 10000, 1, 100000, "Limit on callers' connections."
+    ),
+    _whole(
+        'api_max_connections',
+        256,
+        1,
+        10000,
+        "Limit on operators' connections.",
+    ),
+    _whole(
+        'max_watches',
+        128,
+        1,
+        10000,
+        'Limit on long polls that wait at the same time.',
+    ),
+    _whole(
+        'watch_history',
+        10000,
+        1,
+        1000000,
+        'Changes kept for watches that resume.',
+    ),
+    _whole(
+        'max_write_buffer',
+        1048576,
+        4096,
+        67108864,
+        'Bytes buffered for one connection before its source is paused.',
+    ),
+    _whole('lookup_batch', 1000, 1, 100000, 'Limit on queries in a look-up.'),
+    _whole('claim_shards', 4, 1, 64, 'Shards of the idempotency claims.'),
+    _whole(
+        'claim_writes_per_second',
+        30,
+        1,
+        1000,
+        'Limit on the platform writes of one claim shard.',
+    ),
+    _whole('peer_limit', 8, 1, 64, 'Peers chosen by stable hash.'),
+    _whole('full_mesh_limit', 16, 1, 64, 'Largest fleet with a full mesh.'),
+    _whole('tree_fan_in', 16, 2, 64, 'Fan-in of the status tree.'),
+    _seconds(
+        'api_read_timeout',
+        10.0,
+        0.1,
+        120,
+        "Time for an operator's request to arrive whole.",
+    ),
+    _seconds(
+        'header_timeout',
+        10.0,
+        0.1,
+        120,
+        "Time for the headers of a caller's request to arrive.",
+    ),
+    _seconds('idle_timeout', 60.0, 1, 3600, 'Idle time of a kept connection.'),
+    _seconds('connect_timeout', 2.0, 0.05, 30, 'Time to open a connection.'),
+    _seconds('platform_timeout', 2.0, 0.05, 30, 'Time for a platform call.'),
+    _seconds(
+        'default_deadline',
+        10.0,
+        0.05,
+        30,
+        'Deadline of a request that names none.',
+    ),
+    _seconds('max_deadline', 30.0, 0.05, 30, 'Longest deadline of a request.'),
+    _seconds('watch_wait_max', 30.0, 0, 300, 'Longest wait of a watch.'),
+    _seconds('drain_bound', 35.0, 0, 600, 'Longest drain at a planned stop.'),
+    _seconds('gossip_period', 1.0, 0.05, 60, 'Time between two exchanges.'),
+    _seconds(
+        'status_period', 1.0, 0.05, 60, 'Time between two status summaries.'
+    ),
+    _seconds(
+        'contact_timeout',
+        3.0,
+        0.2,
+        30,
+        'Age of the last contact with witnesses after which shares rest.',
+    ),
+    _seconds('loan_max', 10.0, 0.5, 60, 'Longest loan.'),
+    _seconds(
+        'gone_after',
+        10.0,
+        0.5,
+        300,
+        "Time off the platform's list after which an instance is gone.",
+    ),
+    _seconds('stale_after', 5.0, 0.1, 60, 'Age of a stale measurement.'),
+    _seconds('lease_ttl', 4.0, 0.5, 60, 'Time to live of a duty lease.'),
+    _seconds('lease_renew', 1.0, 0.1, 30, 'Renewal period of a duty lease.'),
+    _seconds('lookup_ttl', 2.0, 0.1, 60, 'Time callers may keep an answer.'),
+    _seconds('claim_keep', 3600.0, 60, 86400, 'Time that claims are kept.'),
+    _seconds(
+        'answer_keep',
+        600.0,
+        1,
+        86400,
+        'Time that answers of claimed requests are kept.',
+    ),
+    _seconds(
+        'tombstone_keep',
+        86400.0,
+        60,
+        2592000,
+        'Time that deleted resources are kept as tombstones.',
+    ),
+)
+
+Settings = typing.NamedTuple(
+    'Settings', [(key.name, key.type) for key in KEYS]
+)
+Settings.__doc__ = 'Checked settings; one field for each of :data:`KEYS`.'
+
+
+def parse(text):
+    """Check the text of a settings file and fill in defaults.
+
+    Args:
+        text: JSON with comments.
+
+    Returns:
+        The :class:`Settings`.
+
+    Raises:
+        SettingsError: when the text cannot be parsed or a key is unknown,
+            missing or not valid; the message names the key.
+    """
+    return from_dict(parse_json5(text, 'the settings'))
+
+
+def parse_json5(text, what):
+    """Parse JSON with comments, within the limits on size and nesting.
+
+    Args:
+        text: the text.
+        what: name of the source, for the message.
+
+    Raises:
+        SettingsError: when it is too large, too deep or malformed.
+    """
+    try:
+        # The standard parser is about 1,000 times faster than json5's; it
+        # takes most files that are written by programs.
+        return json.loads(text, object_pairs_hook=_unique)
+    except (ValueError, RecursionError):
+        pass
+    if len(text) > MAX_JSON5_BYTES:
+        raise errors.SettingsError(
+            '%s: larger than %d bytes and not plain JSON'
+            % (what, MAX_JSON5_BYTES)
+        )
+    if nesting(text) > MAX_DEPTH:
+        raise errors.SettingsError(
+            '%s: nested deeper than %d levels' % (what, MAX_DEPTH)
+        )
+    try:
+        return json5.loads(text, allow_duplicate_keys=False)
+    except (ValueError, RecursionError) as exc:
+        raise errors.SettingsError('%s: %s' % (what, exc)) from exc
+
+
+def _unique(pairs):
+    result = dict(pairs)
+    if len(result) != len(pairs):
+        raise ValueError('duplicate key')
+    return result
+
+
+def nesting(text):
+    """Return an upper bound of the nesting depth of JSON, without recursion.
+
+    Brackets in strings and comments count as well, so the bound can be too
+    high.
+    """
+    depth = deepest = 0
+    for match in re.finditer(r'[\[\]{}]', text):
+        if match.group() in '[{':
+            depth += 1
+            deepest = max(deepest, depth)
+        else:
+            depth -= 1
+    return deepest
+
+
+def from_dict(raw):
+    """Check a parsed settings object; see :func:`parse`."""
+    if not isinstance(raw, dict):
+        raise errors.SettingsError('the settings must be an object')
+    known = {key.name for key in KEYS}
+    for name in raw:
+        if name not in known:
+            raise errors.SettingsError(
+                '%s: unknown key; allowed keys: %s'
+                % (name, ', '.join(sorted(known)))
+            )
+    values = {key.name: _checked(key, raw) for key in KEYS}
+    result = Settings(**values)
+    _check_together(result)
+    return result
+
+
+def _checked(key, raw):
+    value = raw.get(key.name, key.default)
+    if value is _REQUIRED:
+        raise errors.SettingsError(
+            '%s: required; allowed: %s' % (key.name, key.allowed)
+        )
+    try:
+        return key.check(value)
+    except (ValueError, TypeError) as exc:
+        raise errors.SettingsError(
+            '%s: allowed: %s' % (key.name, key.allowed)
+        ) from exc
+
+
+def _check_together(cfg):
+    if cfg.peer_keys and cfg.peer_key_id not in cfg.peer_keys:
+        raise errors.SettingsError('peer_key_id: allowed: an id in peer_keys')
+    if cfg.peer_key_id is not None and not cfg.peer_keys:
+        raise errors.SettingsError('peer_keys: must hold peer_key_id')
+    if cfg.lease_renew * 2 > cfg.lease_ttl:
+        raise errors.SettingsError(
+            'lease_renew: allowed: at most half of lease_ttl'
+        )
+    if cfg.default_deadline > cfg.max_deadline:
+        raise errors.SettingsError(
+            'default_deadline: allowed: at most max_deadline'
+        )
+
+
+def load(path):
+    """Read and check a settings file; see :func:`parse`."""
+    return from_dict(parse_json5(read_file(path), path))
+
+
+def read_file(path):
+    """Return a file's text.
+
+    Raises:
+        SettingsError: when the file cannot be read.
+    """
+    try:
+        with open(path, encoding='utf-8') as stream:
+            return stream.read(MAX_FILE_BYTES + 1)
+    except (OSError, UnicodeDecodeError) as exc:
+        raise errors.SettingsError('%s: %s' % (path, exc)) from exc
+
+
+def markdown():
+    """Return the page ``docs/settings.md``."""
+    lines = [
+        '# Settings',
+        '',
+        'Written from the table in `settings.py` by '
+        '`python -m jasminehold.settings > docs/settings.md`.',
+        '',
+        '| key | allowed | default | meaning |',
+        '|---|---|---|---|',
+    ]
+    for key in KEYS:
+        default = 'required'
+        if key.default is not _REQUIRED:
+            default = '`%s`' % json.dumps(key.default)
+        cells = (key.name, key.allowed, default, key.doc)
+        lines.append('| `%s` | %s | %s | %s |' % cells)
+    return '\n'.join(lines) + '\n'
+
+
+if __name__ == '__main__':
+    print(markdown(), end='')
