Add resource kinds, their validation and the config set

Cause: operators' documents need checks with field paths, and instances need a configuration that never goes back to an older version.

--- /dev/null
+++ b/src/jasminehold/config.py
@@ -0,0 +1,138 @@
+"""The set of resources in force at an instance, by version.
+
+Documents arrive from the platform, from peers and from accepted writes, in
+any order and repeatedly. Each key only moves to higher versions, so a late
+copy never brings an older configuration back (invariant I8). Tombstones are
+kept for the same reason.
+
+Example:
+    >>> config = ConfigSet()
+    >>> changed = config.apply([], 7)
+    >>> config.revision
+    7
+"""
+
+import hashlib
+import typing
+
+PREFIX = 'state/config/'
+
+
+class Entry(typing.TypedDict):
+    """One document with its key and its version at the platform."""
+
+    key: str
+    value: dict
+    version: int
+
+
+def key_of(kind, name):
+    """Return the platform key of a resource."""
+    return '%s%s/%s' % (PREFIX, kind, name)
+
+
+def split_key(key):
+    """Return ``(kind, name)`` of a resource key, or None for other keys."""
+    if not key.startswith(PREFIX):
+        return None
+    kind, _, name = key[len(PREFIX) :].partition('/')
+    return (kind, name) if name else None
+
+
+class ConfigSet:
+    """Resources by kind and name, with their versions.
+
+    Attributes:
+        revision: highest revision of the platform that is known to be
+            reflected here.
+    """
+
+    def __init__(self):
+        self.revision = 0
+        self._entries = {}
+        self._by_kind = {}
+        self._listeners = []
+        # XOR of the entries' hashes, so that a change costs the same at any
+        # size of the set.
+        self._digest = 0
+
+    def add_listener(self, func):
+        """Call ``func(changed entries)`` after each change."""
+        self._listeners.append(func)
+
+    def apply(self, docs, revision=0):
+        """Apply documents; per key only a higher version has an effect.
+
+        Args:
+            docs: list of :class:`Entry`; other keys are ignored.
+            revision: revision of the platform up to which the documents
+                bring this set, 0 when unknown.
+
+        Returns:
+            The list of entries that were applied.
+        """
+        changed = []
+        for entry in docs:
+            parts = split_key(entry['key'])
+            if parts is None:
+                continue
+            old = self._entries.get(entry['key'])
+            if old is not None and old['version'] >= entry['version']:
+                continue
+            if old is not None:
+                self._digest ^= _hash(old)
+            self._digest ^= _hash(entry)
+            self._entries[entry['key']] = entry
+            kind, name = parts
+            live = self._by_kind.setdefault(kind, {})
+            if entry['value'].get('deleted'):
+                live.pop(name, None)
+            else:
+                live[name] = entry
+            changed.append(entry)
+        self.revision = max(self.revision, revision)
+        if changed:
+            for func in list(self._listeners):
+                func(changed)
+        return changed
+
+    def get(self, kind, name):
+        """Return the document of a resource, or None."""
+        entry = self._by_kind.get(kind, {}).get(name)
+        return None if entry is None else entry['value']
+
+    def entry(self, kind, name):
+        """Return the :class:`Entry` of a resource or a tombstone, or None."""
+        return self._entries.get(key_of(kind, name))
+
+    def all(self, kind):
+        """Return the documents of a kind, sorted by name."""
+        return [entry['value'] for entry in self.entries(kind)]
+
+    def entries(self, kind):
+        """Return the live entries of a kind, sorted by name."""
+        live = self._by_kind.get(kind, {})
+        return [live[name] for name in sorted(live)]
+
+    def version(self, key):
+        """Return the version held for a key, 0 when none is."""
+        entry = self._entries.get(key)
+        return 0 if entry is None else entry['version']
+
+    def versions(self):
+        """Return the version of each key, tombstones included."""
+        return {k: entry['version'] for k, entry in self._entries.items()}
+
+    def snapshot(self):
+        """Return all entries, tombstones included, sorted by key."""
+        return [self._entries[key] for key in sorted(self._entries)]
+
+    def digest(self):
+        """Return 16 hex digits that depend on all keys and versions."""
+        return '%016x' % self._digest
+
+
+def _hash(entry):
+    text = '%s\0%d' % (entry['key'], entry['version'])
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, 'big')
--- /dev/null
+++ b/src/jasminehold/resources/fields.py
@@ -0,0 +1,213 @@
+"""Checks of single fields, combined into the schemas of resource kinds.
+
+A check is a function ``check(value, path, faults)`` that appends
+``{'path', 'error'}`` to ``faults`` for each fault, so that an operator sees
+all of them at once.
+"""
+
+import ipaddress
+import math
+import re
+import typing
+
+NAME = re.compile(r'[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?')
+NAME_TEXT = 'must be 1 to 63 lower-case letters, digits and inner hyphens'
+# An answer that lists more faults than this helps nobody and costs memory.
+MAX_FAULTS = 100
+
+
+class Faults(list):
+    """A list of faults that stays within :data:`MAX_FAULTS`."""
+
+    def add(self, path, error):
+        """Append one fault, unless the list is full."""
+        if len(self) < MAX_FAULTS:
+            self.append({'path': path, 'error': error})
+
+
+class Field(typing.NamedTuple):
+    """One field of a structure.
+
+    Attributes:
+        check: the check of its value.
+        default: value used when it is absent; :data:`REQUIRED` when it must
+            be present, None when absence is a value.
+    """
+
+    check: typing.Callable
+    default: object = None
+
+
+REQUIRED = object()
+
+
+def required(check):
+    """Return a field that must be present."""
+    return Field(check, REQUIRED)
+
+
+def is_name(value):
+    """Return whether a value is a well-formed resource name."""
+    return isinstance(value, str) and NAME.fullmatch(value) is not None
+
+
+def name(value, path, faults):
+    """Check a resource name."""
+    if not is_name(value):
+        faults.add(path, NAME_TEXT)
+
+
+def name_or_any(value, path, faults):
+    """Check a resource name or ``*``."""
+    if value != '*' and not is_name(value):
+        faults.add(path, NAME_TEXT + ' or "*"')
+
+
+def whole(low, high):
+    """Return a check for an integer in a range."""
+
+    def check(value, path, faults):
+        if type(value) is not int or not low <= value <= high:
+            faults.add(path, 'must be an integer from %d to %d' % (low, high))
+
+    return check
+
+
+def number(low, high):
+    """Return a check for a finite number in a range."""
+
+    def check(value, path, faults):
+        if (
+            type(value) not in (int, float)
+            or not math.isfinite(value)
+            or not low <= value <= high
+        ):
+            faults.add(path, 'must be a number from %g to %g' % (low, high))
+
+    return check
+
+
+def flag(value, path, faults):
+    """Check a boolean."""
+    if not isinstance(value, bool):
+        faults.add(path, 'must be true or false')
+
+
+def choice(*values):
+    """Return a check for one of a few strings."""
+
+    def check(value, path, faults):
+        if not isinstance(value, str) or value not in values:
+            faults.add(path, 'must be one of ' + ', '.join(values))
+
+    return check
+
+
+def ip(value, path, faults):
+    """Check an IP address."""
+    try:
+        if not isinstance(value, str):
+            raise ValueError
+        ipaddress.ip_address(value)
+    except ValueError:
+        faults.add(path, 'must be an IP address')
+
+
+def cidr(value, path, faults):
+    """Check an address block without host bits."""
+    try:
+        if not isinstance(value, str) or '/' not in value:
+            raise ValueError
+        ipaddress.ip_network(value)
+    except ValueError:
+        faults.add(path, 'must be an address block such as 10.1.0.0/16')
+
+
+def url_prefix(value, path, faults):
+    """Check the prefix of a URL path."""
+    if not isinstance(value, str) or not re.fullmatch(r'/[!-~]{0,255}', value):
+        faults.add(path, 'must begin with / and have at most 256 characters')
+
+
+def list_of(check_item, at_most, at_least=0):
+    """Return a check for a list."""
+
+    def check(value, path, faults):
+        if (
+            not isinstance(value, list)
+            or not at_least <= len(value) <= at_most
+        ):
+            faults.add(
+                path,
+                'must be a list of %d to %d items' % (at_least, at_most),
+            )
+            return
+        for index, item in enumerate(value):
+            check_item(item, '%s[%d]' % (path, index), faults)
+
+    return check
+
+
+def map_of(check_item, at_most, at_least=0):
+    """Return a check for an object whose keys are resource names."""
+
+    def check(value, path, faults):
+        if (
+            not isinstance(value, dict)
+            or not at_least <= len(value) <= at_most
+        ):
+            faults.add(
+                path,
+                'must be an object of %d to %d entries' % (at_least, at_most),
+            )
+            return
+        for key, item in value.items():
+            name(key, '%s.%s' % (path, shown(key)), faults)
+            check_item(item, '%s.%s' % (path, shown(key)), faults)
+
+    return check
+
+
+def struct(fields):
+    """Return a check for an object with known fields.
+
+    Args:
+        fields: map from name to :class:`Field`.
+    """
+
+    def check(value, path, faults):
+        if not isinstance(value, dict):
+            faults.add(path, 'must be an object')
+            return
+        for key in value:
+            if key not in fields:
+                faults.add(
+                    '%s.%s' % (path, shown(key)),
+                    'unknown field; known: ' + ', '.join(sorted(fields)),
+                )
+        for key, field in fields.items():
+            if key in value:
+                field.check(value[key], '%s.%s' % (path, key), faults)
+            elif field.default is REQUIRED:
+                faults.add('%s.%s' % (path, key), 'is required')
+
+    return check
+
+
+def shown(key):
+    """Return an object key shortened for a message."""
+    text = str(key)
+    return text if len(text) <= 64 else text[:61] + '...'
+
+
+def shares_sum_to_one(shares, path, faults):
+    """Check that the values of a map of shares sum to 1 within 1e-6."""
+    values = [v for v in shares.values() if type(v) in (int, float)]
+    if len(values) == len(shares) and abs(sum(values) - 1.0) > 1e-6:
+        faults.add(path, 'must sum to 1, not %g' % sum(values))
+
+
+def differ(spec, first, second, faults):
+    """Check that two fields name different places."""
+    if first in spec and spec[first] == spec.get(second):
+        faults.add('spec.' + second, 'must differ from ' + first)
--- /dev/null
+++ b/src/jasminehold/resources/kinds.py
@@ -0,0 +1,30 @@
+"""The type that describes one resource kind."""
+
+import typing
+
+
+def _nothing(spec, faults):
+    pass
+
+
+def _none(spec):
+    return ()
+
+
+class ResourceKind(typing.NamedTuple):
+    """A resource kind.
+
+    Attributes:
+        name: the kind's name in paths and keys.
+        fields: map from the name of each ``spec`` field to its
+            :class:`fields.Field`.
+        check: ``check(spec, faults)`` for rules between fields; ``spec``
+            passed the checks of its fields.
+        references: ``references(spec)`` yields ``(path, kind, name)`` for
+            each resource that the spec names.
+    """
+
+    name: str
+    fields: dict
+    check: typing.Callable = _nothing
+    references: typing.Callable = _none
--- /dev/null
+++ b/src/jasminehold/resources/service.py
@@ -0,0 +1,65 @@
+"""The kind ``service``: how requests of one service are treated."""
+
+import typing
+
+from jasminehold.resources import fields
+from jasminehold.resources import kinds
+
+# ``class`` is a keyword, so this type needs the functional form.
+PriorityPath = typing.TypedDict('PriorityPath', {'path': str, 'class': str})
+
+
+class LegacyAddress(typing.TypedDict):
+    """Address of the older system for this service."""
+
+    host: str
+    port: int
+
+
+class ServiceSpec(typing.TypedDict, total=False):
+    """Spec of a service.
+
+    ``retry_budget`` is the share of requests that may be sent again.
+    """
+
+    idempotent_methods: list[str]
+    idempotent_paths: list[str]
+    request_timeout_ms: int
+    priority_paths: list[PriorityPath]
+    retry_budget: float
+    legacy: LegacyAddress
+
+
+_PRIORITY = fields.struct(
+    {
+        'path': fields.required(fields.url_prefix),
+        'class': fields.required(fields.choice('order', 'normal')),
+    }
+)
+_METHOD = fields.choice(
+    'GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST', 'PATCH'
+)
+ADDRESS = fields.struct(
+    {
+        'host': fields.required(fields.ip),
+        'port': fields.required(fields.whole(1, 65535)),
+    }
+)
+
+KIND = kinds.ResourceKind(
+    'service',
+    {
+        'idempotent_methods': fields.Field(
+            fields.list_of(_METHOD, 7), ['GET', 'HEAD', 'OPTIONS']
+        ),
+        'idempotent_paths': fields.Field(
+            fields.list_of(fields.url_prefix, 100), []
+        ),
+        # 30 s is the longest request deadline on which R2's wait for slots
+        # is built.
+        'request_timeout_ms': fields.Field(fields.whole(10, 30000), 10000),
+        'priority_paths': fields.Field(fields.list_of(_PRIORITY, 100), []),
+        'retry_budget': fields.Field(fields.number(0, 1), 0.1),
+        'legacy': fields.Field(ADDRESS),
+    },
+)
--- /dev/null
+++ b/src/jasminehold/resources/upstream.py
@@ -0,0 +1,36 @@
+"""The kind ``upstream``: one back-end server of a service."""
+
+import typing
+
+from jasminehold.resources import fields
+from jasminehold.resources import kinds
+
+
+class UpstreamSpec(typing.TypedDict):
+    """Spec of an upstream: concurrent requests and connections it takes."""
+
+    service: str
+    place: str
+    host: str
+    port: int
+    slots: int
+    connections: int
+
+
+def _references(spec):
+    yield 'spec.service', 'service', spec['service']
+    yield 'spec.place', 'place', spec['place']
+
+
+KIND = kinds.ResourceKind(
+    'upstream',
+    {
+        'service': fields.required(fields.name),
+        'place': fields.required(fields.name),
+        'host': fields.required(fields.ip),
+        'port': fields.required(fields.whole(1, 65535)),
+        'slots': fields.required(fields.whole(1, 10000)),
+        'connections': fields.required(fields.whole(1, 1000000)),
+    },
+    references=_references,
+)
