Add the operators' API on circuits.web with a guard in front

Cause: operators declare and watch resources over HTTP, and circuits.web itself limits neither headers nor bodies and accepts both length headers. Change: api_guard.py parses with h11 within limits and checks the token before a body is read; api.py serves resources, watches, audit, metrics and health.

--- /dev/null
+++ b/src/jasminehold/api.py
@@ -0,0 +1,495 @@
+"""Operators' HTTP API, metrics and health on ``circuits.web``.
+
+=================================  =========================================
+``GET /v1/resources/<kind>``       list; ``after`` continues a page
+``GET /v1/resources/<kind>/<n>``   one resource with its status
+``PUT /v1/resources/<kind>/<n>``   declare or update by resource version
+``DELETE /v1/resources/...``       delete; ``resource_version`` is optional
+``GET /v1/watch``                  changes after ``from`` (long poll)
+``GET /v1/audit``                  audit entries after ``after`` (long poll)
+``GET /metrics /healthz /readyz``  without a token
+=================================  =========================================
+
+:mod:`jasminehold.api_guard` checks each request first.
+"""
+
+import json
+import random
+import re
+import typing
+import urllib.parse
+
+import circuits
+from circuits.web import events as web_events
+from circuits.web import servers
+
+from jasminehold import api_guard
+from jasminehold import config as config_module
+from jasminehold import errors
+from jasminehold import history as history_module
+from jasminehold import logs
+from jasminehold import resources
+from jasminehold.resources import decode
+from jasminehold.resources import fields
+from jasminehold import store
+
+# Answers with several documents end beyond this size and tell that more
+# follow, so that one reader cannot make an instance buffer the whole config.
+PAGE_BYTES = 1024 * 1024
+PAGE_ITEMS = 1000
+
+_log = logs.get('api')
+
+
+class Port(typing.NamedTuple):
+    """What the API needs from the application.
+
+    Attributes:
+        writes: the :class:`store.Port` for operators' writes.
+        status_of: ``status_of(kind, name)`` returns the status document.
+        not_ready: returns the list of reasons why the instance is not ready.
+        accepted: called with each accepted :class:`config.Entry` after it is
+            in the config, so that it can be pushed to other instances.
+    """
+
+    writes: store.Port
+    status_of: typing.Callable
+    not_ready: typing.Callable
+    accepted: typing.Callable
+
+
+class _Watch:
+    """One long poll that waits."""
+
+    def __init__(self, req, finish):
+        self.req = req
+        self.finish = finish
+        self.timer = None
+
+
+class Api(circuits.BaseComponent):
+    """The operators' API; register it below the tree of ``loop.Loop``.
+
+    Args:
+        cfg: the settings.
+        loop: the event loop.
+        port: the :class:`Port`.
+        rng: random source for the start of the change numbers.
+    """
+
+    channel = 'web'
+
+    def __init__(self, cfg, loop, port, rng=None):
+        super().__init__(channel=self.channel)
+        self._cfg = cfg
+        self._loop = loop
+        self._port = port
+        self._config = port.writes.config
+        self._metrics = port.writes.metrics
+        self._open = {}
+        self._watches = {}
+        self._stopping = False
+        self._history = history_module.History(
+            cfg.watch_history, rng or random.SystemRandom()
+        )
+        self._config.add_listener(self._on_change)
+        self._server = servers.BaseServer(
+            tuple(cfg.api_listen), display_banner=False
+        ).register(self)
+        self.host, self.port = self._server.host, self._server.port
+        # Its handler reads attributes that events of other components lack
+        # and would then raise on its own exception event, without end.
+        http = self._server.http
+        http.removeHandler(http._on_exception, 'exception')
+        self._guard = api_guard.Guard(cfg, loop, self._metrics).register(self)
+
+    @property
+    def in_flight(self):
+        """Number of requests that have no answer yet."""
+        return len(self._open)
+
+    def stop_accepting(self):
+        """Close the listener, end the watches, keep requests in flight."""
+        if self._stopping:
+            return
+        self._stopping = True
+        server = self._server.server
+        server._close(server._sock)
+        self._guard.close_idle()
+        for watch in list(self._watches.values()):
+            watch.finish()
+
+    @circuits.handler('request', priority=1.0)
+    def _on_request(self, event, req, res):
+        event.stop()
+        self._open[req.sock] = req
+        try:
+            self._route(req, res)
+        except errors.JasmineholdError as exc:
+            self._fail(req, res, exc)
+        except Exception as exc:
+            self._crash(req, res, exc)
+        # True tells circuits.web that the answer is sent separately.
+        return True
+
+    @circuits.handler('disconnect')
+    def _on_disconnect(self, sock):
+        self._open.pop(sock, None)
+        watch = self._watches.pop(sock, None)
+        if watch is not None:
+            watch.timer.cancel()
+
+    def _route(self, req, res):
+        if req.path in api_guard.OPEN_PATHS:
+            self._open_path(req, res)
+            return
+        parts = req.path.split('/')[1:]
+        if parts[:2] == ['v1', 'resources'] and len(parts) in (3, 4):
+            resources.require_kind(parts[2])
+            if len(parts) == 3:
+                _only_get(req)
+                self._list(req, res, parts[2])
+                return
+            if not fields.is_name(parts[3]):
+                raise errors.RequestError(
+                    errors.Kind.BAD_REQUEST, 'The name ' + fields.NAME_TEXT
+                )
+            handlers = {'GET': self._get, 'PUT': self._put}
+            handlers['DELETE'] = self._delete
+            handlers[req.method](req, res, parts[2], parts[3])
+        elif parts == ['v1', 'watch']:
+            _only_get(req)
+            self._watch(req, res)
+        elif parts == ['v1', 'audit']:
+            _only_get(req)
+            self._audit(req, res)
+        else:
+            raise errors.RequestError(errors.Kind.NOT_FOUND, 'No such path.')
+
+    def _open_path(self, req, res):
+        _only_get(req)
+        if req.path == '/metrics':
+            body = self._metrics.render()
+            self._answer(req, res, 200, body, 'text/plain; version=0.0.4')
+        elif req.path == '/healthz':
+            self._answer(req, res, 200, {'healthy': True})
+        else:
+            reasons = self._port.not_ready()
+            status = 503 if reasons else 200
+            document = {'ready': not reasons, 'reasons': reasons}
+            self._answer(req, res, status, document)
+
+    def _list(self, req, res, kind):
+        query = _query(req, {'after'})
+        after = query.get('after', '')
+        page = _Page()
+        position = self._history.position
+        more = False
+        for entry in self._config.entries(kind):
+            name = entry['value']['metadata']['name']
+            if name <= after:
+                continue
+            if page.full:
+                more = True
+                break
+            page.add(self._shown(entry))
+        extra = {'revision': position, 'more': more}
+        extra['config_revision'] = self._config.revision
+        self._answer(req, res, 200, page.document('items', extra))
+
+    def _get(self, req, res, kind, name):
+        _query(req, set())
+        entry = self._config.entry(kind, name)
+        if entry is None or entry['value'].get('deleted'):
+            raise errors.ResourceNotFound()
+        self._answer(req, res, 200, self._shown(entry))
+
+    def _put(self, req, res, kind, name):
+        _query(req, set())
+        doc = decode.decode(req.body.read())
+        actor = self._guard.request_of(req.sock).actor
+        done = self._on_written(req, res)
+        store.put(self._port.writes, kind, name, doc, actor, done)
+
+    def _delete(self, req, res, kind, name):
+        query = _query(req, {'resource_version'})
+        wanted = None
+        if 'resource_version' in query:
+            wanted = _whole(query, 'resource_version', 0)
+        actor = self._guard.request_of(req.sock).actor
+        done = self._on_written(req, res)
+        store.delete(self._port.writes, kind, name, wanted, actor, done)
+
+    def _on_written(self, req, res):
+        def done(outcome, exc):
+            try:
+                if exc is not None:
+                    self._fail(req, res, exc)
+                    return
+                entry = outcome.entry
+                self._config.apply([entry])
+                self._port.accepted(entry)
+                change = entry['value']['change']
+                _log(
+                    'resource changed',
+                    key=entry['key'],
+                    version=entry['version'],
+                    actor=change['actor'],
+                    verb=change['verb'],
+                )
+                status = 201 if outcome.created else 200
+                self._answer(req, res, status, self._shown(entry))
+            except Exception as exc:
+                self._crash(req, res, exc)
+
+        return done
+
+    def _watch(self, req, res):
+        query = _query(req, {'from', 'kind', 'wait'})
+        wait = self._wait(query)
+        kind = query.get('kind')
+        if kind is not None:
+            resources.require_kind(kind)
+        position = _whole(query, 'from', self._history.position)
+
+        def attempt(last):
+            nonlocal position
+            count, body = self._events_since(position, kind)
+            if count or last:
+                self._answer(req, res, 200, body)
+                return True
+            # Nothing up to here concerns this reader, so it is not scanned
+            # again and cannot expire while the reader waits.
+            position = self._history.position
+            return False
+
+        if attempt(wait == 0):
+            return
+        self._hold(req, res, wait, attempt)
+
+    def _events_since(self, position, kind):
+        changes = self._history.since(position)
+        latest = {key: number for number, key in changes}
+        page = _Page()
+        reached = self._history.position
+        for number, key in changes:
+            # A key that changed again is told once, at its newest place.
+            if latest[key] != number:
+                continue
+            if page.full:
+                reached = number - 1
+                break
+            entry_kind, name = config_module.split_key(key)
+            if kind is None or kind == entry_kind:
+                entry = self._config.entry(entry_kind, name)
+                gone = bool(entry['value'].get('deleted'))
+                event = {'type': 'delete' if gone else 'put'}
+                event['resource'] = self._shown(entry)
+                page.add(event)
+        return page.count, page.document('events', {'revision': reached})
+
+    def _hold(self, req, res, wait, attempt):
+        if len(self._watches) >= self._cfg.max_watches or self._stopping:
+            raise errors.RequestError(
+                errors.Kind.OVERLOADED,
+                'Too many watches are waiting.',
+                retry_after=1,
+            )
+
+        def finish(last=True):
+            try:
+                if not attempt(last):
+                    return
+            except errors.JasmineholdError as exc:
+                self._fail(req, res, exc)
+            except Exception as exc:
+                self._crash(req, res, exc)
+            if self._watches.pop(req.sock, None) is not None:
+                watch.timer.cancel()
+
+        watch = _Watch(req, finish)
+        watch.timer = self._loop.call_later(wait, finish)
+        self._watches[req.sock] = watch
+
+    def _on_change(self, entries):
+        self._history.add(entries)
+        for watch in list(self._watches.values()):
+            watch.finish(False)
+
+    def _audit(self, req, res):
+        query = _query(req, {'after', 'wait'})
+        after = _whole(query, 'after', 0)
+        wait = self._wait(query)
+        client = self._port.writes.client
+        found = []
+
+        def answer(last):
+            if not found and not last:
+                return False
+            found.sort(key=lambda entry: entry['version'])
+            document = {'entries': found, 'after': after}
+            if found:
+                document['after'] = found[-1]['version']
+            self._answer(req, res, 200, document)
+            return True
+
+        def take(items):
+            for item in items:
+                if item.key > store.audit_key(after):
+                    found.append(json.loads(item.value))
+
+        def settle(exc):
+            # The client may have gone, or the wait may have ended.
+            if self._open.get(req.sock) is not req:
+                return
+            watch = self._watches.get(req.sock)
+            if exc is not None:
+                if watch is not None:
+                    del self._watches[req.sock]
+                    watch.timer.cancel()
+                self._fail(req, res, exc)
+            elif watch is not None:
+                watch.finish(False)
+
+        def on_page(page, exc):
+            if exc is not None:
+                settle(exc)
+                return
+            try:
+                take(page.items)
+                if answer(wait == 0):
+                    return
+                self._hold(req, res, wait, answer)
+            except errors.JasmineholdError as exc:
+                self._fail(req, res, exc)
+                return
+            except Exception as exc:
+                self._crash(req, res, exc)
+                return
+            look(page.revision)
+
+        def look(revision):
+            client.watch(store.AUDIT_PREFIX, revision, wait, on_changes)
+
+        def on_changes(changes, exc):
+            if exc is None:
+                take(e for e in changes.events if not e.deleted)
+            settle(exc)
+            if not found and exc is None and req.sock in self._watches:
+                look(changes.revision)
+
+        client.list(store.AUDIT_PREFIX, store.audit_key(after), on_page)
+
+    def _wait(self, query):
+        try:
+            wait = float(query.get('wait', '0'))
+        except ValueError:
+            wait = -1.0
+        if not wait >= 0:
+            raise errors.RequestError(
+                errors.Kind.BAD_REQUEST, 'wait: must be seconds from 0 up'
+            )
+        return min(wait, self._cfg.watch_wait_max)
+
+    def _shown(self, entry):
+        doc = entry['value']
+        metadata = {**doc['metadata'], 'resource_version': entry['version']}
+        shown = {'kind': doc['kind'], 'metadata': metadata}
+        shown['spec'] = doc['spec']
+        if not doc.get('deleted'):
+            shown['status'] = self._port.status_of(
+                doc['kind'], metadata['name']
+            )
+        shown['change'] = doc['change']
+        return shown
+
+    def _fail(self, req, res, exc):
+        self._metrics.inc('api_refused_total', kind=exc.kind.value)
+        for name, value in api_guard.error_headers(exc).items():
+            res.headers[name] = value
+        status = errors.answer_for(exc.kind).status
+        self._answer(req, res, status, api_guard.error_document(exc))
+
+    def _crash(self, req, res, exc):
+        _log('request failed', 'error', path=req.path, exception=repr(exc))
+        self._fail(req, res, errors.JasmineholdError())
+
+    def _answer(self, req, res, status, body, content_type=None):
+        if self._open.get(req.sock) is not req:
+            return
+        del self._open[req.sock]
+        self._metrics.inc(
+            'api_requests_total', method=req.method, status=str(status)
+        )
+        if isinstance(body, dict):
+            body = json.dumps(body).encode()
+        res.status = status
+        res.headers['Content-Type'] = content_type or 'application/json'
+        res.body = body
+        self.fire(web_events.response(res))
+
+
+class _Page:
+    """Documents of one answer, encoded once and bounded in size."""
+
+    def __init__(self):
+        self._parts = []
+        self._size = 0
+
+    @property
+    def count(self):
+        """Number of documents."""
+        return len(self._parts)
+
+    @property
+    def full(self):
+        """Whether the next document belongs on the next page."""
+        return self._size >= PAGE_BYTES or self.count >= PAGE_ITEMS
+
+    def add(self, document):
+        """Add one document."""
+        text = json.dumps(document)
+        self._parts.append(text)
+        self._size += len(text)
+
+    def document(self, name, extra):
+        """Return the answer as bytes, the documents under ``name``."""
+        rest = json.dumps(extra)[1:]
+        text = '{"%s": [%s], %s' % (name, ', '.join(self._parts), rest)
+        return text.encode()
+
+
+def _only_get(req):
+    if req.method != 'GET':
+        raise errors.RequestError(errors.Kind.METHOD_NOT_ALLOWED)
+
+
+def _query(req, known):
+    try:
+        pairs = urllib.parse.parse_qsl(
+            req.qs, keep_blank_values=True, strict_parsing=bool(req.qs)
+        )
+    except ValueError as exc:
+        raise errors.RequestError(
+            errors.Kind.BAD_REQUEST, 'The query is malformed.'
+        ) from exc
+    query = dict(pairs)
+    unknown = set(query) - known
+    if unknown or len(query) != len(pairs):
+        raise errors.RequestError(
+            errors.Kind.BAD_REQUEST,
+            'The query may only have, each once: %s.'
+            % (', '.join(sorted(known)) or 'nothing'),
+        )
+    return query
+
+
+def _whole(query, name, default):
+    text = query.get(name)
+    if text is None:
+        return default
+    if not re.fullmatch(r'[0-9]{1,19}', text):
+        raise errors.RequestError(
+            errors.Kind.BAD_REQUEST, '%s: must be a whole number' % name
+        )
+    return int(text)
--- /dev/null
+++ b/src/jasminehold/api_guard.py
@@ -0,0 +1,270 @@
+"""Guard in front of ``circuits.web``: refuses requests before they cost much.
+
+``circuits.web`` buffers headers and bodies without limit, accepts requests
+with both length headers, and parses headers by rules of its own. The guard
+takes every ``read`` event first, parses with ``h11`` within limits, checks
+the method, the target and the token before any body is read, and hands a
+complete request in canonical form to ``circuits.web``. Each connection
+carries one request, so nothing can hide behind the first one.
+"""
+
+import hashlib
+import hmac
+import http
+import json
+import math
+import re
+import typing
+
+import circuits
+from circuits.net import events as net_events
+import h11
+
+from jasminehold import errors
+
+METHODS = ('GET', 'PUT', 'DELETE')
+# Read without a token: probes and scrapers have none.
+OPEN_PATHS = ('/metrics', '/healthz', '/readyz')
+# After a refusal the rest of the request is read and dropped for this time,
+# because closing with unread data would reset the connection and the client
+# could lose the answer.
+LINGER_S = 1.0
+
+_TARGET = re.compile(
+    r'(?P<path>/[A-Za-z0-9/_.~-]{0,300})'
+    r'(\?(?P<query>[A-Za-z0-9_.~%&=+:,*-]{0,1000}))?'
+)
+_BEARER = re.compile(r'[Bb]earer +([!-~]{1,512})')
+
+
+class _State:
+    """One connection of an operator."""
+
+    def __init__(self, sock, limit):
+        self.sock = sock
+        self.parser = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limit
+        )
+        self.head = None
+        self.body = []
+        self.size = 0
+        self.actor = None
+        self.done = False
+        self.timer = None
+
+
+class Request(typing.NamedTuple):
+    """What the guard found out about a request in progress.
+
+    Attributes:
+        actor: name of the operator, None on the open paths.
+    """
+
+    actor: typing.Optional[str]
+
+
+class Guard(circuits.BaseComponent):
+    """Checks operators' requests on the channel of ``circuits.web``.
+
+    Args:
+        cfg: the settings.
+        loop: the event loop, for time-outs.
+        metrics: counters; ``api_refused_total`` has the label ``kind``.
+    """
+
+    channel = 'web'
+
+    def __init__(self, cfg, loop, metrics):
+        super().__init__(channel=self.channel)
+        self._cfg = cfg
+        self._loop = loop
+        self._metrics = metrics
+        self._states = {}
+
+    def request_of(self, sock):
+        """Return the :class:`Request` of a connection."""
+        state = self._states.get(sock)
+        return Request(None if state is None else state.actor)
+
+    def close_idle(self):
+        """Close the connections whose request is not complete."""
+        for state in list(self._states.values()):
+            if not state.done:
+                self.fire(net_events.close(state.sock))
+
+    @circuits.handler('connect', priority=100)
+    def _on_connect(self, sock, *address):
+        state = _State(sock, self._cfg.max_header_bytes)
+        self._states[sock] = state
+        state.timer = self._loop.call_later(
+            self._cfg.api_read_timeout, self._expire, state
+        )
+        if len(self._states) > self._cfg.api_max_connections:
+            self._refuse(
+                state,
+                errors.RequestError(errors.Kind.OVERLOADED, retry_after=1),
+            )
+
+    @circuits.handler('disconnect', priority=100)
+    def _on_disconnect(self, sock):
+        state = self._states.pop(sock, None)
+        if state is not None:
+            state.timer.cancel()
+
+    @circuits.handler('write', priority=100)
+    def _on_write(self, event, sock, data):
+        # The client may be gone by now; the poller fails on closed sockets.
+        if sock.fileno() < 0:
+            event.stop()
+
+    @circuits.handler('read', priority=100)
+    def _on_read(self, event, sock, data):
+        if getattr(event, 'checked', False):
+            return
+        event.stop()
+        state = self._states.get(sock)
+        if state is None or state.done:
+            return
+        try:
+            state.parser.receive_data(data)
+            self._advance(state)
+        except h11.RemoteProtocolError as exc:
+            kind = errors.Kind.BAD_REQUEST
+            if exc.error_status_hint == 431:
+                kind = errors.Kind.HEADERS_TOO_LARGE
+            self._refuse(state, errors.RequestError(kind, str(exc)))
+        except errors.JasmineholdError as exc:
+            self._refuse(state, exc)
+
+    def _advance(self, state):
+        while not state.done:
+            item = state.parser.next_event()
+            if item is h11.NEED_DATA or item is h11.PAUSED:
+                return
+            if isinstance(item, h11.Request):
+                self._check_head(state, item)
+            elif isinstance(item, h11.Data):
+                state.size += len(item.data)
+                if state.size > self._cfg.api_max_body_bytes:
+                    raise errors.RequestError(errors.Kind.BODY_TOO_LARGE)
+                state.body.append(bytes(item.data))
+            elif isinstance(item, h11.EndOfMessage):
+                self._pass_on(state)
+            else:
+                return
+
+    def _check_head(self, state, head):
+        state.head = head
+        headers = {}
+        for name, value in head.headers:
+            headers.setdefault(name, []).append(value.decode('latin-1'))
+        if b'content-length' in headers and b'transfer-encoding' in headers:
+            raise errors.RequestError(
+                errors.Kind.BAD_REQUEST,
+                'Content-Length and Transfer-Encoding are both present.',
+            )
+        match = _TARGET.fullmatch(head.target.decode('latin-1'))
+        if match is None or re.search(r'//|/\.\.?(/|$)', match['path']):
+            raise errors.RequestError(
+                errors.Kind.BAD_REQUEST,
+                'The path or the query has characters that are not allowed.',
+            )
+        if match['path'] not in OPEN_PATHS:
+            state.actor = self._actor(headers.get(b'authorization', []))
+        if head.method.decode('latin-1') not in METHODS:
+            raise errors.RequestError(errors.Kind.METHOD_NOT_ALLOWED)
+        length = headers.get(b'content-length', ['0'])[0]
+        if len(length) > 9 or int(length) > self._cfg.api_max_body_bytes:
+            raise errors.RequestError(
+                errors.Kind.BODY_TOO_LARGE,
+                'The body is larger than %d bytes.'
+                % self._cfg.api_max_body_bytes,
+            )
+        if state.parser.they_are_waiting_for_100_continue:
+            self.fire(
+                net_events.write(state.sock, b'HTTP/1.1 100 Continue\r\n\r\n')
+            )
+
+    def _actor(self, values):
+        match = _BEARER.fullmatch(values[0]) if len(values) == 1 else None
+        token = match[1] if match else ''
+        digest = hashlib.sha256(token.encode()).hexdigest()
+        found = None
+        # All digests are compared, so the time tells nothing about a match.
+        for name, expected in self._cfg.operators.items():
+            if hmac.compare_digest(digest, expected) and token:
+                found = name
+        if found is None:
+            raise errors.Unauthenticated()
+        return found
+
+    def _pass_on(self, state):
+        state.done = True
+        state.timer.cancel()
+        body = b''.join(state.body)
+        state.body = []
+        lines = [
+            b'%s %s HTTP/1.1' % (state.head.method, state.head.target),
+            b'Host: api',
+            b'Connection: close',
+        ]
+        if body:
+            lines.append(b'Content-Length: %d' % len(body))
+        event = net_events.read(
+            state.sock, b'\r\n'.join(lines) + b'\r\n\r\n' + body
+        )
+        event.checked = True
+        self.fire(event)
+
+    def _refuse(self, state, exc):
+        state.done = True
+        state.body = []
+        self._metrics.inc('api_refused_total', kind=exc.kind.value)
+        with_body = state.head is None or state.head.method != b'HEAD'
+        self.fire(
+            net_events.write(state.sock, answer_bytes(exc, body=with_body))
+        )
+        state.timer.cancel()
+        state.timer = self._loop.call_later(LINGER_S, self._close, state)
+
+    def _expire(self, state):
+        self._metrics.inc('api_refused_total', kind='timeout')
+        self._close(state)
+
+    def _close(self, state):
+        if state.sock in self._states:
+            self.fire(net_events.close(state.sock))
+
+
+def error_document(exc):
+    """Return the JSON answer to an error, as a dictionary."""
+    document = {'kind': exc.kind.value, 'message': str(exc)}
+    if exc.details is not None:
+        document['details'] = exc.details
+    return {'error': document}
+
+
+def error_headers(exc):
+    """Return the headers of the answer to an error, as a dictionary."""
+    answer = errors.answer_for(exc.kind)
+    headers = {
+        'Content-Type': 'application/json',
+        'Jasminehold-Error': exc.kind.value,
+        'Jasminehold-Run': answer.run.value,
+    }
+    if answer.retry_after:
+        headers['Retry-After'] = str(math.ceil(exc.retry_after or 1))
+    if exc.kind is errors.Kind.UNAUTHENTICATED:
+        headers['WWW-Authenticate'] = 'Bearer'
+    return headers
+
+
+def answer_bytes(exc, body=True):
+    """Return the whole HTTP answer to an error."""
+    content = json.dumps(error_document(exc)).encode()
+    status = http.HTTPStatus(errors.answer_for(exc.kind).status)
+    lines = ['HTTP/1.1 %d %s' % (status, status.phrase)]
+    lines += ['%s: %s' % pair for pair in error_headers(exc).items()]
+    lines += ['Content-Length: %d' % len(content), 'Connection: close']
+    head = '\r\n'.join(lines) + '\r\n\r\n'
+    return head.encode('latin-1') + (content if body else b'')
