Add the API's features and run circuits.web without BaseServer

Cause: the features showed that h11 accepts headers over the limit when they arrive whole; BaseServer ends the process 3 s after a signal and prints to standard error. Change: the guard sums the header sizes itself; the API registers TCPServer and HTTP directly; features send each refused request over real sockets.

--- a/src/jasminehold/api.py
+++ b/src/jasminehold/api.py
@@ -20,8 +20,9 @@
 import urllib.parse
 
 import circuits
+from circuits.net import sockets
 from circuits.web import events as web_events
-from circuits.web import servers
+from circuits.web import http as web_http
 
 from jasminehold import api_guard
 from jasminehold import config as config_module
@@ -78,6 +79,9 @@
     """
 
     channel = 'web'
+    # Read by circuits.web's HTTP component.
+    secure = False
+    display_banner = False
 
     def __init__(self, cfg, loop, port, rng=None):
         super().__init__(channel=self.channel)
@@ -93,13 +97,15 @@
             cfg.watch_history, rng or random.SystemRandom()
         )
         self._config.add_listener(self._on_change)
-        self._server = servers.BaseServer(
-            tuple(cfg.api_listen), display_banner=False
+        # Not ``circuits.web.BaseServer``: it ends the process 3 s after any
+        # signal, which would cut off requests that a planned stop waits for.
+        self._server = sockets.TCPServer(
+            tuple(cfg.api_listen), channel=self.channel
         ).register(self)
         self.host, self.port = self._server.host, self._server.port
+        http = web_http.HTTP(self, channel=self.channel).register(self)
         # Its handler reads attributes that events of other components lack
         # and would then raise on its own exception event, without end.
-        http = self._server.http
         http.removeHandler(http._on_exception, 'exception')
         self._guard = api_guard.Guard(cfg, loop, self._metrics).register(self)
 
@@ -113,8 +119,7 @@
         if self._stopping:
             return
         self._stopping = True
-        server = self._server.server
-        server._close(server._sock)
+        self._server._close(self._server._sock)
         self._guard.close_idle()
         for watch in list(self._watches.values()):
             watch.finish()
--- a/src/jasminehold/api_guard.py
+++ b/src/jasminehold/api_guard.py
@@ -155,6 +155,12 @@
 
     def _check_head(self, state, head):
         state.head = head
+        size = len(head.target) + sum(
+            len(name) + len(value) + 4 for name, value in head.headers
+        )
+        # h11 enforces its limit only while the headers are incomplete.
+        if size > self._cfg.max_header_bytes:
+            raise errors.RequestError(errors.Kind.HEADERS_TOO_LARGE)
         headers = {}
         for name, value in head.headers:
             headers.setdefault(name, []).append(value.decode('latin-1'))
--- a/tests/builders/api_server.py
+++ b/tests/builders/api_server.py
@@ -62,6 +62,8 @@
     def stop(self):
         """Stop the loop and wait for the thread."""
         self.loop.call_soon(self.root.stop)
+        # Wakes the poller, which does not notice calls of other threads.
+        self.loop.poller.resume()
         self._thread.join(10)
 
     def call(self, method, path, body=None, token=TOKEN, headers=()):
--- /dev/null
+++ b/tests/features/api.feature
@@ -0,0 +1,87 @@
+Feature: The operators' API
+  Guards against requests that cost an instance more than a bounded amount,
+  against lost updates, and against watches that miss a change.
+
+  Background:
+    Given an operators' API
+
+  Scenario Outline: Hostile or wrong requests are refused and counted
+    When the raw request "<request>" is sent
+    Then it is refused with <status> as <kind> and counted
+
+    Examples: The part in braces stands for the headers Host and Authorization
+      | request | status | kind |
+      | GET /v1/resources/region HTTP/1.1\r\nHost: a\r\n\r\n | 401 | unauthenticated |
+      | GET /v1/resources/region HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer no\r\n\r\n | 401 | unauthenticated |
+      | GET /v1/resources/region HTTP/1.1\r\n{}Authorization: Bearer b\r\n\r\n | 401 | unauthenticated |
+      | PUT /v1/resources/region/a HTTP/1.1\r\nHost: a\r\nContent-Length: 400000\r\n\r\n | 401 | unauthenticated |
+      | PUT /v1/resources/region/a HTTP/1.1\r\n{}Content-Length: 99999999\r\n\r\n | 413 | body_too_large |
+      | PUT /v1/resources/region/a HTTP/1.1\r\n{}Content-Length: 99999999999999999999\r\n\r\n | 413 | body_too_large |
+      | PUT /v1/resources/region/a HTTP/1.1\r\n{}Transfer-Encoding: chunked\r\n\r\n80001\r\nBODY | 413 | body_too_large |
+      | PUT /v1/resources/region/a HTTP/1.1\r\n{}Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n{} | 400 | bad_request |
+      | PUT /v1/resources/region/a HTTP/1.1\r\n{}Content-Length: 2\r\nContent-Length: 3\r\n\r\n{} | 400 | bad_request |
+      | PUT /v1/resources/region/a HTTP/1.1\r\n{}Content-Length: -2\r\n\r\n | 400 | bad_request |
+      | GET /v1/resources/region HTTP/1.1\r\n{}X: HEADER\r\n\r\n | 431 | headers_too_large |
+      | nonsense\r\n\r\n | 400 | bad_request |
+      | GET /v1/resources/region/a%20b HTTP/1.1\r\n{}\r\n | 400 | bad_request |
+      | GET /v1/resources/region/../x HTTP/1.1\r\n{}\r\n | 400 | bad_request |
+      | GET /v1/resources/region/Sul HTTP/1.1\r\n{}\r\n | 400 | bad_request |
+      | GET /v1/resources/sector HTTP/1.1\r\n{}\r\n | 404 | not_found |
+      | GET /v1/resources/region/none HTTP/1.1\r\n{}\r\n | 404 | not_found |
+      | GET /v2 HTTP/1.1\r\n{}\r\n | 404 | not_found |
+      | POST /v1/resources/region HTTP/1.1\r\n{}Content-Length: 0\r\n\r\n | 405 | method_not_allowed |
+      | DELETE /v1/watch HTTP/1.1\r\n{}\r\n | 405 | method_not_allowed |
+      | PUT /v1/resources/region/a HTTP/1.1\r\n{}Content-Length: 2\r\n\r\n{] | 400 | bad_request |
+      | PUT /v1/resources/region/a HTTP/1.1\r\n{}Content-Length: 400000\r\n\r\nNESTED | 400 | bad_request |
+      | PUT /v1/resources/region/a HTTP/1.1\r\n{}Content-Length: 2\r\n\r\n[] | 400 | invalid_resource |
+      | GET /v1/watch?from=1&from=2 HTTP/1.1\r\n{}\r\n | 400 | bad_request |
+      | GET /v1/watch?from=-1 HTTP/1.1\r\n{}\r\n | 400 | bad_request |
+      | GET /v1/watch?from=7 HTTP/1.1\r\n{}\r\n | 410 | gone |
+      | GET /v1/watch?wait=nan HTTP/1.1\r\n{}\r\n | 400 | bad_request |
+
+  Scenario: A request that does not arrive in time loses its connection
+    When the raw request "GET /v1/res" is sent
+    Then the connection ends without an answer and counted as timeout
+
+  Scenario: A second request on the same connection is not looked at
+    When the raw request "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\nPUT /v1/resources/region/a HTTP/1.1\r\n{}Content-Length: 2\r\n\r\n[]" is sent
+    Then one answer with 200 arrives
+
+  Scenario: Connections over the limit are refused
+    When 8 connections stay open and one more comes
+    Then it is refused with 503 as overloaded and counted
+
+  Scenario: All faults of a resource come back with their paths
+    When an upstream with unknown references is put
+    Then the answer is 400 and names spec.service and spec.place
+
+  Scenario: Racing updates from one version over the network
+    When 8 clients update one resource from the same version
+    Then one got 200, the others 409 and the winner's spec is in force
+
+  Scenario: What was read can be changed and put back
+    When a resource is read, its spec changed and the whole document put
+    Then its generation is 2 and it was pushed to the other instances
+
+  Scenario: A lost reply is resolved and an unknown outcome told as such
+    Then a put with a lost reply answers 200 and one with lasting doubt answers 502 as outcome_unknown with the write's id
+
+  Scenario: The platform is down
+    Then reads answer 200, puts and audit answer 503 with Retry-After
+
+  Scenario: Watches resume without a gap and expire
+    When a watch waits while resources change
+    Then resuming from each answer yields each change once and the first position expires
+
+  Scenario: A watch of one kind is not woken by others
+    Then a watch of regions that waits past a service's change tells only the region
+
+  Scenario: The audit trail can be read and watched
+    Then audit entries after a version arrive, a waiting reader gets the next one, and the actors are those of the tokens
+
+  Scenario: Lists are paged by size
+    When 4 resources of 400 KB are put
+    Then two pages list them all
+
+  Scenario: Health, readiness and a stop
+    Then healthz is 200, readyz follows the reasons, and a stop ends waiting watches and refuses new connections
