Add the command line with fire

Change: cli.py returns commands that run only after fire consumed the line; api_client.py tries servers in turn and never repeats a write that was sent.

--- /dev/null
+++ b/src/jasminehold/api_client.py
@@ -0,0 +1,129 @@
+"""Blocking client of the operators' API, for the command line.
+
+Example:
+    >>> client = Client([('127.0.0.1', 7100)], 'token')
+    >>> client.call('GET', '/v1/resources/region')  # doctest: +SKIP
+"""
+
+import http.client
+import json
+import urllib.parse
+
+from jasminehold import errors
+
+# A write in doubt is sought for up to four more platform calls of 2 s each,
+# with 3.5 s of waits between them; see store.RETRY_DELAYS_S.
+TIMEOUT_S = 30.0
+CONNECT_TIMEOUT_S = 5.0
+
+# An instance that cannot serve now; another one may be able to.
+_TRY_NEXT = (
+    errors.Kind.UNAVAILABLE,
+    errors.Kind.OVERLOADED,
+    errors.Kind.LEAVING,
+    errors.Kind.NOT_RUN,
+)
+
+
+class Client:
+    """Calls to the first server that can serve them.
+
+    Args:
+        servers: list of ``(host, port)``, tried in turn.
+        token: the operator's token, or None.
+        timeout: seconds for one answer.
+    """
+
+    def __init__(self, servers, token=None, timeout=TIMEOUT_S):
+        self._servers = list(servers)
+        self._token = token
+        self._timeout = timeout
+
+    def call(self, method, path, query=None, body=None, extra=0.0):
+        """Make one call and return the parsed answer.
+
+        A write is sent to another server only while it certainly did not
+        take effect.
+
+        Args:
+            method: HTTP method.
+            path: path.
+            query: dictionary of query fields; those that are None are left
+                out.
+            body: JSON-compatible document or None.
+            extra: seconds that the answer may take longer.
+
+        Raises:
+            RequestError: of the kind that the server told; ``UNAVAILABLE``
+                when no server could be reached; ``OUTCOME_UNKNOWN`` when a
+                write was sent and no answer came.
+        """
+        fields = {k: v for k, v in (query or {}).items() if v is not None}
+        if fields:
+            path += '?' + urllib.parse.urlencode(fields)
+        last = None
+        for server in self._servers:
+            try:
+                return self._try(server, method, path, body, extra)
+            except errors.RequestError as exc:
+                if exc.kind not in _TRY_NEXT:
+                    raise
+                last = exc
+        raise last
+
+    def _try(self, server, method, path, body, extra):
+        where = '%s:%d' % server
+        conn = http.client.HTTPConnection(*server, timeout=CONNECT_TIMEOUT_S)
+        try:
+            try:
+                conn.connect()
+            except OSError as exc:
+                raise errors.RequestError(
+                    errors.Kind.UNAVAILABLE,
+                    '%s cannot be reached: %s' % (where, exc),
+                ) from exc
+            conn.sock.settimeout(self._timeout + extra)
+            try:
+                status, data = self._exchange(conn, method, path, body)
+            except (OSError, http.client.HTTPException) as exc:
+                raise self._lost(method, where, exc) from exc
+        finally:
+            conn.close()
+        return self._parse(method, where, status, data)
+
+    def _exchange(self, conn, method, path, body):
+        headers = {}
+        if self._token:
+            headers['Authorization'] = 'Bearer ' + self._token
+        data = None if body is None else json.dumps(body)
+        conn.request(method, path, data, headers)
+        answer = conn.getresponse()
+        return answer.status, answer.read()
+
+    @staticmethod
+    def _lost(method, where, exc):
+        if method == 'GET':
+            return errors.RequestError(
+                errors.Kind.UNAVAILABLE, '%s did not answer: %s' % (where, exc)
+            )
+        return errors.RequestError(
+            errors.Kind.OUTCOME_UNKNOWN,
+            '%s did not answer: %s; the change may have been made, read the '
+            'resource before repeating it' % (where, exc),
+        )
+
+    def _parse(self, method, where, status, data):
+        try:
+            document = json.loads(data)
+            if status < 300:
+                return document
+            error = document['error']
+            kind = errors.Kind(error['kind'])
+            message = str(error['message'])
+        except (ValueError, KeyError, TypeError) as exc:
+            raise self._lost(
+                method, where, 'unusable answer with status %d' % status
+            ) from exc
+        if kind is errors.Kind.INTERNAL and method != 'GET':
+            kind = errors.Kind.OUTCOME_UNKNOWN
+        raise errors.RequestError(kind, message, details=error.get('details'))
--- /dev/null
+++ b/src/jasminehold/cli.py
@@ -0,0 +1,490 @@
+"""Command line for operators and for starting instances.
+
+Each command function only checks its arguments and returns a
+:class:`Command`; it runs after ``fire`` has consumed the whole line, because
+``fire`` calls a function before it notices unknown arguments behind it.
+
+Exit statuses: 0 fine, 1 refused, 2 usage or settings, 3 unreachable or not
+available, 4 outcome unknown.
+"""
+
+import importlib
+import json
+import os
+import sys
+import time
+
+import fire
+from fire import decorators
+
+from jasminehold import api_client
+from jasminehold import errors
+from jasminehold import resources
+from jasminehold.resources import fields
+from jasminehold import settings
+
+SERVERS_ENV = 'JASMINEHOLD_SERVERS'
+LOOKUP_SERVERS_ENV = 'JASMINEHOLD_LOOKUP_SERVERS'
+TOKEN_ENV = 'JASMINEHOLD_TOKEN'
+
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_UNREACHABLE = 3
+EXIT_UNKNOWN = 4
+
+WATCH_WAIT_S = 20
+
+_PREFIXES = {
+    EXIT_REFUSED: 'refused',
+    EXIT_USAGE: 'usage or settings',
+    EXIT_UNREACHABLE: 'unreachable',
+    EXIT_UNKNOWN: 'outcome unknown',
+}
+_UNREACHABLE = (
+    errors.Kind.UNAVAILABLE,
+    errors.Kind.OVERLOADED,
+    errors.Kind.LEAVING,
+    errors.Kind.NOT_RUN,
+)
+_UNKNOWN = (
+    errors.Kind.OUTCOME_UNKNOWN,
+    errors.Kind.DEADLINE_UNKNOWN,
+    errors.Kind.INTERNAL,
+)
+
+
+class Command:
+    """A command whose arguments have been read but which has not run."""
+
+    def __init__(self, run, output='table'):
+        if output not in ('table', 'json'):
+            raise errors.SettingsError('--output: must be table or json')
+        self._run = run
+
+
+def _serve(path):
+    cfg = settings.load(path)
+    importlib.import_module('jasminehold.app').run(cfg)
+
+
+def check_settings(file):
+    """Check a settings file."""
+
+    def run():
+        cfg = settings.load(file)
+        print('%s: valid; place %s, region %s' % (file, cfg.place, cfg.region))
+
+    return Command(run)
+
+
+def apply(file, servers=None, token=None, output='table'):
+    """Declare or update the resources of a file (one or a list)."""
+
+    def run():
+        docs = settings.parse_json5(settings.read_file(file), file)
+        if not isinstance(docs, list):
+            docs = [docs]
+        ranks = {kind: rank for rank, kind in enumerate(resources.KINDS)}
+        for doc in docs:
+            _check_shape(file, doc, ranks)
+        docs.sort(key=lambda doc: ranks[doc['kind']])
+        client = _client(servers, token)
+        for doc in docs:
+            _show_applied(*_apply_one(client, doc), output)
+
+    return Command(run, output)
+
+
+def _check_shape(file, doc, ranks):
+    if not isinstance(doc, dict) or doc.get('kind') not in ranks:
+        raise errors.SettingsError(
+            '%s: kind: must be one of %s' % (file, ', '.join(ranks))
+        )
+    metadata = doc.get('metadata')
+    if not isinstance(metadata, dict) or not isinstance(
+        metadata.get('name'), str
+    ):
+        raise errors.SettingsError('%s: metadata.name: is required' % file)
+
+
+def _apply_one(client, doc):
+    path = _path(doc['kind'], doc['metadata']['name'])
+    try:
+        current = client.call('GET', path)
+    except errors.RequestError as exc:
+        if exc.kind is not errors.Kind.NOT_FOUND:
+            raise
+        current = None
+    version = doc['metadata'].get('resource_version')
+    if current is not None and current['spec'] == doc.get('spec'):
+        return 'unchanged', current
+    if version is None:
+        version = current['metadata']['resource_version'] if current else 0
+    metadata = {'name': doc['metadata']['name'], 'resource_version': version}
+    body = {**doc, 'metadata': metadata}
+    result = client.call('PUT', path, body=body)
+    return ('declared' if version == 0 else 'updated'), result
+
+
+def _show_applied(what, doc, output):
+    if output == 'json':
+        print(json.dumps({'result': what, 'resource': doc}), flush=True)
+        return
+    metadata = doc['metadata']
+    print(
+        '%s/%s %s (version %d, generation %d)'
+        % (
+            doc['kind'],
+            metadata['name'],
+            what,
+            metadata['resource_version'],
+            metadata['generation'],
+        ),
+        flush=True,
+    )
+
+
+def get(kind, name, servers=None, token=None, output='table'):
+    """Show one resource."""
+
+    def run():
+        doc = _client(servers, token).call('GET', _path(kind, name))
+        if output == 'json':
+            print(json.dumps(doc))
+            return
+        rows = [('kind', kind)]
+        for part in ('metadata', 'spec', 'status', 'change'):
+            for key, value in doc.get(part, {}).items():
+                rows.append(('%s.%s' % (part, key), _cell(value)))
+        _table(('FIELD', 'VALUE'), rows)
+
+    return Command(run, output)
+
+
+def list_(kind, servers=None, token=None, output='table'):
+    """List the resources of a kind."""
+
+    def run():
+        client = _client(servers, token)
+        items = _list_all(client, kind)[0]
+        if output == 'json':
+            print(json.dumps({'items': items}))
+            return
+        _table(_HEADINGS, [_row(item) for item in items])
+
+    return Command(run, output)
+
+
+def _list_all(client, kind):
+    items, after, revision = [], None, None
+    while True:
+        page = client.call('GET', _path(kind), {'after': after})
+        # The first page's position covers changes made during the others.
+        revision = page['revision'] if revision is None else revision
+        items.extend(page['items'])
+        if not page['more'] or not page['items']:
+            return items, revision
+        after = page['items'][-1]['metadata']['name']
+
+
+def watch(
+    kind=None,
+    start=None,
+    seconds=None,
+    servers=None,
+    token=None,
+    output='table',
+):
+    """Print changes as they come into force; ends after SECONDS if given."""
+
+    def run():
+        client = _client(servers, token)
+        position = None if start is None else _whole('start', start)
+        limit = None if seconds is None else _whole('seconds', seconds)
+        end = None if limit is None else time.monotonic() + limit
+        while end is None or time.monotonic() < end:
+            wait = WATCH_WAIT_S
+            if end is not None:
+                wait = max(0.0, min(wait, end - time.monotonic()))
+            query = {'from': position, 'kind': kind, 'wait': wait}
+            try:
+                page = client.call('GET', '/v1/watch', query, extra=wait)
+            except errors.RequestError as exc:
+                if exc.kind is not errors.Kind.GONE or start is not None:
+                    raise
+                # Another instance answers; it numbers its changes itself.
+                position = _relist(client, kind, output)
+                continue
+            position = page['revision']
+            for event in page['events']:
+                _show_event(event['type'], event['resource'], output)
+
+    return Command(run, output)
+
+
+def _relist(client, kind, output):
+    position = None
+    for each in [kind] if kind else resources.KINDS:
+        items, revision = _list_all(client, each)
+        position = revision if position is None else position
+        for item in items:
+            _show_event('list', item, output)
+    return position
+
+
+def _show_event(what, doc, output):
+    if output == 'json':
+        print(json.dumps({'type': what, 'resource': doc}), flush=True)
+    else:
+        cells = [_cell(cell) for cell in _row(doc)]
+        print('  '.join([what] + cells), flush=True)
+
+
+def delete(
+    kind,
+    name,
+    resource_version=None,
+    servers=None,
+    token=None,
+    output='table',
+):
+    """Delete a resource."""
+
+    def run():
+        query = {'resource_version': resource_version}
+        client = _client(servers, token)
+        doc = client.call('DELETE', _path(kind, name), query)
+        _show_applied('deleted', doc, output)
+
+    return Command(run, output)
+
+
+def audit(after='0', wait='0', servers=None, token=None, output='table'):
+    """Show the audit trail after a version."""
+
+    def run():
+        query = {'after': _whole('after', after)}
+        query['wait'] = _whole('wait', wait)
+        client = _client(servers, token)
+        page = client.call('GET', '/v1/audit', query, extra=query['wait'])
+        if output == 'json':
+            print(json.dumps(page))
+            return
+        rows = []
+        for entry in page['entries']:
+            change = entry['change']
+            rows.append(
+                (
+                    entry['version'],
+                    _time(change['time']),
+                    change['actor'],
+                    change['verb'],
+                    '%s/%s' % (entry['kind'], entry['name']),
+                    change['generation'],
+                    change['from_version'],
+                )
+            )
+        _table(
+            (
+                'VERSION',
+                'TIME',
+                'ACTOR',
+                'VERB',
+                'RESOURCE',
+                'GENERATION',
+                'FROM',
+            ),
+            rows,
+        )
+
+    return Command(run, output)
+
+
+def lookup(service, block, servers=None, output='table'):
+    """Ask the callers' port which instances serve a client block."""
+
+    def run():
+        client = _client(servers, None, LOOKUP_SERVERS_ENV)
+        query = {'service': service, 'block': block}
+        page = client.call('GET', '/v1/lookup', query)
+        if output == 'json':
+            print(json.dumps(page))
+            return
+        rows = []
+        for answer in page['answers']:
+            for instance in answer['instances']:
+                address = '%s:%s' % (instance['host'], instance['port'])
+                rows.append(
+                    (
+                        answer['service'],
+                        answer['block'],
+                        answer['system'],
+                        instance['id'],
+                        address,
+                        instance['place'],
+                        answer['ttl'],
+                    )
+                )
+        _table(
+            (
+                'SERVICE',
+                'BLOCK',
+                'SYSTEM',
+                'INSTANCE',
+                'ADDRESS',
+                'PLACE',
+                'TTL',
+            ),
+            rows,
+        )
+
+    return Command(run, output)
+
+
+def stand_in_platform(**options):
+    """Run the stand-in of the platform's service."""
+    return Command(lambda: _stand_in('platform', options))
+
+
+def stand_in_upstream(**options):
+    """Run the stand-in of an upstream."""
+    return Command(lambda: _stand_in('upstream', options))
+
+
+def _stand_in(name, options):
+    importlib.import_module('jasminehold.standin.' + name).run(**options)
+
+
+_HEADINGS = ('NAME', 'VERSION', 'GENERATION', 'OBSERVED', 'CONDITIONS')
+
+
+def _row(doc):
+    status = doc.get('status', {})
+    conditions = [
+        '%s=%s' % (condition.get('type'), condition.get('status'))
+        for condition in status.get('conditions', [])
+    ]
+    return (
+        '%s/%s' % (doc['kind'], doc['metadata']['name']),
+        doc['metadata']['resource_version'],
+        doc['metadata']['generation'],
+        status.get('observed_generation', '-'),
+        ','.join(conditions) or '-',
+    )
+
+
+def _path(kind, name=None):
+    resources.require_kind(kind)
+    path = '/v1/resources/' + kind
+    if name is None:
+        return path
+    if not fields.is_name(name):
+        raise errors.RequestError(
+            errors.Kind.BAD_REQUEST, 'The name ' + fields.NAME_TEXT
+        )
+    return '%s/%s' % (path, name)
+
+
+def _client(servers, token, env=SERVERS_ENV):
+    text = servers or os.environ.get(env, '')
+    if not text:
+        raise errors.SettingsError('give --servers or set %s' % env)
+    addresses = []
+    for part in text.split(','):
+        host, _, port = part.strip().rpartition(':')
+        if not host or not port.isdigit() or not 0 < int(port) < 65536:
+            raise errors.SettingsError(
+                'servers: %r must be HOST:PORT[,HOST:PORT...]' % part
+            )
+        addresses.append((host.strip('[]'), int(port)))
+    return api_client.Client(addresses, token or os.environ.get(TOKEN_ENV))
+
+
+def _whole(name, text):
+    if not text.isdigit():
+        raise errors.SettingsError('--%s: must be a whole number' % name)
+    return int(text)
+
+
+def _time(seconds):
+    return time.strftime('%Y-%m-%dT%H:%M:%SZ', time.gmtime(seconds))
+
+
+def _cell(value):
+    return value if isinstance(value, str) else json.dumps(value)
+
+
+def _table(headings, rows):
+    rows = [headings] + [[_cell(cell) for cell in row] for row in rows]
+    widths = [max(map(len, column)) for column in zip(*rows)]
+    for row in rows:
+        cells = [cell.ljust(width) for cell, width in zip(row, widths)]
+        print('  '.join(cells).rstrip())
+
+
+def serve(settings):
+    """Run an instance with the settings file SETTINGS until it is stopped."""
+    return Command(lambda: _serve(settings))
+
+
+def _commands():
+    table = {
+        'serve': serve,
+        'check-settings': check_settings,
+        'apply': apply,
+        'get': get,
+        'list': list_,
+        'watch': watch,
+        'delete': delete,
+        'audit': audit,
+        'lookup': lookup,
+    }
+    # Without this, fire turns a resource named 7 or true into another type.
+    for func in table.values():
+        decorators.SetParseFn(str)(func)
+    table['stand-in'] = {
+        'platform': stand_in_platform,
+        'upstream': stand_in_upstream,
+    }
+    return table
+
+
+def exit_status_of(exc):
+    """Return the exit status for an exception of this package."""
+    if isinstance(exc, errors.SettingsError):
+        return EXIT_USAGE
+    if exc.kind in _UNREACHABLE:
+        return EXIT_UNREACHABLE
+    if exc.kind in _UNKNOWN:
+        return EXIT_UNKNOWN
+    return EXIT_REFUSED
+
+
+def main(argv=None):
+    """Run the command line and return the exit status."""
+    try:
+        command = fire.Fire(
+            _commands(),
+            command=sys.argv[1:] if argv is None else argv,
+            name='jasminehold',
+            # fire prints what this returns, and commands print themselves.
+            serialize=lambda result: None,
+        )
+        if not isinstance(command, Command):
+            raise errors.SettingsError('a command is missing; see --help')
+        command._run()
+    except SystemExit as exc:
+        return exc.code
+    except errors.JasmineholdError as exc:
+        status = exit_status_of(exc)
+        print('%s: %s' % (_PREFIXES[status], exc), file=sys.stderr)
+        for fault in exc.details if isinstance(exc.details, list) else ():
+            print('  %(path)s: %(error)s' % fault, file=sys.stderr)
+        return status
+    except KeyboardInterrupt:
+        return 130
+    except BrokenPipeError:
+        # The reader of the table has gone, for example ``head``.
+        sys.stderr.close()
+        return 0
+    return 0
