--- a/tests/features/config.feature
+++ b/tests/features/config.feature
@@ -42,3 +42,6 @@
 
   Scenario: The config set equals the maxima under any order and repetition
     Then the config set equals a dictionary of maxima after each random step
+
+  Scenario: The operators' page shows a valid example of each kind
+    Then each example on the operators' page is valid
--- a/tests/features/steps/config_steps.py
+++ b/tests/features/steps/config_steps.py
@@ -1,6 +1,8 @@
 """Steps for resources and the config set."""
 
 import json
+import pathlib
+import re
 import time
 
 import behave
@@ -13,6 +15,8 @@
 from jasminehold import resources
 from jasminehold.resources import decode
 
+PAGE = pathlib.Path(__file__).parents[3] / 'docs/operations/resources.md'
+
 
 def _held():
     held = config.ConfigSet()
@@ -70,6 +74,18 @@
     assert resources.check('client_blocks', spec)
 
 
+@behave.then("each example on the operators' page is valid")
+def then_page(context):
+    text = PAGE.read_text()
+    docs = [
+        json.loads(m) for m in re.findall(r'```json\n(.*?)```', text, re.S)
+    ]
+    assert {doc['kind'] for doc in docs} == set(resources.KINDS)
+    for doc in docs:
+        name = doc['metadata']['name']
+        resources.check_document(doc['kind'], name, doc, _held())
+
+
 def _seconds(func):
     best = []
     for _ in range(3):
