--- a/tests/builders/api_server.py
+++ b/tests/builders/api_server.py
@@ -17,45 +17,42 @@
 from jasminehold import settings
 from jasminehold import store
 
-TOKEN = 'token-of-ana'
-
-
-def digest(token):
-    """Return the digest that the settings hold for a token."""
-    return hashlib.sha256(token.encode()).hexdigest()
+TOKENS = {'ana': 'token-of-ana', 'bo': 'b'}
+STATUS = {'observed_generation': 1, 'conditions': []}
 
 
 class ApiServer:
-    """A running API; ``platform`` takes faults, ``status`` is given out."""
+    """A running API; ``platform`` takes faults, ``reasons`` unreadiness."""
 
     def __init__(self, **overrides):
-        raw = {'place': 'sul-1', 'region': 'sul', 'api_listen': '127.0.0.1:0'}
-        raw['operators'] = {'ana': digest(TOKEN), 'bo': digest('b')}
-        self.cfg = settings.from_dict({**raw, **overrides})
+        raw = {'place': 'sul-1', 'region': 'sul', **overrides}
+        raw['operators'] = {
+            name: hashlib.sha256(token.encode()).hexdigest()
+            for name, token in TOKENS.items()
+        }
         self.metrics = metrics.Metrics()
         self.config = config.ConfigSet()
-        self.reasons = []
-        self.pushed = []
+        self.reasons, self.pushed = [], []
         self.root = circuits.Component()
         self.loop = loop_module.Loop().register(self.root)
-        self.platform = fake_platform.FakePlatform(self.loop.call_later)
-        ids = itertools.count()
+        later = self.loop.call_later
+        self.platform = fake_platform.FakePlatform(later)
+        ids = map('w%d'.__mod__, itertools.count())
         writes = store.Port(
             self.platform,
-            self.loop.call_later,
+            later,
             time.time,
-            lambda: 'w%d' % next(ids),
+            lambda: next(ids),
             self.config,
             self.metrics,
         )
         port = api.Port(
-            writes,
-            lambda kind, name: {'observed_generation': 1, 'conditions': []},
-            lambda: self.reasons,
-            self.pushed.append,
+            writes, lambda *_: STATUS, lambda: self.reasons, self.pushed.append
         )
-        self.api = api.Api(self.cfg, self.loop, port).register(self.root)
+        cfg = settings.from_dict(raw)
+        self.api = api.Api(cfg, self.loop, port).register(self.root)
         self.port = self.api.port
+        self.address = '127.0.0.1:%d' % self.port
         self._thread = threading.Thread(target=self.root.run, daemon=True)
         self._thread.start()
 
@@ -66,19 +63,16 @@
         self.loop.poller.resume()
         self._thread.join(10)
 
-    def call(self, method, path, body=None, token=TOKEN, headers=()):
+    def call(self, method, path, body=None, token=TOKENS['ana']):
         """Make one request: ``(status, headers, parsed or raw body)``."""
         conn = http.client.HTTPConnection('127.0.0.1', self.port, timeout=10)
-        sent = dict(headers)
-        if token is not None:
-            sent['Authorization'] = 'Bearer ' + token
-        if isinstance(body, (dict, list)):
-            body = json.dumps(body)
-        conn.request(method, path, body, sent)
+        headers = {'Authorization': 'Bearer ' + token} if token else {}
+        data = None if body is None else json.dumps(body)
+        conn.request(method, path, data, headers)
         answer = conn.getresponse()
         data = answer.read()
         conn.close()
-        if answer.getheader('Content-Type') == 'application/json' and data:
+        if answer.getheader('Content-Type') == 'application/json':
             data = json.loads(data)
         return answer.status, dict(answer.getheaders()), data
 
--- a/tests/builders/documents.py
+++ b/tests/builders/documents.py
@@ -1,5 +1,6 @@
-"""Builders of resource specs, stored documents and settings."""
+"""Builders of resource specs and stored documents."""
 
+LEGACY = {'host': '127.0.0.1', 'port': 9000}
 SPECS = {
     'service': {
         'idempotent_methods': ['GET', 'HEAD'],
@@ -7,19 +8,14 @@
         'request_timeout_ms': 5000,
         'priority_paths': [{'path': '/pedido', 'class': 'order'}],
         'retry_budget': 0.1,
-        'legacy': {'host': '127.0.0.1', 'port': 9000},
+        'legacy': LEGACY,
     },
     'region': {'capacity_rps': 400},
     'place': {'region': 'sul', 'capacity_rps': 200, 'latency_ms': {'x': 20}},
     'link': {'from_place': 'sul-1', 'to_place': 'sul-2', 'cap_rps': 50},
-    'upstream': {
-        'service': 'loja',
-        'place': 'sul-1',
-        'host': '127.0.0.1',
-        'port': 8001,
-        'slots': 3,
-        'connections': 330,
-    },
+    'upstream': dict(
+        service='loja', place='sul-1', slots=3, connections=330, **LEGACY
+    ),
     'traffic_split': {
         'service': 'loja',
         'client_region': '*',
@@ -33,13 +29,9 @@
         'cap_rps': 20,
     },
     'drain': {'target_kind': 'place', 'target_name': 'sul-1'},
-    'legacy_share': {
-        'service': 'loja',
-        'share': 0.4,
-        'host': '127.0.0.1',
-        'port': 9000,
-        'load_rps': {'sul': 10},
-    },
+    'legacy_share': dict(
+        service='loja', share=0.4, load_rps={'sul': 10}, **LEGACY
+    ),
     'client_blocks': {
         'region': 'sul',
         'blocks': [{'cidr': '10.1.0.0/16', 'site': 'sul-1'}],
@@ -47,26 +39,24 @@
 }
 
 
-def entry(kind, name, version, deleted=False, spec=None):
+def blocks(count):
+    """Return the spec of client blocks with that many blocks."""
+    cidrs = ['10.%d.%d.0/24' % divmod(n, 256) for n in range(count)]
+    items = [{'cidr': cidr, 'site': 'sul-1'} for cidr in cidrs]
+    return {'region': 'sul', 'blocks': items}
+
+
+def entry(kind, name, version, deleted=False):
     """Return a stored entry of a config set."""
-    return {
-        'key': 'state/config/%s/%s' % (kind, name),
-        'version': version,
-        'value': {
-            'kind': kind,
-            'metadata': {'name': name, 'generation': 1},
-            'spec': SPECS[kind] if spec is None else spec,
-            'change': {'id': 'w%d' % version, 'from_version': 0},
-            'deleted': deleted,
-        },
-    }
+    value = {'kind': kind, 'metadata': {'name': name, 'generation': 1}}
+    value.update(spec=SPECS[kind], deleted=deleted)
+    value['change'] = {'id': 'w%d' % version, 'from_version': 0}
+    key = 'state/config/%s/%s' % (kind, name)
+    return {'key': key, 'version': version, 'value': value}
 
 
 def base_entries():
     """Return the resources that :data:`SPECS` refers to."""
-    return [
-        entry('service', 'loja', 1),
-        entry('region', 'sul', 2),
-        entry('place', 'sul-1', 3),
-        entry('place', 'sul-2', 4),
-    ]
+    names = [('service', 'loja'), ('region', 'sul')]
+    names += [('place', 'sul-1'), ('place', 'sul-2')]
+    return [entry(*name, n) for n, name in enumerate(names, 1)]
--- a/tests/builders/fake_platform.py
+++ b/tests/builders/fake_platform.py
@@ -6,108 +6,88 @@
 
 
 class Item(typing.NamedTuple):
-    """A value with its version."""
+    """A value with its version; also one change in a watch."""
 
     key: str
     value: bytes
     version: int
+    deleted: bool = False
 
 
 class Page(typing.NamedTuple):
-    """One page of a list."""
+    """One page of a list, or the answer to a watch as ``events``."""
 
     items: list
     revision: int
-    more: bool
-
-
-class Event(typing.NamedTuple):
-    """One change."""
-
-    key: str
-    value: bytes
-    version: int
-    deleted: bool
-
-
-class Changes(typing.NamedTuple):
-    """Answer to a watch."""
-
-    events: list
-    revision: int
+    more: bool = False
+    events = property(lambda self: self.items)
 
 
 class FakePlatform:
     """Key-value service with compare-and-swap.
 
     Attributes:
-        faults: one of ``'lost'`` (applied, reply lost), ``'late'`` (applied
-            by ``release``, reply lost), ``'down'`` or None for each
-            following put of a resource; then calls succeed.
+        faults: what the next puts of resources meet: ``'lost'`` (applied,
+            reply lost), ``'late'`` (applied by ``release``, reply lost) or
+            ``'down'``; then they succeed.
         down: every call fails as not applied.
         audit_down: puts of audit entries fail.
     """
 
-    def __init__(self, later=None):
+    def __init__(self, later):
         self.data = {}
         self.events = []
         self.revision = 0
         self.faults = []
-        self.down = False
-        self.audit_down = False
+        self.down = self.audit_down = False
         self._late = []
         self._waiting = []
-        self._later = later or (lambda delay, func: func())
+        self._later = later
 
     def get(self, key, done):
         """Read a key."""
-        if self.down:
-            return self._end(done, None, errors.PlatformUnavailable())
-        if key not in self.data:
-            return self._end(done, None, errors.KeyNotFound())
-        return self._end(done, self.data[key], None)
+        missing = None if key in self.data else errors.KeyNotFound()
+        self._end(done, self.data.get(key), missing)
 
     def put(self, key, value, if_version, done, lease=None):
         """Store by compare-and-swap."""
         state = key.startswith('state/')
         fault = self.faults.pop(0) if state and self.faults else None
-        if self.down or fault == 'down' or (self.audit_down and not state):
-            return self._end(done, None, errors.PlatformUnavailable())
-        if fault == 'late':
+        refused = self.audit_down and not state
+        if self.down or fault == 'down' or refused:
+            self._end(done, None, errors.PlatformUnavailable())
+        elif fault == 'late':
             self._late.append((key, value, if_version))
-            return self._end(done, None, errors.OutcomeUnknown())
-        result = self._swap(key, value, if_version)
-        if fault == 'lost':
-            result = (None, errors.OutcomeUnknown())
-        return self._end(done, *result)
+            self._end(done, None, errors.OutcomeUnknown())
+        else:
+            result, exc = self._swap(key, value, if_version)
+            if fault == 'lost':
+                result, exc = None, errors.OutcomeUnknown()
+            self._end(done, result, exc)
 
     def delete(self, key, if_version, done):
         """Delete by compare-and-swap."""
-        found = self.data.get(key)
-        if found is None or found.version != if_version:
-            return self._end(done, None, errors.VersionMismatch())
+        if key not in self.data or self.data[key].version != if_version:
+            self._end(done, None, errors.VersionMismatch())
+            return
         del self.data[key]
         self.revision += 1
-        return self._end(done, self.revision, None)
+        self._end(done, self.revision, None)
 
     def list(self, prefix, after, done):
         """Read the keys beyond ``after``."""
-        if self.down:
-            return self._end(done, None, errors.PlatformUnavailable())
         keys = sorted(k for k in self.data if k.startswith(prefix))
         items = [self.data[k] for k in keys if k > (after or '')]
-        return self._end(done, Page(items, self.revision, False), None)
+        self._end(done, Page(items, self.revision), None)
 
     def watch(self, prefix, from_revision, wait, done):
         """Wait for the next change of a prefix."""
-        events = [
-            event
-            for event in self.events
-            if event.version > from_revision and event.key.startswith(prefix)
-        ]
+        events = [e for e in self.events if e.version > from_revision]
+        events = [e for e in events if e.key.startswith(prefix)]
         if events:
-            return self._end(done, Changes(events, self.revision), None)
-        return self._waiting.append((prefix, from_revision, done))
+            self._end(done, Page(events, self.revision), None)
+        else:
+            self._waiting.append((prefix, from_revision, wait, done))
 
     def release(self):
         """Apply the writes that were late."""
@@ -120,11 +100,13 @@
             return None, errors.VersionMismatch(version=found)
         self.revision += 1
         self.data[key] = Item(key, value, self.revision)
-        self.events.append(Event(key, value, self.revision, False))
+        self.events.append(self.data[key])
         waiting, self._waiting = self._waiting, []
         for call in waiting:
-            self.watch(call[0], call[1], 0, call[2])
+            self.watch(*call)
         return self.revision, None
 
     def _end(self, done, result, exc):
+        if self.down:
+            result, exc = None, errors.PlatformUnavailable()
         self._later(0.0, lambda: done(result, exc))
--- a/tests/features/api.feature
+++ b/tests/features/api.feature
@@ -52,36 +52,31 @@
     Then it is refused with 503 as overloaded and counted
 
   Scenario: All faults of a resource come back with their paths
-    When an upstream with unknown references is put
-    Then the answer is 400 and names spec.service and spec.place
+    Then an upstream with unknown references answers 400 and their paths
 
   Scenario: Racing updates from one version over the network
-    When 8 clients update one resource from the same version
-    Then one got 200, the others 409 and the winner's spec is in force
+    Then of 8 clients that update one version one wins, 7 get 409
 
   Scenario: What was read can be changed and put back
-    When a resource is read, its spec changed and the whole document put
-    Then its generation is 2 and it was pushed to the other instances
+    Then a document read, changed and put back has generation 2 and is pushed to the other instances
 
   Scenario: A lost reply is resolved and an unknown outcome told as such
-    Then a put with a lost reply answers 200 and one with lasting doubt answers 502 as outcome_unknown with the write's id
+    Then a lost reply answers 200 and lasting doubt 502 with the id
 
   Scenario: The platform is down
     Then reads answer 200, puts and audit answer 503 with Retry-After
 
   Scenario: Watches resume without a gap and expire
-    When a watch waits while resources change
-    Then resuming from each answer yields each change once and the first position expires
+    Then a watch that resumes while resources change tells each change once and its first position expires
 
   Scenario: A watch of one kind is not woken by others
-    Then a watch of regions that waits past a service's change tells only the region
+    Then a watch of regions that waits past services' changes tells only the region
 
   Scenario: The audit trail can be read and watched
     Then audit entries after a version arrive, a waiting reader gets the next one, and the actors are those of the tokens
 
   Scenario: Lists are paged by size
-    When 4 resources of 400 KB are put
-    Then two pages list them all
+    Then 4 resources of 400 KB are listed on two pages
 
   Scenario: Health, readiness and a stop
     Then healthz is 200, readyz follows the reasons, and a stop ends waiting watches and refuses new connections
--- a/tests/features/cli.feature
+++ b/tests/features/cli.feature
@@ -48,9 +48,9 @@
 
   Scenario: An unknown outcome has its own exit status
     Given the resources are applied
-    When a command updates region sul while the platform loses the outcome
+    When a command updates it while the platform loses the outcome
     Then it exits with 4 and prints "outcome unknown: "
-    When a command updates region sul on a server that closes after reading
+    When a command updates it on a server that closes after reading
     Then it exits with 4 and prints "the change may have been made"
 
   Scenario: Output for programs, the audit trail and the watch
--- a/tests/features/steps/store_steps.py
+++ b/tests/features/steps/store_steps.py
@@ -16,73 +16,59 @@
 
 @behave.given('a fake platform')
 def given_platform(context):
-    context.queue = []
-    later = context.queue.append
-    context.platform = fake_platform.FakePlatform(
-        lambda delay, func: later(func)
-    )
-    ids = itertools.count(1)
-    context.hooks = []
+    context.queue, context.hooks = [], []
 
-    def later_hooked(delay, func):
+    def later(delay, func):
         # The first wait of a write in doubt is where the others act.
-        if context.hooks:
+        if delay and context.hooks:
             context.hooks.pop(0)()
-        later(func)
+        context.queue.append(func)
 
+    context.platform = fake_platform.FakePlatform(later)
+    ids = map('w%d'.__mod__, itertools.count(1))
     context.port = store.Port(
         context.platform,
-        later_hooked,
+        later,
         lambda: 1000.0,
-        lambda: 'w%d' % next(ids),
+        lambda: next(ids),
         None,
         metrics.Metrics(),
     )
 
 
-def _run(context):
+def _call(context, func, *args):
+    # Starts a call; the list gets its result when the queue has run.
+    results = []
+    func(*args, lambda *result: results.append(result))
+    return results
+
+
+def _run(context, results):
     while context.queue:
         context.queue.pop(0)()
+    assert len(results) == 1, results
+    return results[0]
 
 
-def _start(context, capacity, version, results):
+def _start(context, capacity, version):
     doc = {'spec': {'capacity_rps': capacity}}
     doc['metadata'] = {'resource_version': version}
-    store.put(
-        context.port, 'region', 'sul', doc, 'ana', lambda *r: results.append(r)
-    )
+    args = (context.port, 'region', 'sul', doc, 'ana')
+    return _call(context, store.put, *args)
 
 
 def _put(context, capacity, version):
-    results = []
-    _start(context, capacity, version, results)
-    _run(context)
-    assert len(results) == 1, results
-    return results[0]
+    return _run(context, _start(context, capacity, version))
 
 
-@behave.given('region sul is declared')
-def given_declared(context):
-    outcome, exc = _put(context, 400, 0)
-    assert exc is None, exc
-    context.version = outcome.entry['version']
+def _delete(context, version):
+    args = (context.port, 'region', 'sul', version, 'ana')
+    return _run(context, _call(context, store.delete, *args))
 
 
-@behave.when('region sul is put with capacities {text}')
-def when_capacities(context, text):
-    version = 0
-    context.generations = []
-    for capacity in text.split(', '):
-        outcome, exc = _put(context, int(capacity), version)
-        assert exc is None, exc
-        version = outcome.entry['version']
-        metadata = outcome.entry['value']['metadata']
-        context.generations.append(str(metadata['generation']))
-
-
-@behave.then('its generations were {text}')
-def then_generations(context, text):
-    assert context.generations == text.split(', ')
+def _complete(context):
+    args = (context.platform, list(context.platform.events))
+    return _call(context, store.complete_audit, *args)
 
 
 def _audit(context):
@@ -90,175 +76,125 @@
     keys = sorted(k for k in data if k.startswith('audit/'))
     entries = [json.loads(data[k].value) for k in keys]
     assert [store.audit_key(e['version']) for e in entries] == keys
-    return entries
+    return [entry['change'] for entry in entries]
 
 
-@behave.then('the audit trail holds the verbs {text}')
-def then_verbs(context, text):
-    verbs = [entry['change']['verb'] for entry in _audit(context)]
-    assert verbs == text.split(', '), verbs
+@behave.given('region sul is declared')
+def given_declared(context):
+    outcome, exc = _put(context, 400, 0)
+    assert exc is None, exc
+    context.version = outcome.entry['version']
 
 
-@behave.when('two updates from its version run at the same time')
-def when_race(context):
-    context.results = []
-    _start(context, 1, context.version, context.results)
-    _start(context, 2, context.version, context.results)
-    _run(context)
+@behave.then(
+    'puts of capacities 400, 400, 500 have generations 1, 1, 2 and '
+    'audit entries'
+)
+def then_generations(context):
+    version, generations = 0, []
+    for capacity in (400, 400, 500):
+        outcome, exc = _put(context, capacity, version)
+        assert exc is None, exc
+        version = outcome.entry['version']
+        generations.append(outcome.entry['value']['metadata']['generation'])
+    assert generations == [1, 1, 2], generations
+    verbs = [change['verb'] for change in _audit(context)]
+    assert verbs == ['declare', 'update', 'update'], verbs
 
 
-@behave.then('one succeeds and one ends with StaleVersion')
+@behave.then('of two updates at the same time one succeeds and one is stale')
 def then_one(context):
-    kinds = [type(exc) for _, exc in context.results]
-    assert sorted(kinds, key=str) == sorted(
-        [type(None), errors.StaleVersion], key=str
-    )
-    winner = next(o for o, exc in context.results if exc is None)
+    results = [_start(context, n, context.version) for n in (1, 2)]
+    results = [_run(context, result) for result in results]
+    (winner,) = [outcome for outcome, exc in results if exc is None]
+    (loser,) = [exc for outcome, exc in results if exc is not None]
+    assert isinstance(loser, errors.StaleVersion)
     stored = json.loads(context.platform.data[KEY].value)
     assert stored == winner.entry['value']
 
 
-@behave.when('region sul is put from version 0')
-def when_again(context):
-    context.before = dict(context.platform.data)
-    context.result = _put(context, 1, 0)
-
-
-@behave.then('it ends with StaleVersion and the platform is unchanged')
+@behave.then('declaring it again is stale and leaves the platform unchanged')
 def then_unchanged(context):
-    then_ends(context, 'StaleVersion')
-    assert context.platform.data == context.before
-
-
-@behave.when('region sul is deleted')
-def when_deleted(context):
-    results = []
-    done = lambda *r: results.append(r)  # noqa: E731
-    store.delete(context.port, 'region', 'sul', context.version, 'ana', done)
-    _run(context)
-    assert results[0][1] is None, results
-    context.entry = results[0][0].entry
+    before = dict(context.platform.data)
+    assert isinstance(_put(context, 1, 0)[1], errors.StaleVersion)
+    assert context.platform.data == before
 
 
 @behave.then(
-    'its tombstone is stored and a further delete ends with '
-    'ResourceNotFound'
+    'a delete stores a tombstone, a further one finds nothing and a '
+    'declaration continues at generation 3'
 )
 def then_tombstone(context):
+    assert _delete(context, context.version)[1] is None
     assert json.loads(context.platform.data[KEY].value)['deleted']
-    results = []
-    done = lambda *r: results.append(r)  # noqa: E731
-    store.delete(context.port, 'region', 'sul', None, 'ana', done)
-    _run(context)
-    assert isinstance(results[0][1], errors.ResourceNotFound)
-
-
-@behave.then('a new declaration continues at generation 3')
-def then_continues(context):
+    assert isinstance(_delete(context, None)[1], errors.ResourceNotFound)
     outcome, exc = _put(context, 400, 0)
     assert exc is None and outcome.created
     assert outcome.entry['value']['metadata']['generation'] == 3
 
 
-def _other(context, count):
+def _others(context, count):
     for _ in range(count):
         held = context.platform.data[KEY]
         doc = json.loads(held.value)
-        doc['change'] = {
-            **doc['change'],
-            'id': 'other',
-            'from_version': held.version,
-        }
-        context.platform.put(
-            KEY, store.encode(doc), held.version, lambda *r: None
-        )
+        doc['change'].update(id='other', from_version=held.version)
+        value = store.encode(doc)
+        _call(context, context.platform.put, KEY, value, held.version)
 
 
-def _complete(context):
-    results = []
-    store.complete_audit(
-        context.platform, context.platform.events, lambda *r: results.append(r)
-    )
-    return results
-
-
-@behave.when('it is updated while the puts meet {faults} and then {then}')
-def when_faults(context, faults, then):
+@behave.when(
+    'an update meets {faults} and then {count:d} other writers with '
+    'audit {audit:w}'
+)
+def when_faults(context, faults, count, audit):
     def act():
-        if then == 'another writer wins':
-            _other(context, 1)
-        elif then == 'another writer follows':
-            _other(context, 1)
+        _others(context, count)
+        if audit == 'complete':
             _complete(context)
-        elif then.startswith('two writers'):
-            _other(context, 2)
-            if then.endswith('with audit'):
-                _complete(context)
 
     context.hooks = [act]
     context.platform.faults = faults.split(', ')
-    if then == 'nothing':
-        context.hooks = []
     context.result = _put(context, 500, context.version)
 
 
-@behave.then('it ends with success')
-def then_success(context):
-    outcome, exc = context.result
-    assert exc is None, exc
-    entry = next(
-        e
-        for e in context.platform.events
-        if e.version == outcome.entry['version']
-    )
-    assert json.loads(entry.value) == outcome.entry['value']
-
-
 @behave.then('it ends with {name:w}')
 def then_ends(context, name):
-    assert type(context.result[1]).__name__ == name, context.result
+    outcome, exc = context.result
+    assert (type(exc).__name__ if exc else 'success') == name, context.result
+    if outcome:
+        version = outcome.entry['version']
+        (item,) = [e for e in context.platform.events if e.version == version]
+        assert json.loads(item.value) == outcome.entry['value']
 
 
 @behave.then('the late copy is refused by its version')
 def then_late(context):
-    assert context.result[1] is None
-    results = context.platform.release()
-    assert [type(exc) for _, exc in results] == [errors.VersionMismatch]
+    ((_, exc),) = context.platform.release()
+    assert isinstance(exc, errors.VersionMismatch)
 
 
-@behave.given('region sul is declared while audit entries cannot be written')
-def given_no_audit(context):
+@behave.then(
+    'after a declaration without audit entry the first of two relays '
+    'writes it and the second nothing'
+)
+def then_relays(context):
     context.platform.audit_down = True
     given_declared(context)
     assert not _audit(context)
     context.platform.audit_down = False
-
-
-@behave.when('two relays complete the audit trail')
-def when_complete(context):
-    context.relays = _complete(context)
-    _run(context)
-    more = _complete(context)
-    _run(context)
-    context.relays += more
-
-
-@behave.then('the first wrote 1 entry, the second 0, and the entry names ana')
-def then_relays(context):
-    assert context.relays == [(1, None), (0, None)], context.relays
-    assert [e['change']['actor'] for e in _audit(context)] == ['ana']
+    assert _run(context, _complete(context)) == (1, None)
+    assert _run(context, _complete(context)) == (0, None)
+    assert [change['actor'] for change in _audit(context)] == ['ana']
 
 
 @behave.then(
-    'a purge after the time to keep removes it and an earlier one ' 'does not'
+    'a purge removes its tombstone after the time to keep, not before'
 )
 def then_purge(context):
-    entries = [context.entry, documents.entry('region', 'live', 1)]
+    entry = _delete(context, context.version)[0].entry
+    entries = [entry, documents.entry('region', 'live', 1)]
     for now, count in ((1059.0, 0), (1061.0, 1)):
-        results = []
-        store.purge_tombstones(
-            context.platform, entries, now, 60, lambda *r: results.append(r)
-        )
-        _run(context)
-        assert results == [(count, None)], results
+        args = (context.platform, entries, now, 60)
+        results = _call(context, store.purge_tombstones, *args)
+        assert _run(context, results) == (count, None)
     assert KEY not in context.platform.data
--- a/tests/features/store.feature
+++ b/tests/features/store.feature
@@ -6,53 +6,45 @@
     Given a fake platform
 
   Scenario: The generation rises only when the spec changes
-    When region sul is put with capacities 400, 400, 500
-    Then its generations were 1, 1, 2
-    And the audit trail holds the verbs declare, update, update
+    Then puts of capacities 400, 400, 500 have generations 1, 1, 2 and audit entries
 
   Scenario: Two updates from one version have one winner
     Given region sul is declared
-    When two updates from its version run at the same time
-    Then one succeeds and one ends with StaleVersion
+    Then of two updates at the same time one succeeds and one is stale
 
   Scenario: Declaring an existing resource changes nothing
     Given region sul is declared
-    When region sul is put from version 0
-    Then it ends with StaleVersion and the platform is unchanged
+    Then declaring it again is stale and leaves the platform unchanged
 
   Scenario: A deleted resource leaves a tombstone and can be declared again
     Given region sul is declared
-    When region sul is deleted
-    Then its tombstone is stored and a further delete ends with ResourceNotFound
-    And a new declaration continues at generation 3
+    Then a delete stores a tombstone, a further one finds nothing and a declaration continues at generation 3
 
   Scenario Outline: Faults of the platform during an update
     Given region sul is declared
-    When it is updated while the puts meet <faults> and then <then>
+    When an update meets <faults> and then <others> other writers with audit <audit>
     Then it ends with <outcome>
 
     Examples:
-      | faults | then | outcome |
-      | lost | nothing | success |
-      | late | nothing | success |
-      | late | another writer wins | StaleVersion |
-      | lost | another writer follows | success |
-      | lost | two writers follow with audit | success |
-      | lost | two writers follow without audit | OutcomeUnknown |
-      | down | nothing | PlatformUnavailable |
-      | late, down, down, down, down | nothing | OutcomeUnknown |
+      | faults | others | audit | outcome |
+      | lost | 0 | missing | success |
+      | late | 0 | missing | success |
+      | late | 1 | missing | StaleVersion |
+      | lost | 1 | complete | success |
+      | lost | 2 | complete | success |
+      | lost | 2 | missing | OutcomeUnknown |
+      | down | 0 | missing | PlatformUnavailable |
+      | late, down, down, down, down | 0 | missing | OutcomeUnknown |
 
   Scenario: A late copy of a write cannot take effect after its outcome is told
     Given region sul is declared
-    When it is updated while the puts meet late and then nothing
-    Then the late copy is refused by its version
+    When an update meets late and then 0 other writers with audit missing
+    Then it ends with success
+    And the late copy is refused by its version
 
   Scenario: The audit trail is completed once
-    Given region sul is declared while audit entries cannot be written
-    When two relays complete the audit trail
-    Then the first wrote 1 entry, the second 0, and the entry names ana
+    Then after a declaration without audit entry the first of two relays writes it and the second nothing
 
   Scenario: Old tombstones are purged
     Given region sul is declared
-    When region sul is deleted
-    Then a purge after the time to keep removes it and an earlier one does not
+    Then a purge removes its tombstone after the time to keep, not before
