--- /dev/null
+++ b/tests/features/steps/store_steps.py
@@ -0,0 +1,200 @@
+"""Steps for operators' writes."""
+
+import itertools
+import json
+
+import behave
+
+from builders import documents
+from builders import fake_platform
+from jasminehold import errors
+from jasminehold import metrics
+from jasminehold import store
+
+KEY = 'state/config/region/sul'
+
+
+@behave.given('a fake platform')
+def given_platform(context):
+    context.queue, context.hooks = [], []
+
+    def later(delay, func):
+        # The first wait of a write in doubt is where the others act.
+        if delay and context.hooks:
+            context.hooks.pop(0)()
+        context.queue.append(func)
+
+    context.platform = fake_platform.FakePlatform(later)
+    ids = map('w%d'.__mod__, itertools.count(1))
+    context.port = store.Port(
+        context.platform,
+        later,
+        lambda: 1000.0,
+        lambda: next(ids),
+        None,
+        metrics.Metrics(),
+    )
+
+
+def _call(context, func, *args):
+    # Starts a call; the list gets its result when the queue has run.
+    results = []
+    func(*args, lambda *result: results.append(result))
+    return results
+
+
+def _run(context, results):
+    while context.queue:
+        context.queue.pop(0)()
+    assert len(results) == 1, results
+    return results[0]
+
+
+def _start(context, capacity, version):
+    doc = {'spec': {'capacity_rps': capacity}}
+    doc['metadata'] = {'resource_version': version}
+    args = (context.port, 'region', 'sul', doc, 'ana')
+    return _call(context, store.put, *args)
+
+
+def _put(context, capacity, version):
+    return _run(context, _start(context, capacity, version))
+
+
+def _delete(context, version):
+    args = (context.port, 'region', 'sul', version, 'ana')
+    return _run(context, _call(context, store.delete, *args))
+
+
+def _complete(context):
+    args = (context.platform, list(context.platform.events))
+    return _call(context, store.complete_audit, *args)
+
+
+def _audit(context):
+    data = context.platform.data
+    keys = sorted(k for k in data if k.startswith('audit/'))
+    entries = [json.loads(data[k].value) for k in keys]
+    assert [store.audit_key(e['version']) for e in entries] == keys
+    return [entry['change'] for entry in entries]
+
+
+@behave.given('region sul is declared')
+def given_declared(context):
+    outcome, exc = _put(context, 400, 0)
+    assert exc is None, exc
+    context.version = outcome.entry['version']
+
+
+@behave.then(
+    'puts of capacities 400, 400, 500 have generations 1, 1, 2 and '
+    'audit entries'
+)
+def then_generations(context):
+    version, generations = 0, []
+    for capacity in (400, 400, 500):
+        outcome, exc = _put(context, capacity, version)
+        assert exc is None, exc
+        version = outcome.entry['version']
+        generations.append(outcome.entry['value']['metadata']['generation'])
+    assert generations == [1, 1, 2], generations
+    verbs = [change['verb'] for change in _audit(context)]
+    assert verbs == ['declare', 'update', 'update'], verbs
+
+
+@behave.then('of two updates at the same time one succeeds and one is stale')
+def then_one(context):
+    results = [_start(context, n, context.version) for n in (1, 2)]
+    results = [_run(context, result) for result in results]
+    (winner,) = [outcome for outcome, exc in results if exc is None]
+    (loser,) = [exc for outcome, exc in results if exc is not None]
+    assert isinstance(loser, errors.StaleVersion)
+    stored = json.loads(context.platform.data[KEY].value)
+    assert stored == winner.entry['value']
+
+
+@behave.then('declaring it again is stale and leaves the platform unchanged')
+def then_unchanged(context):
+    before = dict(context.platform.data)
+    assert isinstance(_put(context, 1, 0)[1], errors.StaleVersion)
+    assert context.platform.data == before
+
+
+@behave.then(
+    'a delete stores a tombstone, a further one finds nothing and a '
+    'declaration continues at generation 3'
+)
+def then_tombstone(context):
+    assert _delete(context, context.version)[1] is None
+    assert json.loads(context.platform.data[KEY].value)['deleted']
+    assert isinstance(_delete(context, None)[1], errors.ResourceNotFound)
+    outcome, exc = _put(context, 400, 0)
+    assert exc is None and outcome.created
+    assert outcome.entry['value']['metadata']['generation'] == 3
+
+
+def _others(context, count):
+    for _ in range(count):
+        held = context.platform.data[KEY]
+        doc = json.loads(held.value)
+        doc['change'].update(id='other', from_version=held.version)
+        value = store.encode(doc)
+        _call(context, context.platform.put, KEY, value, held.version)
+
+
+@behave.when(
+    'an update meets {faults} and then {count:d} other writers with '
+    'audit {audit:w}'
+)
+def when_faults(context, faults, count, audit):
+    def act():
+        _others(context, count)
+        if audit == 'complete':
+            _complete(context)
+
+    context.hooks = [act]
+    context.platform.faults = faults.split(', ')
+    context.result = _put(context, 500, context.version)
+
+
+@behave.then('it ends with {name:w}')
+def then_ends(context, name):
+    outcome, exc = context.result
+    assert (type(exc).__name__ if exc else 'success') == name, context.result
+    if outcome:
+        version = outcome.entry['version']
+        (item,) = [e for e in context.platform.events if e.version == version]
+        assert json.loads(item.value) == outcome.entry['value']
+
+
+@behave.then('the late copy is refused by its version')
+def then_late(context):
+    ((_, exc),) = context.platform.release()
+    assert isinstance(exc, errors.VersionMismatch)
+
+
+@behave.then(
+    'after a declaration without audit entry the first of two relays '
+    'writes it and the second nothing'
+)
+def then_relays(context):
+    context.platform.audit_down = True
+    given_declared(context)
+    assert not _audit(context)
+    context.platform.audit_down = False
+    assert _run(context, _complete(context)) == (1, None)
+    assert _run(context, _complete(context)) == (0, None)
+    assert [change['actor'] for change in _audit(context)] == ['ana']
+
+
+@behave.then(
+    'a purge removes its tombstone after the time to keep, not before'
+)
+def then_purge(context):
+    entry = _delete(context, context.version)[0].entry
+    entries = [entry, documents.entry('region', 'live', 1)]
+    for now, count in ((1059.0, 0), (1061.0, 1)):
+        args = (context.platform, entries, now, 60)
+        results = _call(context, store.purge_tombstones, *args)
+        assert _run(context, results) == (count, None)
+    assert KEY not in context.platform.data
