--- /dev/null
+++ b/src/jasminehold/proxy/server.py
@@ -0,0 +1,539 @@
+"""Callers' connections over HTTP/1.1.
+
+Example:
+    >>> server = ProxyServer(loop, hooks, metrics)  # doctest: +SKIP
+    >>> server.listen('127.0.0.1', 8080)  # doctest: +SKIP
+"""
+
+import json
+import math
+import re
+import typing
+
+import h11
+
+from jasminehold import errors
+from jasminehold import lookup
+from jasminehold.proxy import exchange as exchange_module
+from jasminehold.proxy import upstream
+
+Kind = errors.Kind
+
+# Refused requests have this long to deliver the input that is thrown away.
+# Closing with unread input resets the connection, which can destroy the
+# answer before the caller reads it.
+LINGER_S = 1.0
+LINGER_MAX_BYTES = 256 * 1024
+PIPELINE_MAX_BYTES = 64 * 1024
+HEADERS_MAX = 100
+_SERVICE = re.compile(rb'[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?\Z')
+
+
+class Limits(typing.NamedTuple):
+    """Bounds on what a caller may use.
+
+    Attributes:
+        callers: open connections.
+        head_bytes: request line and headers.
+        body_bytes: one request body.
+        head_s: seconds from a request's first byte to the end of its head.
+        body_s: seconds without progress in a request's body.
+        idle_s: seconds between requests.
+        drain_s: seconds that idle connections stay open while draining, so
+            that a request already on its way gets ``leaving``.
+    """
+
+    callers: int = 10_000
+    head_bytes: int = 16 * 1024
+    body_bytes: int = 64 * 1024 * 1024
+    head_s: float = 10.0
+    body_s: float = 10.0
+    idle_s: float = 60.0
+    drain_s: float = 1.0
+
+
+def error_body(kind):
+    """Return the JSON body of an error answer."""
+    text = errors.answer_for(kind).text
+    return json.dumps({'error': kind.value, 'text': text}).encode() + b'\n'
+
+
+class _Discard:
+    """Handler that throws a request's body away."""
+
+    def on_body(self, data):
+        """Ignore the bytes."""
+
+    def on_body_end(self):
+        """Ignore the end."""
+
+    def on_bad_input(self, kind):
+        """Ignore the fault; the connection closes anyway."""
+
+    def on_caller_gone(self):
+        """Ignore the loss."""
+
+    def on_caller_drain(self):
+        """Ignore the drain."""
+
+
+_DISCARD = _Discard()
+
+
+class CallerConn:
+    """One caller's connection; requests are answered in order."""
+
+    def __init__(self, server, conn):
+        self.peer = conn.peer[0]
+        self.due = 0.0
+        self._server = server
+        self._conn = conn
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.limits.head_bytes
+        )
+        self._handler = None
+        self._pumping = False
+        self._body_paused = False
+        self._reading = True
+        self._body_done = False
+        self._answered = False
+        self._head_sent = False
+        self._lingering = None
+        self._discarded = 0
+        self._bodiless = False
+        self._first_byte = False
+        conn.on_data = self._on_data
+        conn.on_close = self._on_close
+        conn.on_drain = self._on_drain
+        self._expect(server.limits.head_s)
+
+    @property
+    def idle(self):
+        """Whether no request is being received or answered."""
+        return self._handler is None and not self._first_byte
+
+    @property
+    def buffered(self):
+        """Bytes of answers waiting to be sent."""
+        return self._conn.buffered
+
+    def _expect(self, seconds):
+        self.due = self._server.loop.now() + seconds
+
+    def expire(self):
+        """Take a time-out of the caller's input."""
+        self.due = math.inf
+        metrics = self._server.metrics
+        waiting = self._lingering is not None or self._answered
+        if waiting or self._conn.buffered:
+            self._conn.abort()
+        elif self._handler is not None:
+            metrics.inc('callers_slow_total', part='body')
+            self._handler.on_bad_input(Kind.BAD_REQUEST)
+        elif self._first_byte:
+            metrics.inc('callers_slow_total', part='head')
+            self.fail(Kind.BAD_REQUEST, close=True)
+        else:
+            self._conn.close()
+
+    def _on_data(self, data):
+        if self._lingering is not None:
+            self._lingering += len(data)
+            if self._lingering > LINGER_MAX_BYTES:
+                self._conn.abort()
+            return
+        if self._handler is None:
+            if not self._first_byte:
+                self._first_byte = True
+                self._expect(self._server.limits.head_s)
+        elif not self._body_done:
+            self._expect(self._server.limits.body_s)
+        try:
+            self._http.receive_data(data)
+        except h11.RemoteProtocolError as exc:
+            self._malformed(exc)
+            return
+        if self._body_done:
+            # A pipelined request waits in the buffer for its turn.
+            if len(self._http.trailing_data[0]) > PIPELINE_MAX_BYTES:
+                self._set_reading(False)
+            return
+        self._pump()
+
+    def _on_close(self, exc):
+        self._server.callers.discard(self)
+        handler, self._handler = self._handler, None
+        if handler is not None and not self._answered:
+            handler.on_caller_gone()
+
+    def _on_drain(self):
+        if self._handler is not None:
+            self._handler.on_caller_drain()
+
+    def _set_reading(self, reading):
+        if reading is not self._reading and not self._conn.closed:
+            self._reading = reading
+            (self._conn.resume if reading else self._conn.pause)()
+
+    def _pump(self):
+        # An answer given from within the loop below starts the next request
+        # in the same loop, not in a nested call.
+        if self._pumping:
+            return
+        self._pumping = True
+        try:
+            while not (
+                self._conn.closed
+                or self._body_paused
+                or self._body_done
+                or self._lingering is not None
+            ):
+                event = self._http.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                if isinstance(event, h11.Request):
+                    self._on_request(event)
+                elif isinstance(event, h11.Data):
+                    self._on_body(bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage):
+                    self._body_done = True
+                    self.due = math.inf
+                    if self._answered:
+                        self._next()
+                    else:
+                        self._handler.on_body_end()
+        except h11.RemoteProtocolError as exc:
+            self._malformed(exc)
+        finally:
+            self._pumping = False
+
+    def _on_body(self, data):
+        if not self._answered:
+            self._handler.on_body(data)
+            return
+        self._discarded += len(data)
+        if self._discarded > LINGER_MAX_BYTES:
+            self._conn.abort()
+
+    def _malformed(self, exc):
+        kind = Kind.BAD_REQUEST
+        if exc.error_status_hint == 431:
+            kind = Kind.HEADERS_TOO_LARGE
+        if self._handler is None:
+            self.fail(kind, close=True)
+        else:
+            self._handler.on_bad_input(kind)
+            if not self._answered:
+                self._conn.abort()
+
+    def _on_request(self, event):
+        self._first_byte = False
+        self._bodiless = event.method == b'HEAD'
+        self._handler = _DISCARD
+        self._expect(self._server.limits.body_s)
+        headers = event.headers
+        kind = self._check_head(event)
+        if kind is not None:
+            self.fail(kind, close=True)
+            return
+        values = dict(headers)
+        length = values.get(b'content-length')
+        chunked = b'transfer-encoding' in values
+        length = int(length) if length is not None else None
+        if (length or 0) > self._server.limits.body_bytes:
+            self.fail(Kind.BODY_TOO_LARGE, close=True)
+            return
+        if self._server.draining:
+            self.fail(Kind.LEAVING, 1.0, close=True)
+            return
+        if lookup.matches(event.target):
+            self._handler = lookup.Lookup(self, self._server.answer, event)
+            self.send_continue()
+            return
+        service = values.get(b'jasminehold-service')
+        if service is None:
+            service = values.get(b'host', b'').partition(b'.')[0]
+        if not _SERVICE.match(service):
+            self.fail(Kind.UNKNOWN_SERVICE)
+            return
+        self._handler = exchange_module.Exchange(
+            self._server,
+            self,
+            event,
+            service.decode(),
+            chunked or length is not None,
+            length,
+        )
+        self._handler.start()
+
+    def _check_head(self, event):
+        size = len(event.target)
+        lengths = 0
+        for name, value in event.headers:
+            size += len(name) + len(value) + 4
+            if name in (b'content-length', b'transfer-encoding'):
+                lengths += 1
+        limits = self._server.limits
+        if size > limits.head_bytes or len(event.headers) > HEADERS_MAX:
+            return Kind.HEADERS_TOO_LARGE
+        # Two lengths let two parsers disagree about where a request ends.
+        if lengths > 1 or event.http_version != b'1.1':
+            # An HTTP/1.0 answer has no framing that shows a truncation.
+            return Kind.BAD_REQUEST
+        if event.method == b'CONNECT':
+            return Kind.METHOD_NOT_ALLOWED
+        return None
+
+    # Used by handlers
+
+    def send_continue(self):
+        """Ask for the body when the caller waits to be asked."""
+        if self._http.they_are_waiting_for_100_continue:
+            self._write(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def pause_body(self):
+        """Stop delivering the request's body."""
+        if not self._body_done:
+            self._body_paused = True
+            self.due = math.inf
+            self._set_reading(False)
+
+    def resume_body(self):
+        """Deliver the request's body again."""
+        if self._body_paused:
+            self._body_paused = False
+            self._expect(self._server.limits.body_s)
+            self._set_reading(True)
+            self._pump()
+
+    def start_answer(self, status, headers):
+        """Send the head of an answer."""
+        self._head_sent = True
+        headers = list(headers)
+        if self._server.draining:
+            headers.append((b'connection', b'close'))
+        self._write(h11.Response(status_code=status, headers=headers))
+
+    def send_body(self, data):
+        """Send bytes of the answer's body."""
+        if not self._bodiless:
+            self._write(h11.Data(data=data))
+
+    def end_answer(self):
+        """End the answer and go on with the next request."""
+        self._write(h11.EndOfMessage())
+        self._answered = True
+        http = self._http
+        if (
+            self._body_done
+            or http.our_state is not h11.DONE
+            or http.their_state is not h11.SEND_BODY
+        ):
+            self._next()
+            return
+        # The rest of the body comes before the next request.
+        self._handler = _DISCARD
+        self._discarded = 0
+        self._expect(LINGER_S)
+        if self._body_paused:
+            self._body_paused = False
+            self._set_reading(True)
+            self._pump()
+
+    def send_json(self, document):
+        """Send a whole answer of status 200."""
+        body = json.dumps(document, separators=(',', ':')).encode()
+        self.start_answer(
+            200,
+            [
+                (b'content-type', b'application/json'),
+                (b'content-length', b'%d' % len(body)),
+            ],
+        )
+        self.send_body(body)
+        self.end_answer()
+
+    def fail(self, kind, retry_after=None, close=False):
+        """Send the answer of an error kind.
+
+        Args:
+            kind: the :class:`~jasminehold.errors.Kind`.
+            retry_after: seconds, rounded up to whole ones.
+            close: whether the input cannot be followed any more.
+        """
+        if self._conn.closed or self._answered:
+            return
+        answer = errors.answer_for(kind)
+        self._server.metrics.inc('refused_total', kind=kind.value)
+        if self._head_sent:
+            self._conn.abort()
+            return
+        body = error_body(kind)
+        headers = [
+            (b'content-type', b'application/json'),
+            (b'content-length', b'%d' % len(body)),
+            (b'jasminehold-error', kind.value.encode()),
+            (b'jasminehold-run', answer.run.value.encode()),
+        ]
+        if answer.retry_after:
+            seconds = max(1, math.ceil(retry_after or 1.0))
+            headers.append((b'retry-after', b'%d' % seconds))
+        # Whether a caller that was not asked to continue sends its body is
+        # not known, so the next request could not be found.
+        if close or self._http.they_are_waiting_for_100_continue:
+            headers.append((b'connection', b'close'))
+        self.start_answer(answer.status, headers)
+        self.send_body(body)
+        self.end_answer()
+
+    def abort(self):
+        """Cut the connection so that the answer is seen to be truncated."""
+        self._answered = True
+        self._conn.abort()
+
+    def _write(self, event):
+        if self._conn.closed:
+            return
+        data = self._http.send(event)
+        if data:
+            self._conn.write(data)
+
+    def _next(self):
+        http = self._http
+        self._handler = None
+        if self._conn.closed:
+            return
+        if http.our_state is h11.DONE and http.their_state is h11.DONE:
+            http.start_next_cycle()
+            self._body_done = self._answered = self._head_sent = False
+            self._first_byte = bool(http.trailing_data[0])
+            limits = self._server.limits
+            self._expect(limits.head_s if self._first_byte else limits.idle_s)
+            self._set_reading(True)
+            self._pump()
+        elif http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
+            self._conn.close()
+            self._expect(self._server.limits.idle_s)
+        else:
+            self._lingering = 0
+            self._body_paused = False
+            self._set_reading(True)
+            self._expect(LINGER_S)
+
+    def close(self):
+        """Close an idle connection."""
+        self._conn.close()
+
+
+class ProxyServer:
+    """Serves callers' requests and look-ups on one port.
+
+    Args:
+        loop: the :class:`~jasminehold.loop.Loop`.
+        hooks: the :class:`~jasminehold.proxy.hooks.Hooks`.
+        metrics: the :class:`~jasminehold.metrics.Metrics`.
+        answer: ``(service, block) -> dict`` for look-ups.
+        limits: the :class:`Limits`.
+        instance_id: name that makes request ids unique in the fleet.
+
+    Attributes:
+        exchanges: exchanges in flight.
+        callers: open connections.
+        draining: whether new requests get ``leaving``.
+    """
+
+    def __init__(
+        self,
+        loop,
+        hooks,
+        metrics,
+        answer=None,
+        limits=None,
+        instance_id='instance',
+    ):
+        self.loop = loop
+        self.hooks = hooks
+        self.metrics = metrics
+        self.answer = answer
+        self.limits = limits or Limits()
+        self.body_max = self.limits.body_bytes
+        self.instance_id = instance_id.encode()
+        self.pool = upstream.Pool(loop, metrics, hooks.note_crash)
+        self.exchanges = set()
+        self.callers = set()
+        self.draining = False
+        self._listeners = []
+        self._drained = None
+        shortest = min(
+            self.limits.head_s, self.limits.body_s, self.limits.idle_s
+        )
+        self._sweep_s = min(max(shortest / 4, 0.05), 1.0)
+        self._stopped = False
+        loop.call_later(self._sweep_s, self._sweep)
+
+    def listen(self, host, port):
+        """Listen for callers.
+
+        Returns:
+            The :class:`~jasminehold.loop.Listener`.
+        """
+        listener = self.loop.listen(host, port, self._on_accept)
+        self._listeners.append(listener)
+        return listener
+
+    def _on_accept(self, conn):
+        if len(self.callers) >= self.limits.callers:
+            self.metrics.inc('callers_refused_total')
+            conn.abort()
+            return
+        self.callers.add(CallerConn(self, conn))
+
+    def _sweep(self):
+        if self._stopped:
+            return
+        now = self.loop.now()
+        for caller in [item for item in self.callers if item.due <= now]:
+            caller.expire()
+        self.loop.call_later(self._sweep_s, self._sweep)
+
+    def exchange_ended(self, exchange):
+        """Forget an exchange; ends a drain after the last one."""
+        self.exchanges.discard(exchange)
+
+    def drain(self, done):
+        """Stop gracefully.
+
+        Stops accepting, refuses new requests with ``leaving`` and lets those
+        in flight end.
+
+        Args:
+            done: called without arguments when nothing is in flight.
+        """
+        self.draining = True
+        for listener in self._listeners:
+            listener.close()
+        self._drained = done
+        self.loop.call_later(self.limits.drain_s, self._check_drained)
+
+    def _check_drained(self):
+        busy = [item for item in self.callers if not item.idle]
+        for caller in self.callers - set(busy):
+            caller.close()
+        if self.exchanges or busy:
+            self.loop.call_later(0.05, self._check_drained)
+            return
+        done, self._drained = self._drained, None
+        self.stop()
+        done()
+
+    def stop(self):
+        """Stop at once; requests in flight end with their certain kind."""
+        self._stopped = True
+        self.draining = True
+        for listener in self._listeners:
+            listener.close()
+        for exchange in list(self.exchanges):
+            exchange.stop()
+        for caller in list(self.callers):
+            caller.close()
+        self.pool.close_idle()
--- /dev/null
+++ b/src/jasminehold/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, for tests and demonstrations."""
--- /dev/null
+++ b/src/jasminehold/standin/caller.py
@@ -0,0 +1,104 @@
+"""A stand-in for a caller: a blocking HTTP client that sees cut answers."""
+
+import socket
+import typing
+
+import h11
+
+
+class Reply(typing.NamedTuple):
+    """One answer; ``whole`` is false when it was cut."""
+
+    status: int
+    headers: dict
+    body: bytes
+    whole: bool
+
+    @property
+    def kind(self):
+        """Error kind, empty for an answer of the upstream."""
+        return self.headers.get('jasminehold-error', '')
+
+    @property
+    def run(self):
+        """What the answer states about execution."""
+        return self.headers.get('jasminehold-run', '')
+
+
+NO_REPLY = Reply(0, {}, b'', False)
+
+
+class Client:
+    """A caller with one blocking connection.
+
+    Args:
+        port: port on the local address.
+        timeout: seconds for each socket call.
+
+    Attributes:
+        continued: whether the server asked for a body.
+    """
+
+    def __init__(self, port, timeout=8.0):
+        self.sock = socket.create_connection(('127.0.0.1', port), timeout)
+        self.http = h11.Connection(h11.CLIENT)
+        self.continued = False
+
+    def send(self, method, path, headers=(), body=b''):
+        """Send a request.
+
+        Args:
+            method: method as text.
+            path: request target.
+            headers: dict of further headers.
+            body: bytes; a ``POST`` always has a length.
+        """
+        fields = [('Host', 'loja.example')]
+        fields += [(name, str(value)) for name, value in dict(headers).items()]
+        if body or method == 'POST':
+            fields.append(('Content-Length', str(len(body))))
+        head = h11.Request(method=method, target=path, headers=fields)
+        data = self.http.send(head)
+        if body:
+            data += self.http.send(h11.Data(data=body))
+        self.sock.sendall(data + self.http.send(h11.EndOfMessage()))
+
+    def read(self):
+        """Return the next :class:`Reply`."""
+        reply = NO_REPLY
+        try:
+            while True:
+                event = self.http.next_event()
+                if event is h11.NEED_DATA:
+                    self.http.receive_data(self.sock.recv(65536))
+                elif isinstance(event, h11.InformationalResponse):
+                    self.continued = True
+                elif isinstance(event, h11.Response):
+                    headers = {
+                        name.decode(): value.decode()
+                        for name, value in event.headers
+                    }
+                    reply = Reply(event.status_code, headers, [], False)
+                elif isinstance(event, h11.Data):
+                    reply.body.append(bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage):
+                    reply = reply._replace(whole=True)
+                    break
+                else:
+                    break
+        except (h11.RemoteProtocolError, ConnectionError):
+            # The cut answer is returned as not whole.
+            self.close()
+        if reply.whole and self.http.our_state is h11.DONE:
+            if self.http.their_state is h11.DONE:
+                self.http.start_next_cycle()
+        return reply._replace(body=b''.join(reply.body or []))
+
+    def ask(self, method, path, headers=(), body=b''):
+        """Send a request and return its :class:`Reply`."""
+        self.send(method, path, headers, body)
+        return self.read()
+
+    def close(self):
+        """Close the connection."""
+        self.sock.close()
--- /dev/null
+++ b/tests/builders/__init__.py
@@ -0,0 +1,1 @@
+"""Builders of test data."""
