--- a/src/jasminehold/decisions/request.py
+++ b/src/jasminehold/decisions/request.py
@@ -117,11 +117,8 @@
                 self._holds_claim = True
                 return [(Action.RELEASE_CLAIM, None)]
             return []
-        common = _COMMON.get(event)
-        if common is not None:
-            return common(self, kind)
-        handler = _TABLE.get((self.state, event))
-        return handler(self, kind) if handler else []
+        name = _COMMON.get(event) or TRANSITIONS.get((self.state, event))
+        return getattr(self, name)(kind) if name else []
 
     def _start(self, kind):
         if self.claimed:
@@ -198,7 +195,7 @@
 
     def _bad_input(self, kind):
         if self.state is State.ANSWERING:
-            return self._broken(kind)
+            return self._broken(None)
         return [(Action.CLOSE_UPSTREAM, None)] + self._finish(kind)
 
     def _cancel(self, kind):
@@ -231,25 +228,25 @@
 
 _NOT_RUN = errors.Run.NOT_RUN
 _COMMON = {
-    Event.CANCEL: RequestState._cancel,
-    Event.DEADLINE: RequestState._deadline,
-    Event.STOP: RequestState._stop,
-    Event.BAD_INPUT: RequestState._bad_input,
+    Event.CANCEL: '_cancel',
+    Event.DEADLINE: '_deadline',
+    Event.STOP: '_stop',
+    Event.BAD_INPUT: '_bad_input',
 }
-_TABLE = {
-    (State.RECEIVED, Event.START): RequestState._start,
-    (State.CLAIMING, Event.CLAIM_GRANTED): RequestState._granted,
-    (State.CLAIMING, Event.CLAIM_REFUSED): RequestState._denied,
-    (State.CLAIMING, Event.CLAIM_ANSWERED): RequestState._kept,
-    (State.QUEUED, Event.TARGET): RequestState._open,
-    (State.QUEUED, Event.NO_TARGET): RequestState._denied,
-    (State.OPENING, Event.SENT): RequestState._sent,
-    (State.OPENING, Event.CONNECT_FAILED): RequestState._ask_retry,
-    (State.SENT, Event.REFUSED): RequestState._refused,
-    (State.SENT, Event.LOSS): RequestState._lost,
-    (State.SENT, Event.ANSWER_HEAD): RequestState._relay,
-    (State.ANSWERING, Event.ANSWER_END): RequestState._answered,
-    (State.ANSWERING, Event.LOSS): RequestState._broken,
-    (State.RETRYING, Event.RETRY_GRANTED): RequestState._queue,
-    (State.RETRYING, Event.RETRY_DENIED): RequestState._denied,
+TRANSITIONS = {
+    (State.RECEIVED, Event.START): '_start',
+    (State.CLAIMING, Event.CLAIM_GRANTED): '_granted',
+    (State.CLAIMING, Event.CLAIM_REFUSED): '_denied',
+    (State.CLAIMING, Event.CLAIM_ANSWERED): '_kept',
+    (State.QUEUED, Event.TARGET): '_open',
+    (State.QUEUED, Event.NO_TARGET): '_denied',
+    (State.OPENING, Event.SENT): '_sent',
+    (State.OPENING, Event.CONNECT_FAILED): '_ask_retry',
+    (State.SENT, Event.REFUSED): '_refused',
+    (State.SENT, Event.LOSS): '_lost',
+    (State.SENT, Event.ANSWER_HEAD): '_relay',
+    (State.ANSWERING, Event.ANSWER_END): '_answered',
+    (State.ANSWERING, Event.LOSS): '_broken',
+    (State.RETRYING, Event.RETRY_GRANTED): '_queue',
+    (State.RETRYING, Event.RETRY_DENIED): '_denied',
 }
