--- /dev/null
+++ b/tests/builders/broken_rules.py
@@ -0,0 +1,73 @@
+"""Variants of the rules with one fault each, and a fleet run on them."""
+
+import contextlib
+from unittest import mock
+
+from bench import fleet
+from jasminehold.decisions import contact
+from jasminehold.decisions import holder
+from jasminehold.decisions import plan
+
+
+class _AnyWitness(contact.Contact):
+    def may_use(self, item, now):
+        if self.newest(item['region']) > item['version']:
+            return False
+        return any(
+            self.age(name, item['region'], now) <= contact.CONTACT_TIMEOUT_S
+            for name in item['witnesses']
+        )
+
+
+class _EarlyAck(holder.Holder):
+    def _fits(self, gate, now):
+        return True
+
+
+class AnyWitness(fleet.Rules):
+    """One witness is enough for contact."""
+
+    contact = _AnyWitness
+
+
+class EarlyAck(fleet.Rules):
+    """Plans are acknowledged before the use fits."""
+
+    holder = _EarlyAck
+
+
+class ExpiryFromReceipt(fleet.Rules):
+    """The borrower counts a loan from the receipt of the grant."""
+
+    expiry = staticmethod(lambda asked, received, seconds: received + seconds)
+
+
+def _no_overlap(limit, previous, target, held):
+    return {name: share for name, share in target.items() if share}
+
+
+# Name to (rules, patched module attribute or None).
+VARIANTS = {
+    'R1 ignored': (fleet.Rules, (plan, '_apply_overlap', _no_overlap)),
+    'R2 wait left out': (fleet.Rules, (contact, 'free_wait', lambda _: 0.0)),
+    'any one witness': (AnyWitness, None),
+    'expiry from receipt': (ExpiryFromReceipt, None),
+    'early acknowledgement': (EarlyAck, None),
+}
+
+
+def run(variant, deployment, seed, steps):
+    """Run a fleet on a broken variant.
+
+    Returns:
+        The text of the violation, or None when none was seen.
+    """
+    rules, patch = VARIANTS[variant]
+    with contextlib.ExitStack() as stack:
+        if patch:
+            stack.enter_context(mock.patch.object(*patch))
+        try:
+            fleet.Fleet(deployment, seed, rules).run(steps)
+        except fleet.OverLimit as exc:
+            return str(exc)
+    return None
