--- /dev/null
+++ b/tests/features/fleet.feature
@@ -0,0 +1,29 @@
+Feature: A fleet under faults
+  Guards against any sequence of faults that makes the use that is possible
+  over all instances exceed a limit, and against a check that sees nothing.
+
+  Scenario Outline: No limit is exceeded and shares come back
+    When a fleet of <deployment> runs 10000 steps with faults, seed <seed>
+    Then 150 seconds after the faults at least 95% of each limit is usable
+
+    Examples:
+      | deployment   | seed |
+      | ferromodelos | 7    |
+      | kedjeverk    | 7    |
+
+  Scenario: An hour without the platform takes no shares away
+    Given a fleet of ferromodelos that has shared its limits
+    When the platform is down for 3600 seconds
+    Then every instance could use all its shares all the time
+
+  Scenario Outline: A broken rule is noticed
+    When a fleet runs with <fault>, seed <seed>, for at most 5000 steps
+    Then a limit was exceeded
+
+    Examples:
+      | fault                 | seed |
+      | R1 ignored            | 1    |
+      | R2 wait left out      | 1    |
+      | any one witness       | 11   |
+      | expiry from receipt   | 4    |
+      | early acknowledgement | 1    |
