Add plans of places and two more broken variants

Cause: one plan for all instances of a region is too large at the target size, and the waits for loans and deadlines had no variant of their own.

--- a/src/jasminehold/decisions/plan.py
+++ b/src/jasminehold/decisions/plan.py
@@ -99,6 +99,25 @@
     return kept + [[version, share]]
 
 
+def pending(stored, inputs, limit_id):
+    """Return the shares of a limit that may still be applied.
+
+    Returns:
+        ``{instance: history}`` with only the versions from the acknowledged
+        or fenced one on, and without instances that are confirmed gone.
+    """
+    fence = inputs.floor(limit_id)
+    result = {}
+    for name, history in stored['held'].get(limit_id, {}).items():
+        if name in inputs.gone:
+            continue
+        floor = max(acked_version(inputs, name, limit_id), fence)
+        history = still_held(history, floor)
+        if history:
+            result[name] = history
+    return result
+
+
 def split_evenly(amount, weights):
     """Split a whole amount by weights with the largest remainders.
 
@@ -307,16 +326,8 @@
     shares, held = {}, {}
     for limit_id in limits.keys() | previous['held'].keys():
         before = previous['shares'].get(limit_id, {})
-        fence = inputs.floor(limit_id)
-        histories, tops = {}, {}
-        for name, history in previous['held'].get(limit_id, {}).items():
-            if name in inputs.gone:
-                continue
-            floor = max(acked_version(inputs, name, limit_id), fence)
-            history = still_held(history, floor)
-            if history:
-                histories[name] = history
-                tops[name] = history[0][1]
+        histories = pending(previous, inputs, limit_id)
+        tops = {name: history[0][1] for name, history in histories.items()}
         new = {}
         if limit_id in limits:
             new = _apply_overlap(
--- a/tests/builders/broken_rules.py
+++ b/tests/builders/broken_rules.py
@@ -6,6 +6,7 @@
 from bench import fleet
 from jasminehold.decisions import contact
 from jasminehold.decisions import holder
+from jasminehold.decisions import loans
 from jasminehold.decisions import plan
 
 
@@ -42,6 +43,26 @@
     expiry = staticmethod(lambda asked, received, seconds: received + seconds)
 
 
+class _LongOnLoan(loans.Loans):
+    def admit(self, limit_id, deadline, now):
+        return super().admit(limit_id, now, now)
+
+
+class _LongOnLoanHolder(holder.Holder):
+    def __init__(self, name, own_contact, own_loans):
+        super().__init__(name, own_contact, _LongOnLoan(name))
+
+
+class LongOnLoan(fleet.Rules):
+    """Requests start on a loan although their deadline is after its end."""
+
+    holder = _LongOnLoanHolder
+
+
+def _contact_wait(limit_id):
+    return 3.8
+
+
 def _no_overlap(limit, previous, target, held):
     return {name: share for name, share in target.items() if share}
 
@@ -50,6 +71,8 @@
 VARIANTS = {
     'R1 ignored': (fleet.Rules, (plan, '_apply_overlap', _no_overlap)),
     'R2 wait left out': (fleet.Rules, (contact, 'free_wait', lambda _: 0.0)),
+    'loan wait left out': (fleet.Rules, (contact, 'free_wait', _contact_wait)),
+    'deadline ignored': (LongOnLoan, None),
     'any one witness': (AnyWitness, None),
     'expiry from receipt': (ExpiryFromReceipt, None),
     'early acknowledgement': (EarlyAck, None),
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -24,6 +24,8 @@
       | fault                 | seed |
       | R1 ignored            | 1    |
       | R2 wait left out      | 1    |
+      | loan wait left out    | 9    |
+      | deadline ignored      | 2    |
       | any one witness       | 11   |
       | expiry from receipt   | 4    |
       | early acknowledgement | 1    |
--- a/tests/features/limits.feature
+++ b/tests/features/limits.feature
@@ -34,3 +34,6 @@
   Scenario: The lender keeps a reserve and old reports are not used
     Then the last free slot of a service is not lent
     And a spare amount reported 6 seconds ago is not asked for
+
+  Scenario: Plans of places stay within the region's plan
+    Then random two-level plans keep the sum over all instances in the limit
--- a/tests/features/steps/limits_steps.py
+++ b/tests/features/steps/limits_steps.py
@@ -11,6 +11,7 @@
 from jasminehold.decisions import holder
 from jasminehold.decisions import limits
 from jasminehold.decisions import loans
+from jasminehold.decisions import place_plan
 from jasminehold.decisions import plan
 
 SETTINGS = hypothesis.settings(
@@ -322,3 +323,62 @@
     rng = random.Random(1)
     assert loans.choose_lender(spares, 'rate:r', 1.0, rng) == ('p', 5)
     assert loans.choose_lender(spares, 'rate:r', age, rng) is None
+
+
+@behave.then('random two-level plans keep the sum over {x}')
+def then_two_levels(context, x):
+    @SETTINGS
+    @hypothesis.given(SEEDS)
+    def check(seed):
+        rng = random.Random(seed)
+        declared = [limits.Limit('rate:r', 50, 'r')]
+        places = {
+            name: [plan.Member(name + k, name, 'r') for k in 'xyz']
+            for name in 'abc'
+        }
+        top = plan.empty_plan('r')
+        known = {name: top for name in places}
+        stored = {name: plan.empty_plan('r') for name in places}
+        place_acked = {name: (0, {}) for name in places}
+        acked = {}
+        history = {}
+
+        def inputs(wanted, members, answers):
+            demand = {member.name: rng.randint(0, 9) for member in members}
+            return plan.Inputs(
+                wanted,
+                members,
+                {'rate:r': demand},
+                answers,
+                set(),
+                lambda _: 0,
+                1,
+            )
+
+        for _ in range(40):
+            members = [plan.Member(name, name, 'r') for name in places]
+            top = plan.next_plan(top, inputs(declared, members, place_acked))
+            for name, instances in places.items():
+                if rng.random() < 0.5:
+                    known[name] = top
+                wanted = place_plan.limits_of_place(
+                    known[name], name, declared
+                )
+                one = inputs(wanted, instances, acked)
+                stored[name] = plan.next_plan(stored[name], one)
+                place_acked[name] = place_plan.acked_by_place(
+                    known[name], name, place_acked[name], stored[name], one
+                )
+                for member in instances:
+                    version = stored[name]['version']
+                    parts = stored[name]['shares'].get('rate:r', {})
+                    share = parts.get(member.name, 0)
+                    kept = history.setdefault(member.name, {})
+                    kept[version] = share
+                    if rng.random() < 0.5:
+                        acked[member.name] = (version, {})
+                        history[member.name] = {version: share}
+            total = sum(max(kept.values()) for kept in history.values())
+            assert total <= 50, total
+
+    check()
