Add authenticated msgpack streams between instances

Cause: instances need one protected stream to each other for membership, documents, loans and claims. Change: frames with sequence number and truncated HMAC, a handshake with two nonces over a key ring, and a mesh with reconnects, requests, one-way messages, links on demand and key rotation without loss.

--- /dev/null
+++ b/src/jasminehold/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated msgpack streams between instances."""
--- /dev/null
+++ b/src/jasminehold/peers/frames.py
@@ -0,0 +1,148 @@
+"""Length-prefixed msgpack frames with a sequence number and an HMAC.
+
+A frame is ``length (4) | sequence (8) | mac (16) | payload``. The length
+counts what follows it. The MAC is HMAC-SHA256 over sequence and payload,
+truncated to 16 bytes. Each direction of a stream has its own key, so a frame
+cannot be reflected, and the sequence must be exactly the next one, so a frame
+cannot be replayed or reordered.
+"""
+
+import hashlib
+import hmac
+import struct
+
+import msgpack
+
+from jasminehold import errors
+
+MAC_SIZE = 16
+MAX_PAYLOAD_BYTES = 1024 * 1024 + 64 * 1024
+# Frames before authentication hold two ids, a nonce and key ids.
+MAX_HANDSHAKE_BYTES = 1024
+MAX_DEPTH = 32
+# An empty list takes one byte on the wire and 56 in memory; the bound keeps
+# one frame of them under 6 MB.
+MAX_CONTAINERS = 100_000
+
+_HEAD = struct.Struct('>IQ')
+_OVERHEAD = 8 + MAC_SIZE
+
+
+def pack(value):
+    """Return a value as msgpack bytes.
+
+    Raises:
+        PeerError: when the value cannot be encoded.
+    """
+    try:
+        return msgpack.packb(value)
+    except (TypeError, ValueError, OverflowError, RecursionError) as exc:
+        raise errors.PeerError('cannot encode: %s' % exc) from exc
+
+
+def unpack(data):
+    """Return the value of msgpack bytes, with bounded nesting and size.
+
+    Raises:
+        PeerError: when the bytes are malformed or exceed a bound.
+    """
+    left = [MAX_CONTAINERS]
+
+    def count(value):
+        left[0] -= 1
+        if left[0] < 0:
+            raise ValueError('too many containers')
+        return value
+
+    try:
+        value = msgpack.unpackb(data, list_hook=count, object_hook=count)
+    except Exception as exc:
+        # msgpack raises ValueError, its own classes and, for some inputs,
+        # TypeError or RecursionError; all mean that the input is bad.
+        raise errors.PeerError('malformed payload: %r' % exc) from exc
+    level = [value] if isinstance(value, (dict, list)) else []
+    for _ in range(MAX_DEPTH + 1):
+        if not level:
+            return value
+        level = [
+            child
+            for item in level
+            for child in (item.values() if isinstance(item, dict) else item)
+            if isinstance(child, (dict, list))
+        ]
+    raise errors.PeerError('payload is nested too deeply')
+
+
+class Writer:
+    """Encodes payloads for one direction of a stream."""
+
+    def __init__(self, key):
+        self._key = key
+        self._sequence = 0
+
+    def encode(self, payload):
+        """Return the frame of a payload.
+
+        Raises:
+            PeerError: when the payload is too large.
+        """
+        if len(payload) > MAX_PAYLOAD_BYTES:
+            raise errors.PeerError('message of %d bytes' % len(payload))
+        head = _HEAD.pack(len(payload) + _OVERHEAD, self._sequence)
+        self._sequence += 1
+        return head + _mac(self._key, head[4:], payload) + payload
+
+
+class Reader:
+    """Splits one direction of a stream into verified payloads.
+
+    Args:
+        key: MAC key.
+        max_payload: largest accepted payload in bytes.
+    """
+
+    def __init__(self, key, max_payload=MAX_PAYLOAD_BYTES):
+        self._key = key
+        self._max = max_payload
+        self._sequence = 0
+        self._buffer = bytearray()
+
+    def feed(self, data):
+        """Add received bytes."""
+        self._buffer += data
+
+    def rekey(self, key):
+        """Use the session's key and size for the frames that follow."""
+        self._key = key
+        self._max = MAX_PAYLOAD_BYTES
+        self._sequence = 0
+
+    def next(self):
+        """Return the next payload, or None when more bytes are needed.
+
+        Raises:
+            PeerError: at the first frame that is too large, too short, out
+                of sequence or not authentic. The stream must be closed.
+        """
+        buffer = self._buffer
+        if len(buffer) < 4:
+            return None
+        size = int.from_bytes(buffer[:4], 'big')
+        if size < _OVERHEAD or size - _OVERHEAD > self._max:
+            raise errors.PeerError('frame of %d bytes' % size)
+        if len(buffer) < 4 + size:
+            return None
+        sequence = bytes(buffer[4:12])
+        mac = bytes(buffer[12 : 12 + MAC_SIZE])
+        payload = bytes(buffer[12 + MAC_SIZE : 4 + size])
+        if not hmac.compare_digest(mac, _mac(self._key, sequence, payload)):
+            raise errors.PeerError('frame is not authentic')
+        if int.from_bytes(sequence, 'big') != self._sequence:
+            raise errors.PeerError('frame is out of sequence')
+        self._sequence += 1
+        del buffer[: 4 + size]
+        return payload
+
+
+def _mac(key, sequence, payload):
+    return hmac.digest(key, sequence + payload, hashlib.sha256)[:MAC_SIZE]
--- /dev/null
+++ b/src/jasminehold/peers/link.py
@@ -0,0 +1,252 @@
+"""One authenticated stream between two instances.
+
+The side that connected sends ``hello`` with a nonce and its key ids. The
+other side answers ``challenge`` with its own nonce, the key id it chose and a
+proof. The first side checks that proof and sends its own in ``auth``. Proofs
+and session keys cover both ids and both nonces, so a recorded stream is of no
+use later.
+"""
+
+import hashlib
+import hmac
+import os
+
+from jasminehold import errors
+from jasminehold.peers import frames
+
+HANDSHAKE_TIMEOUT_S = 3.0
+# Four of the largest messages; a peer further behind than that is slower
+# than the traffic it gets.
+MAX_BUFFERED_BYTES = 4 * (1024 * 1024 + 64 * 1024)
+NONCE_SIZE = 32
+
+
+class KeyRing:
+    """Shared keys by id; the first one is preferred for new streams.
+
+    Args:
+        keys: ``[(key id, secret bytes), ...]``, preferred first.
+    """
+
+    def __init__(self, keys):
+        self.replace(keys)
+
+    def replace(self, keys):
+        """Use another set of keys for streams opened from now on."""
+        self._keys = dict(keys)
+        self.ids = list(self._keys)
+        if not self.ids or any(len(k) < 16 for k in self._keys.values()):
+            raise errors.SettingsError('peer keys need 16 bytes or more')
+
+    def get(self, key_id):
+        """Return a secret, or None."""
+        return self._keys.get(key_id)
+
+
+class Link:
+    """One authenticated stream.
+
+    Args:
+        loop: the :class:`loop.Loop`.
+        conn: the open :class:`loop.Conn`.
+        ring: the :class:`KeyRing`.
+        own_id: this instance's id.
+        expected: id that the other side must have, or None when it
+            connected to this instance.
+        on_ready: called with the link after authentication.
+        on_message: called with the link and each decoded message.
+        on_close: called once with the link and None or the exception.
+
+    Attributes:
+        peer_id: the other instance's id, valid once ``ready``.
+        key_id: id of the key that authenticated the stream.
+        last_heard: time of the last verified frame.
+        last_sent: time of the last frame sent.
+    """
+
+    def __init__(
+        self,
+        loop,
+        conn,
+        ring,
+        own_id,
+        expected,
+        on_ready,
+        on_message,
+        on_close,
+    ):
+        self.peer_id = expected
+        self.initiated = expected is not None
+        self.key_id = None
+        self.ready = False
+        self.closed = False
+        self.closing = False
+        self.retiring = False
+        self.last_heard = self.last_sent = loop.now()
+        self.bytes_in = self.bytes_out = 0
+        self._loop = loop
+        self._conn = conn
+        self._ring = ring
+        self._own_id = own_id
+        self._on_ready = on_ready
+        self._on_message = on_message
+        self._on_close = on_close
+        self._reader = frames.Reader(b'', frames.MAX_HANDSHAKE_BYTES)
+        self._writer = frames.Writer(b'')
+        self._nonce = os.urandom(NONCE_SIZE)
+        self._step = self._on_challenge if self.initiated else self._on_hello
+        self._error = None
+        conn.on_data = self._on_data
+        conn.on_close = self._on_conn_close
+        self._timer = loop.call_later(
+            HANDSHAKE_TIMEOUT_S, self.fail, 'handshake timed out'
+        )
+        if self.initiated:
+            self._put(
+                {
+                    'type': 'hello',
+                    'id': own_id,
+                    'nonce': self._nonce,
+                    'keys': ring.ids[:8],
+                }
+            )
+
+    @property
+    def buffered(self):
+        """Bytes waiting to be sent."""
+        return self._conn.buffered
+
+    def send(self, message):
+        """Send a message.
+
+        Returns:
+            False when the link is closed, also when this message found the
+            peer too far behind and closed it.
+
+        Raises:
+            PeerError: when the message cannot be encoded or is too large.
+        """
+        if self.closed or self.closing or not self.ready:
+            return False
+        payload = frames.pack(message)
+        if self._conn.buffered + len(payload) > MAX_BUFFERED_BYTES:
+            self.fail('peer does not read')
+            return False
+        self._send(payload)
+        return True
+
+    def close(self):
+        """Close after sending what is buffered; nothing more is taken."""
+        self.closing = True
+        self._conn.close()
+
+    def fail(self, reason):
+        """Close at once because of a fault."""
+        self._error = errors.PeerError(reason)
+        self._conn.abort()
+
+    def _put(self, message):
+        self._send(frames.pack(message))
+
+    def _send(self, payload):
+        frame = self._writer.encode(payload)
+        self.bytes_out += len(frame)
+        self.last_sent = self._loop.now()
+        self._conn.write(frame)
+
+    def _on_data(self, data):
+        self.bytes_in += len(data)
+        self._reader.feed(data)
+        try:
+            while not self.closed:
+                payload = self._reader.next()
+                if payload is None:
+                    return
+                message = frames.unpack(payload)
+                if not isinstance(message, dict):
+                    raise errors.PeerError('message is not a map')
+                self.last_heard = self._loop.now()
+                if self.ready:
+                    self._on_message(self, message)
+                else:
+                    self._step(message)
+        except errors.PeerError as exc:
+            self.fail(str(exc))
+
+    def _on_hello(self, message):
+        _check(message, 'hello', id=str, nonce=bytes, keys=list)
+        if message['id'] == self._own_id or not message['id']:
+            raise errors.PeerError('peer has this instance\'s id')
+        offered = [key for key in message['keys'] if isinstance(key, str)]
+        chosen = [key for key in offered if self._ring.get(key) is not None]
+        if not chosen or len(message['nonce']) != NONCE_SIZE:
+            raise errors.PeerError('no common key')
+        self.peer_id = message['id']
+        self.key_id = chosen[0]
+        self._text = _transcript(
+            self.peer_id, self._own_id, message['nonce'], self._nonce
+        )
+        self._put(
+            {
+                'type': 'challenge',
+                'id': self._own_id,
+                'nonce': self._nonce,
+                'key': self.key_id,
+                'proof': self._derive(b'accepted'),
+            }
+        )
+        self._step = self._on_auth
+
+    def _on_challenge(self, message):
+        _check(message, 'challenge', id=str, nonce=bytes, key=str, proof=bytes)
+        if message['id'] != self.peer_id:
+            raise errors.PeerError('another instance answered')
+        if self._ring.get(message['key']) is None:
+            raise errors.PeerError('no common key')
+        self.key_id = message['key']
+        self._text = _transcript(
+            self._own_id, self.peer_id, self._nonce, message['nonce']
+        )
+        self._verify(message['proof'], b'accepted')
+        self._put({'type': 'auth', 'proof': self._derive(b'connected')})
+        self._start(b'from connected', b'from accepted')
+
+    def _on_auth(self, message):
+        _check(message, 'auth', proof=bytes)
+        self._verify(message['proof'], b'connected')
+        self._start(b'from accepted', b'from connected')
+
+    def _start(self, outgoing, incoming):
+        self._writer = frames.Writer(self._derive(outgoing))
+        self._reader.rekey(self._derive(incoming))
+        self._timer.cancel()
+        self.ready = True
+        self._on_ready(self)
+
+    def _derive(self, purpose):
+        secret = self._ring.get(self.key_id)
+        if secret is None:
+            raise errors.PeerError('key was removed during the handshake')
+        return hmac.digest(secret, purpose + self._text, hashlib.sha256)
+
+    def _verify(self, proof, purpose):
+        if not hmac.compare_digest(proof, self._derive(purpose)):
+            raise errors.PeerError('wrong key')
+
+    def _on_conn_close(self, exc):
+        self.closed = True
+        self._timer.cancel()
+        self._on_close(self, self._error or exc)
+
+
+def _check(message, kind, **fields):
+    if message.get('type') != kind:
+        raise errors.PeerError('expected %s' % kind)
+    for name, wanted in fields.items():
+        if not isinstance(message.get(name), wanted):
+            raise errors.PeerError('%s without %s' % (kind, name))
+
+
+def _transcript(connected, accepted, first_nonce, second_nonce):
+    ids = frames.pack([connected, accepted])
+    return b'|' + ids + first_nonce + second_nonce
--- /dev/null
+++ b/src/jasminehold/peers/mesh.py
@@ -0,0 +1,448 @@
+"""Open links, reconnects, requests and one-way messages between instances.
+
+Example:
+    >>> mesh.handle('loan_ask', on_ask)  # doctest: +SKIP
+    >>> mesh.ask('i2', {'type': 'loan_ask'}, 1.0, done)  # doctest: +SKIP
+"""
+
+import itertools
+
+from jasminehold import errors
+from jasminehold import logs
+from jasminehold.peers import link as link_module
+
+BACKOFF_BASE_S = 0.1
+BACKOFF_MAX_S = 5.0
+CONNECT_TIMEOUT_S = 2.0
+# A cut drops packets without closing the stream, so silence closes it.
+PING_AFTER_S = 2.0
+SILENT_AFTER_S = 7.0
+# A replaced link stays open this long for messages already under way.
+RETIRE_AFTER_S = 5.0
+IDLE_CLOSE_S = 60.0
+TICK_S = 0.5
+MAX_QUEUED = 64
+MAX_ASKS = 4096
+# Unauthenticated connections are closed beyond this number, so that they
+# cannot use up the descriptors of the process.
+MAX_HANDSHAKES = 256
+
+# Closed list of metric label values for why a link closed.
+REASONS = (
+    'peer does not read',
+    'silent',
+    'handshake timed out',
+    'wrong key',
+    'no common key',
+    'frame is not authentic',
+    'frame is out of sequence',
+    'frame of',
+    'malformed payload',
+    'payload is nested',
+    'stopped',
+)
+
+_log = logs.get('mesh')
+
+
+class _Peer:
+    def __init__(self):
+        self.links = []
+        self.connecting = False
+        self.failures = 0
+        self.timer = None
+        self.queue = []
+        self.used_at = 0.0
+
+
+class Mesh:
+    """Links of one instance.
+
+    Args:
+        loop: the :class:`loop.Loop`.
+        own_id: this instance's id.
+        ring: the :class:`link.KeyRing`.
+        address_of: ``func(instance_id) -> (host, port) or None``.
+        rng: ``random.Random`` for the jitter.
+        metrics: the :class:`metrics.Metrics`.
+
+    Attributes:
+        on_up: called with an instance id when its first link is ready.
+        on_down: called with an instance id when its last link closed.
+    """
+
+    def __init__(self, loop, own_id, ring, address_of, rng, metrics):
+        self.own_id = own_id
+        self.loop = loop
+        self.on_up = lambda instance_id: None
+        self.on_down = lambda instance_id: None
+        self.address_of = address_of
+        self._ring = ring
+        self._rng = rng
+        self._metrics = metrics
+        self._handlers = {}
+        self._peers = {}
+        self._wanted = frozenset()
+        self._asks = {}
+        self._numbers = itertools.count(1)
+        self._listener = None
+        self._handshakes = set()
+        self._stopped = False
+        self._tick_timer = loop.call_later(TICK_S, self._tick)
+
+    def listen(self, host, port):
+        """Accept links on an address and return the listener."""
+        self._listener = self.loop.listen(host, port, self._on_accept)
+        return self._listener
+
+    def handle(self, kind, func):
+        """Register ``func(sender_id, message, reply)`` for a message type.
+
+        ``reply(message)`` answers a request once and has no effect for a
+        one-way message.
+        """
+        self._handlers[kind] = func
+
+    def set_peers(self, ids):
+        """Keep links to these instances open."""
+        self._wanted = frozenset(ids) - {self.own_id}
+        for instance_id in self._wanted:
+            self._open(instance_id)
+
+    def connected(self):
+        """Return the ids of the instances with a ready link."""
+        return [key for key, peer in self._peers.items() if _ready(peer)]
+
+    def is_connected(self, instance_id):
+        """Return whether a ready link to an instance exists."""
+        peer = self._peers.get(instance_id)
+        return peer is not None and _ready(peer) is not None
+
+    def last_heard(self, instance_id):
+        """Return when an instance's ready link was last heard, or None."""
+        peer = self._peers.get(instance_id)
+        link = _ready(peer) if peer is not None else None
+        return None if link is None else link.last_heard
+
+    def send(self, instance_id, message):
+        """Send a one-way message, opening a link when there is none.
+
+        Returns:
+            False when the message was certainly not sent. True means that it
+            was handed to a link or waits for one, not that it arrived.
+        """
+        return self._send(instance_id, {'m': message})
+
+    def broadcast(self, message):
+        """Send a one-way message over each ready link."""
+        for instance_id in self.connected():
+            self.send(instance_id, message)
+
+    def ask(self, instance_id, message, timeout, done):
+        """Send a request.
+
+        Args:
+            instance_id: the other instance.
+            message: the message.
+            timeout: seconds.
+            done: called once, never before this returns, with
+                ``(reply, None)`` or ``(None, PeerError)``. The error's
+                ``details['sent']`` is False when the request certainly did
+                not leave this instance.
+        """
+        if len(self._asks) >= MAX_ASKS:
+            self._metrics.inc('peer_asks_refused')
+            self.loop.call_soon(done, None, _unsent('too many requests'))
+            return
+        number = next(self._numbers)
+        envelope = {'m': message, 'q': number}
+        timer = self.loop.call_later(
+            timeout, self._end_ask, number, None, 'timed out'
+        )
+        self._asks[number] = [instance_id, done, timer, envelope]
+        if not self._send(instance_id, envelope):
+            self._asks.pop(number)
+            timer.cancel()
+            self.loop.call_soon(done, None, _unsent('no link'))
+
+    def set_keys(self, keys):
+        """Replace the key ring and renew links that use another key.
+
+        The side that opened a link opens a new one before the old one is
+        retired, so no message is lost. A link whose key was removed is closed
+        after ``RETIRE_AFTER_S`` by either side.
+        """
+        self._ring.replace(keys)
+        for instance_id, peer in list(self._peers.items()):
+            current = _ready(peer)
+            if current is None:
+                continue
+            if self._ring.get(current.key_id) is None:
+                self.loop.call_later(RETIRE_AFTER_S, current.close)
+            if current.initiated and current.key_id != self._ring.ids[0]:
+                self._connect(instance_id, peer)
+
+    def stop(self):
+        """Close all links and the listener."""
+        self._stopped = True
+        self._tick_timer.cancel()
+        if self._listener is not None:
+            self._listener.close()
+        for peer in list(self._peers.values()):
+            for link in list(peer.links):
+                link.close()
+        for link in list(self._handshakes):
+            link.fail('stopped')
+
+    def _send(self, instance_id, envelope):
+        if self._stopped or instance_id == self.own_id:
+            return False
+        peer = self._peer(instance_id)
+        peer.used_at = self.loop.now()
+        link = _ready(peer)
+        if link is not None:
+            try:
+                sent = link.send(envelope)
+            except errors.PeerError as exc:
+                self._metrics.inc('peer_messages_too_large')
+                _log('message not sent', level='error', reason=str(exc))
+                return False
+            if sent:
+                self._metrics.inc('peer_messages_sent')
+            return sent
+        if len(peer.queue) >= MAX_QUEUED or not self._open(instance_id):
+            self._metrics.inc('peer_messages_dropped')
+            return False
+        peer.queue.append(envelope)
+        return True
+
+    def _peer(self, instance_id):
+        if instance_id not in self._peers:
+            self._peers[instance_id] = _Peer()
+        return self._peers[instance_id]
+
+    def _open(self, instance_id):
+        peer = self._peer(instance_id)
+        if _ready(peer) or peer.connecting or peer.timer is not None:
+            return True
+        return self._connect(instance_id, peer)
+
+    def _connect(self, instance_id, peer):
+        address = self.address_of(instance_id)
+        if address is None or peer.connecting or self._stopped:
+            return peer.connecting
+        peer.connecting = True
+
+        def on_open(conn):
+            self._handshakes.add(self._link(conn, instance_id))
+
+        def on_error(exc):
+            self._retry(instance_id, peer)
+
+        self._metrics.inc('peer_connects')
+        self.loop.connect(*address, on_open, on_error, CONNECT_TIMEOUT_S)
+        return True
+
+    def _retry(self, instance_id, peer):
+        peer.connecting = False
+        peer.failures += 1
+        self._metrics.inc('peer_connect_failures')
+        self._drop_queue(peer)
+        if instance_id not in self._wanted or self._stopped:
+            return
+        # Full jitter, so that instances cut off together do not return
+        # together.
+        bound = min(BACKOFF_MAX_S, BACKOFF_BASE_S * 2 ** min(peer.failures, 9))
+        delay = BACKOFF_BASE_S / 2 + self._rng.uniform(0.0, bound)
+
+        def again():
+            peer.timer = None
+            if instance_id in self._wanted and not _ready(peer):
+                self._connect(instance_id, peer)
+
+        peer.timer = self.loop.call_later(delay, again)
+
+    def _drop_queue(self, peer):
+        queue, peer.queue = peer.queue, []
+        for envelope in queue:
+            self._metrics.inc('peer_messages_dropped')
+            self._end_ask(envelope.get('q'), None, 'no link')
+
+    def _on_accept(self, conn):
+        if len(self._handshakes) >= MAX_HANDSHAKES:
+            self._metrics.inc('peer_handshakes_refused')
+            conn.abort()
+            return
+        self._handshakes.add(self._link(conn, None))
+
+    def _link(self, conn, expected):
+        return link_module.Link(
+            self.loop,
+            conn,
+            self._ring,
+            self.own_id,
+            expected,
+            self._on_ready,
+            self._on_message,
+            self._on_close,
+        )
+
+    def _on_ready(self, link):
+        self._handshakes.discard(link)
+        peer = self._peer(link.peer_id)
+        if link.initiated:
+            peer.connecting = False
+        peer.failures = 0
+        peer.used_at = self.loop.now()
+        old = _ready(peer)
+        peer.links.append(link)
+        if old is None:
+            self._metrics.inc('peer_links_opened')
+            self.on_up(link.peer_id)
+        else:
+            # Both sides reach the same choice: links opened by the lower id
+            # come first, then the newer one.
+            lower = self.own_id < link.peer_id
+            loser = old
+            if old.initiated != link.initiated and old.initiated == lower:
+                loser = link
+            loser.retiring = True
+            self.loop.call_later(RETIRE_AFTER_S, loser.close)
+        queue, peer.queue = peer.queue, []
+        for envelope in queue:
+            # A request that timed out in the queue is not worth sending.
+            if 'q' not in envelope or envelope['q'] in self._asks:
+                self._send(link.peer_id, envelope)
+
+    def _on_message(self, link, envelope):
+        self._metrics.inc('peer_messages_received')
+        message = envelope.get('m')
+        if isinstance(envelope.get('r'), int):
+            ask = self._asks.get(envelope['r'])
+            if ask is not None and ask[0] == link.peer_id:
+                self._end_ask(envelope['r'], message, envelope.get('x'))
+            return
+        if message is None:
+            return
+        if not isinstance(message, dict):
+            raise errors.PeerError('message is not a map')
+        number = envelope.get('q')
+        sender = link.peer_id
+
+        def reply(answer, error=None):
+            nonlocal number
+            if number is not None:
+                body = {'m': answer, 'r': number}
+                number = None
+                if error:
+                    body['x'] = error
+                self._send(sender, body)
+
+        handler = self._handlers.get(message.get('type'))
+        if handler is None:
+            self._metrics.inc('peer_messages_unknown')
+            reply(None, 'unknown message type')
+            return
+        try:
+            handler(sender, message, reply)
+        except (
+            LookupError,
+            TypeError,
+            ValueError,
+            AttributeError,
+            errors.PeerError,
+        ) as exc:
+            # The message had another shape than the handler expects. It is
+            # dropped; the other messages of the link are unaffected.
+            self._metrics.inc('peer_messages_faulty')
+            _log(
+                'message failed',
+                level='error',
+                peer=sender,
+                type=message.get('type'),
+                reason=repr(exc),
+            )
+            reply(None, 'message failed')
+
+    def _end_ask(self, number, message, error):
+        ask = self._asks.pop(number, None)
+        if ask is None:
+            return
+        ask[2].cancel()
+        peer = self._peers.get(ask[0])
+        queued = peer is not None and ask[3] in peer.queue
+        if queued:
+            peer.queue.remove(ask[3])
+        if error is None:
+            ask[1](message, None)
+        elif queued or error == 'no link':
+            ask[1](None, _unsent(error))
+        else:
+            exc = errors.PeerError(error, details={'sent': True})
+            ask[1](None, exc)
+
+    def _on_close(self, link, exc):
+        was_handshake = link in self._handshakes
+        self._handshakes.discard(link)
+        self._metrics.inc('peer_links_closed', reason=_reason(exc))
+        if not link.ready:
+            if link.initiated:
+                self._retry(link.peer_id, self._peer(link.peer_id))
+            elif was_handshake:
+                self._metrics.inc('peer_handshakes_failed')
+            return
+        peer = self._peer(link.peer_id)
+        if link in peer.links:
+            peer.links.remove(link)
+        if _ready(peer) is not None:
+            return
+        for number, ask in list(self._asks.items()):
+            if ask[0] == link.peer_id and ask[3] not in peer.queue:
+                self._end_ask(number, None, 'link closed')
+        self.on_down(link.peer_id)
+        if link.peer_id in self._wanted and not peer.connecting:
+            self._retry(link.peer_id, peer)
+
+    def _tick(self):
+        self._tick_timer = self.loop.call_later(TICK_S, self._tick)
+        now = self.loop.now()
+        for instance_id, peer in list(self._peers.items()):
+            for link in list(peer.links):
+                if now - link.last_heard > SILENT_AFTER_S:
+                    link.fail('silent')
+                elif now - link.last_sent > PING_AFTER_S:
+                    link.send({'p': 1})
+            link = _ready(peer)
+            if instance_id in self._wanted:
+                self._open(instance_id)
+            elif link is not None and link.initiated:
+                if now - peer.used_at > IDLE_CLOSE_S:
+                    link.close()
+            elif not (peer.links or peer.connecting or peer.queue):
+                if peer.timer is not None:
+                    peer.timer.cancel()
+                del self._peers[instance_id]
+
+
+def _ready(peer):
+    best = None
+    for link in peer.links:
+        if not (link.closed or link.closing) and (
+            best is None or not link.retiring
+        ):
+            best = link
+    return best
+
+
+def _reason(exc):
+    if not isinstance(exc, errors.PeerError):
+        return 'closed'
+    text = str(exc)
+    for reason in REASONS:
+        if text.startswith(reason):
+            return reason
+    return 'other'
+
+
+def _unsent(reason):
+    return errors.PeerError(reason, details={'sent': False})
