--- a/src/jasminehold/peers/messages.py
+++ b/src/jasminehold/peers/messages.py
@@ -1,6 +1,6 @@
 """Messages between instances (docs/design.md, section 3.3).
 
-Each message is a map with the key ``type``. Ages are in seconds. Optional
+Each message is a map with the key ``type``. Optional
 parts are left out rather than sent empty.
 """
 
@@ -8,7 +8,8 @@
 
 # ``[id, incarnation, state, host, port, place, region, left]``
 MemberEntry = typing.List[typing.Any]
-# ``{region: {witness: [age_s, plan_version]}}``
+# ``{region: {witness: [age_ms, plan_version]}}``, ages counted back from when
+# the question was received
 ContactAges = typing.Dict[str, typing.Dict[str, typing.List[typing.Any]]]
 
 
