--- /dev/null
+++ b/src/jasminehold/app.py
@@ -0,0 +1,588 @@
+"""The application: builds, starts, drains and stops one instance.
+
+Example:
+    >>> run(settings.parse(text))  # doctest: +SKIP
+"""
+
+import os
+import random
+import signal
+import sys
+import time
+
+import circuits
+
+from jasminehold import api
+from jasminehold import claims as claims_module
+from jasminehold import config as config_module
+from jasminehold.control import claiming
+from jasminehold.control import lending
+from jasminehold.control import planner as planner_module
+from jasminehold.control import relay as relay_module
+from jasminehold.control import reports
+from jasminehold.control import statuses
+from jasminehold.decisions import claim_log
+from jasminehold.decisions import contact
+from jasminehold.decisions import duty
+from jasminehold.decisions import holder as holder_module
+from jasminehold.decisions import limit_table
+from jasminehold.decisions import lookup_order
+from jasminehold.decisions import membership
+from jasminehold.decisions import plan as plan_rules
+from jasminehold import duties as duties_module
+from jasminehold import logs
+from jasminehold import loop as loop_module
+from jasminehold import metrics as metrics_module
+from jasminehold.peers import agent as agent_module
+from jasminehold.peers import link
+from jasminehold.peers import mesh as mesh_module
+from jasminehold.platform import client as platform_client
+from jasminehold.platform import registration
+from jasminehold.proxy import hooks as hooks_module
+from jasminehold.proxy import server as proxy_server
+from jasminehold.steering import lookups
+from jasminehold.steering import picker as picker_module
+from jasminehold.steering import tables as tables_module
+from jasminehold import store
+
+LIST_EVERY_S = 5.0
+REBUILD_DELAY_S = 0.05
+# Time after the look-up answers have run out in which callers that use the
+# last ones still reach the instance.
+LEAVE_MARGIN_S = 0.5
+
+_log = logs.get('app')
+
+
+class _Hooks(agent_module.Hooks):
+    """What the agent asks the application; see ``peer_state.Hooks``."""
+
+    def __init__(self, app):
+        self._app = app
+
+    def on_document(self, key, value, version):
+        self._app.on_document(key, value, version)
+
+    def on_notice(self, key, value, seconds_left):
+        self._app.on_notice(key, value, seconds_left)
+
+    def on_member(self, member):
+        self._app.on_member(member)
+
+    def heard(self, region, witness, asked_at, age_s, plan_version, now):
+        self._app.holder.contact.heard(
+            witness, asked_at, {region: plan_version}, age_s
+        )
+
+    def witnesses(self):
+        plans = self._app.holder.plans
+        return {name: plan['witnesses'] for name, plan in plans.items()}
+
+    def own_witness(self):
+        own = self._app.cfg.id
+        return {
+            name: plan['version']
+            for name, plan in self._app.holder.plans.items()
+            if own in plan['witnesses']
+        }
+
+    def planner(self):
+        plan = self._app.holder.plans.get(self._app.cfg.region)
+        return None if plan is None else plan.get('planner')
+
+
+class Application(circuits.BaseComponent):
+    """One instance.
+
+    Args:
+        cfg: the checked settings.
+        rng: random source, for tests.
+    """
+
+    channel = 'app'
+
+    def __init__(self, cfg, rng=None):
+        super().__init__(channel=self.channel)
+        self.cfg = cfg
+        self.rng = rng or random.SystemRandom()
+        self.exit_status = 0
+        self.leaving = False
+        self.loop = loop_module.Loop().register(self)
+        self.metrics = metrics_module.Metrics()
+        self.config = config_module.ConfigSet()
+        self.tables = tables_module.Tables()
+        self.holder = holder_module.Holder(cfg.id)
+        self._head = None
+        self._view = (0, {})
+        self._rebuild_timer = None
+        self._build_platform()
+        self._build_peers()
+        self._build_control()
+        self._build_path()
+        self._build_api()
+        self.config.add_listener(self._on_config)
+
+    def _build_platform(self):
+        cfg = self.cfg
+        self.client = platform_client.PlatformClient(
+            self.loop,
+            [tuple(address) for address in cfg.platform],
+            cfg.platform_timeout,
+            self.rng,
+            self.metrics,
+        )
+
+    def _build_peers(self):
+        cfg = self.cfg
+        ids = sorted(cfg.peer_keys, key=lambda key: key != cfg.peer_key_id)
+        ring = link.KeyRing(
+            [(key, bytes.fromhex(cfg.peer_keys[key])) for key in ids]
+        )
+        self.mesh = mesh_module.Mesh(
+            self.loop, cfg.id, ring, None, self.rng, self.metrics
+        )
+        peer_listener = self.mesh.listen(*cfg.peer_listen)
+        self._caller_socket = None
+        self.proxy = None
+        self._peer_port = peer_listener.port
+
+    def _build_control(self):
+        cfg = self.cfg
+        self.duties = duties_module.Duties(
+            self.loop,
+            self.client,
+            duties_module.DutiesConfig(
+                cfg.id,
+                self._duty_names(),
+                duty.LeaseConfig(
+                    ttl=cfg.lease_ttl, renew_every=cfg.lease_renew
+                ),
+            ),
+            self.rng,
+            self._on_duty_change,
+        )
+        self.lending = lending.Lending(
+            self.loop,
+            self.mesh,
+            self.holder,
+            self._near_peers,
+            self.rng,
+            self.metrics,
+        )
+        self.relay = relay_module.Relay(
+            self.loop, self.client, self.publish, self.rng, self.metrics
+        )
+        self.planner = planner_module.Planner(
+            self.loop,
+            planner_module.Port(
+                client=self.client,
+                config=self.config,
+                members=self._plan_members,
+                publish=self.publish,
+                notify=self.notify,
+                drained=self._drained,
+                duties=self.duties,
+                instance_id=cfg.id,
+            ),
+            self.metrics,
+        )
+        self.statuses = statuses.Statuses(self.config, self.loop.now)
+        self.claiming = claiming.Claiming(
+            self.loop, self.mesh, cfg.id, self._is_gone, cfg.answer_keep
+        )
+        self.claims = claims_module.Claims(
+            self.loop,
+            self.client,
+            self.duties,
+            claims_module.ClaimsConfig(
+                cfg.id,
+                cfg.claim_shards,
+                claim_log.Config(
+                    keep=cfg.claim_keep,
+                    write_every=1 / cfg.claim_writes_per_second,
+                ),
+            ),
+            self.metrics,
+            self.claiming.send_claim,
+        )
+        self.claiming.claims = self.claims
+        self.mesh.handle('report', self._on_report)
+
+    def _build_path(self):
+        cfg = self.cfg
+        self.picker = picker_module.Picker(
+            self.loop,
+            cfg,
+            self.tables,
+            self.holder,
+            self.metrics,
+            self.rng,
+            self.notify,
+            self.lending.want,
+        )
+        hooks = hooks_module.Hooks(
+            route=self.picker.route,
+            pick=self.picker.pick,
+            wait_for_target=self.picker.wait_for_target,
+            claim=self.claiming.claim,
+            release_claim=self.claiming.release,
+            keep_answer=self.claiming.keep,
+            find_answer=self.claiming.find,
+            may_retry=self.picker.may_retry,
+            note_result=self.picker.note_result,
+            note_crash=self.picker.note_crash,
+        )
+        limits = proxy_server.Limits(
+            callers=cfg.max_connections,
+            head_bytes=cfg.max_header_bytes,
+            body_bytes=cfg.max_body_bytes,
+            head_s=cfg.header_timeout,
+            idle_s=cfg.idle_timeout,
+        )
+        answer = lookups.make(self.tables, lambda: self._view, cfg.lookup_ttl)
+        self.proxy = proxy_server.ProxyServer(
+            self.loop, hooks, self.metrics, answer, limits, cfg.id
+        )
+        listener = self.proxy.listen(*cfg.caller_listen)
+        self.caller_port = listener.port
+        own = membership.Member(
+            id=cfg.id,
+            incarnation=int(time.time() * 1000),
+            state=membership.JOINING,
+            host=cfg.peer_listen.host,
+            port=self._peer_port,
+            place=cfg.place,
+            region=cfg.region,
+            caller_host=cfg.caller_listen.host,
+            caller_port=self.caller_port,
+        )
+        self.agent = agent_module.Agent(
+            self.loop,
+            self.mesh,
+            agent_module.AgentCfg(
+                own=own,
+                members=membership.MembershipCfg(
+                    peer_limit=cfg.peer_limit, full_mesh=cfg.full_mesh_limit
+                ),
+                period=cfg.gossip_period,
+            ),
+            self.rng,
+            self.metrics,
+            _Hooks(self),
+        )
+        entry = {
+            'id': cfg.id,
+            'host': own.host,
+            'port': own.port,
+            'caller_host': own.caller_host,
+            'caller_port': own.caller_port,
+            'place': own.place,
+            'region': own.region,
+            'role': 'entry',
+            'state': 'live',
+        }
+        self.registrations = [
+            registration.Registration(
+                self.loop, tuple(address), entry, self.rng
+            )
+            for address in cfg.platform[:1]
+        ]
+
+    def _build_api(self):
+        writes = store.Port(
+            client=self.client,
+            later=self.loop.call_later,
+            clock=time.time,
+            new_id=lambda: os.urandom(12).hex(),
+            config=self.config,
+            metrics=self.metrics,
+        )
+        port = api.Port(
+            writes=writes,
+            status_of=self.statuses.status_of,
+            not_ready=self.not_ready,
+            accepted=self._on_accepted,
+        )
+        self.api = api.Api(self.cfg, self.loop, port, self.rng).register(self)
+
+    # Life cycle.
+
+    def start(self):
+        """Begin to take part in the fleet."""
+        for address in self.cfg.peers:
+            self.mesh.add_seed(*address)
+        self.agent.set_state(membership.LIVE)
+        self._read_list()
+        self.loop.call_later(reports.PERIOD_S, self._send_reports)
+        _log(
+            'instance started',
+            instance=self.cfg.id,
+            place=self.cfg.place,
+            caller_port=self.caller_port,
+            api_port=self.api.port,
+            peer_port=self._peer_port,
+        )
+
+    @circuits.handler('signal', channel='*')
+    def _on_signal(self, event, signo, stack):
+        if signo in (signal.SIGTERM, signal.SIGINT):
+            self.leave()
+
+    def leave(self):
+        """Stop gracefully: leave the list, finish what runs, then exit."""
+        if self.leaving:
+            return
+        self.leaving = True
+        _log('instance leaving', instance=self.cfg.id)
+        self.agent.set_state(membership.LEAVING)
+        for entry in self.registrations:
+            entry.set_state('leaving')
+        self._update_view()
+        self.loop.call_later(self.cfg.drain_bound, self._overdue)
+        # Callers keep a look-up answer for its time to live.
+        delay = self.cfg.lookup_ttl + LEAVE_MARGIN_S
+        self.loop.call_later(delay, self._drain)
+
+    def _drain(self):
+        self.api.stop_accepting()
+        self.proxy.drain(self._release)
+
+    def _release(self):
+        self.duties.release_all(lambda result, exc: self._await_loans())
+
+    def _await_loans(self):
+        if self.holder.may_leave(self.loop.now()) and not self.api.in_flight:
+            self.agent.leave(lambda: self._finish('instance left'))
+        else:
+            self.loop.call_later(0.1, self._await_loans)
+
+    def _overdue(self):
+        self.exit_status = 1
+        self.proxy.stop()
+        self._finish('instance stopped before its drain ended')
+
+    def _finish(self, event):
+        _log(event, instance=self.cfg.id, status=self.exit_status)
+        for entry in self.registrations:
+            entry.close()
+        self.mesh.stop()
+        self.stop()
+
+    def not_ready(self):
+        """Return the reasons why this instance should get no callers."""
+        found = []
+        if self.leaving:
+            found.append('leaving')
+        if not self.tables.services:
+            found.append('no configuration yet')
+        elif self.cfg.region not in self.holder.plans:
+            found.append('no plan of the own region yet')
+        else:
+            plan = self.holder.plans[self.cfg.region]
+            if not self.holder.contact.may_use(plan, self.loop.now()):
+                found.append('no contact with the witnesses of the region')
+        return found
+
+    # Documents, notices and members.
+
+    def publish(self, key, value, version):
+        """Apply a document and spread it."""
+        if self.agent.publish(key, value, version):
+            self.on_document(key, value, version)
+
+    def notify(self, key, value, ttl):
+        """Apply a notice and spread it."""
+        self.agent.notify(key, value, ttl)
+        self.on_notice(key, value, ttl)
+
+    def on_document(self, key, value, version):
+        """Apply a document that is newer than the one known."""
+        if key.startswith(config_module.PREFIX):
+            entry = {'key': key, 'value': value, 'version': version}
+            self.config.apply([entry], 0)
+            self._check_head()
+        elif key.startswith(planner_module.PLAN_PREFIX):
+            self._on_plan(value)
+        elif key == relay_module.HEAD_KEY:
+            self._head = value
+            self._check_head()
+
+    def on_notice(self, key, value, seconds_left):
+        """Take a notice."""
+        if key.startswith(planner_module.PROGRESS_PREFIX):
+            self.statuses.on_notice(key, value, seconds_left)
+            return
+        self.picker.on_notice(key, value, seconds_left, self.loop.now())
+        if key.startswith(picker_module.LEAVING_PREFIX):
+            self._rebuild_soon()
+
+    def on_member(self, member):
+        """Take note of a changed member."""
+        if member.state == membership.GONE and member.left:
+            self.planner.on_left(member.id)
+        self._update_view()
+
+    def _on_accepted(self, entry):
+        self.agent.publish(entry['key'], entry['value'], entry['version'])
+
+    def _on_plan(self, plan):
+        now = self.loop.now()
+        if self.holder.apply(plan, now):
+            self.planner.on_plan(plan['region'], plan)
+            self._rebuild_soon()
+
+    def _on_config(self, changed):
+        for entry in changed:
+            kind, name = config_module.split_key(entry['key'])
+            if kind == 'client_blocks':
+                self.tables.set_blocks(name, self.config.get(kind, name))
+        self._rebuild_soon()
+
+    def _check_head(self):
+        head = self._head
+        if head is not None and head['digest'] == self.config.digest():
+            self.config.revision = max(self.config.revision, head['revision'])
+
+    def _rebuild_soon(self):
+        if self._rebuild_timer is None:
+            self._rebuild_timer = self.loop.call_later(
+                REBUILD_DELAY_S, self._rebuild
+            )
+
+    def _rebuild(self):
+        self._rebuild_timer = None
+        steps = {'movements': {}, 'legacy': {}}
+        for plan in self.holder.plans.values():
+            for part, values in plan.get('steps', {}).items():
+                steps[part].update(values)
+        self.tables.rebuild(self.config, steps, self.picker.leaving)
+        declared = []
+        for region in set(self.tables.place_region.values()):
+            declared += limit_table.region_limits(
+                region, self.config, self.tables.drained, {}
+            )
+        self.holder.set_groups(declared)
+        self.picker.on_tables()
+        self.duties.set_names(self._duty_names())
+        self._update_view()
+
+    def _update_view(self):
+        instances = {}
+        members = self.agent.state.members
+        for member in members.all():
+            if member.state in (membership.LIVE, membership.SUSPECT):
+                if member.caller_port:
+                    entry = lookup_order.Entry(
+                        member.id, member.place, member.region
+                    )
+                    instances[member.id] = (
+                        entry,
+                        member.caller_host,
+                        member.caller_port,
+                    )
+        if self.leaving:
+            instances.pop(self.cfg.id, None)
+        self._view = (self._view[0] + 1, instances)
+        self.duties.set_candidates(instances)
+
+    def _duty_names(self):
+        names = ['claims/%d' % n for n in range(self.cfg.claim_shards)]
+        names += ['relay/%s/%d' % (self.cfg.region, n) for n in (0, 1)]
+        names.append('planner/' + self.cfg.region)
+        # A region without live instances is planned by the others.
+        if self.proxy is not None:
+            live = {item[0].region for item in self._view[1].values()}
+            for region in sorted(set(self.tables.place_region.values())):
+                if region not in live and region != self.cfg.region:
+                    names.append('planner/' + region)
+        return tuple(names)
+
+    def _plan_members(self):
+        return [
+            plan_rules.Member(entry.ident, entry.place, entry.region)
+            for entry, _, _ in self._view[1].values()
+        ]
+
+    def _near_peers(self):
+        instances = self._view[1]
+        own = self.cfg.region
+        return sorted(
+            (name for name in instances if name != self.cfg.id),
+            key=lambda name: (instances[name][0].region != own, name),
+        )
+
+    def _drained(self):
+        return tables_module.drained_targets(
+            self.config, self.tables.place_region, self.picker.leaving
+        )
+
+    def _is_gone(self, instance_id):
+        member = self.agent.state.members.get(instance_id)
+        return member is None or member.state == membership.GONE
+
+    def _on_duty_change(self, name, token):
+        self.metrics.inc(
+            'duty_changes_total',
+            duty=name.partition('/')[0],
+            change='lost' if token is None else 'gained',
+        )
+        self.relay.on_duty_change(name, token)
+        self.planner.on_duty_change(name, token)
+        self.claims.on_duty_change(name, token)
+
+    # Periodic work.
+
+    def _read_list(self):
+        # Only the planner of the region reads the platform's list often; the
+        # others learn of members from their peers.
+        alone = len(self.mesh.connected()) == 0
+        planning = bool(self.planner.planned())
+        period = LIST_EVERY_S if alone or planning else 12 * LIST_EVERY_S
+        if alone:
+            period = 1.0
+        self.loop.call_later(
+            period * self.rng.uniform(0.8, 1.2), self._read_list
+        )
+
+        def done(entries, exc):
+            if exc is None:
+                self.agent.on_platform_list(
+                    [e for e in entries if e.get('role') == 'entry']
+                )
+
+        self.client.instances(done=done)
+
+    def _send_reports(self):
+        self.loop.call_later(reports.PERIOD_S, self._send_reports)
+        now = self.loop.now()
+        for region, plan in self.holder.plans.items():
+            planner = plan.get('planner')
+            report = reports.build(
+                region,
+                self.picker,
+                self.tables,
+                self.holder,
+                self.config.revision,
+                self.cfg.place,
+                now,
+            )
+            if planner == self.cfg.id:
+                self.planner.on_report(planner, report)
+            elif planner is not None:
+                self.mesh.send(planner, report)
+
+    def _on_report(self, sender, message, reply):
+        self.planner.on_report(sender, message)
+
+
+def run(cfg):
+    """Run one instance until it has left.
+
+    Args:
+        cfg: the checked :class:`settings.Settings`.
+    """
+    logs.configure(cfg.log_level)
+    app = Application(cfg)
+    app.start()
+    app.run()
+    sys.exit(app.exit_status)
--- a/src/jasminehold/config.py
+++ b/src/jasminehold/config.py
@@ -119,6 +119,10 @@
         entry = self._entries.get(key)
         return 0 if entry is None else entry['version']
 
+    def version_of(self, kind, name):
+        """Return the version of a resource, 0 when it is unknown."""
+        return self.version(key_of(kind, name))
+
     def versions(self):
         """Return the version of each key, tombstones included."""
         return {k: entry['version'] for k, entry in self._entries.items()}
--- /dev/null
+++ b/src/jasminehold/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control of one instance: loans, plans, configuration and its progress."""
--- /dev/null
+++ b/src/jasminehold/control/planner.py
@@ -0,0 +1,286 @@
+"""Builds, stores and publishes the plans of the regions planned here.
+
+Only the holder of a region's duty writes its plan, by compare-and-swap on the
+version that it has read, so a paused planner's late write fails.
+"""
+
+import json
+import typing
+
+from jasminehold.control import reports
+from jasminehold.decisions import contact
+from jasminehold.decisions import legacy
+from jasminehold.decisions import limit_table
+from jasminehold.decisions import plan as plan_rules
+from jasminehold.decisions import progress
+from jasminehold.decisions import region_steps
+from jasminehold import errors
+from jasminehold import logs
+
+TICK_S = 0.5
+LIST_EVERY_S = 2.0
+PLAN_PREFIX = 'state/plan/'
+PROGRESS_PREFIX = 'progress/'
+PROGRESS_TTL_S = 10.0
+
+_log = logs.get('planner')
+
+
+class Port(typing.NamedTuple):
+    """What the planner needs from the application.
+
+    Attributes:
+        client: the platform client.
+        config: the :class:`config.ConfigSet`.
+        members: function that returns live instances as
+            ``[plan.Member]``.
+        publish: ``publish(key, value, version)`` spreads a document.
+        notify: ``notify(key, value, ttl)`` spreads a notice.
+        drained: function that returns the :class:`drain.Drained`.
+        duties: the :class:`duties.Duties`.
+        instance_id: id of this instance.
+    """
+
+    client: object
+    config: object
+    members: typing.Callable
+    publish: typing.Callable
+    notify: typing.Callable
+    drained: typing.Callable
+    duties: object
+    instance_id: str
+
+
+class _Region:
+    """State of one region that is planned here."""
+
+    def __init__(self, name, token):
+        self.name = name
+        self.token = token
+        self.plan = None
+        self.key_version = 0
+        self.busy = False
+        self.fence = contact.Fence()
+        self.steps = None
+        self.progress = progress.Progress(name)
+
+
+class Planner:
+    """Plans the regions whose duty this instance holds.
+
+    Args:
+        loop: the event loop.
+        port: the :class:`Port`.
+        metrics: counters.
+    """
+
+    def __init__(self, loop, port, metrics):
+        self._loop = loop
+        self._port = port
+        self._metrics = metrics
+        self._regions = {}
+        self._inboxes = {}
+        self._departures = contact.Departures()
+        self._counted = legacy.CountedShares()
+        self._shares = {}
+        self._last_heard = {}
+        self._listed_at = None
+        loop.call_later(TICK_S, self._tick)
+
+    def on_duty_change(self, name, token):
+        """Take note of a duty gained or lost, as ``Duties.on_change``."""
+        kind, _, region = name.partition('/')
+        if kind != 'planner':
+            return
+        if token is None:
+            self._regions.pop(region, None)
+        else:
+            self._regions[region] = _Region(region, token)
+
+    def on_report(self, sender, report):
+        """Take an instance's report."""
+        now = self._loop.now()
+        self._last_heard[sender] = now
+        inbox = self._inboxes.setdefault(report['region'], reports.Inbox())
+        inbox.take(sender, report, now)
+
+    def on_left(self, instance_id):
+        """Record that an instance announced its own end."""
+        self._departures.left(instance_id)
+
+    def on_plan(self, region, plan):
+        """Take note of another region's steps."""
+        for service, share in plan.get('steps', {}).get('legacy', {}).items():
+            self._shares[service] = share
+
+    def planned(self):
+        """Return the names of the regions planned here."""
+        return list(self._regions)
+
+    def _tick(self):
+        self._loop.call_later(TICK_S, self._tick)
+        now = self._loop.now()
+        if self._regions:
+            self._read_list(now)
+        for region in list(self._regions.values()):
+            if region.busy:
+                continue
+            if region.plan is None:
+                self._load(region)
+            else:
+                self._plan(region, now)
+
+    def _read_list(self, now):
+        if self._listed_at is not None and now - self._listed_at < (
+            LIST_EVERY_S
+        ):
+            return
+        self._listed_at = now
+
+        def done(entries, exc):
+            if exc is None:
+                names = {entry['id'] for entry in entries}
+                holders = set()
+                for region in self._regions.values():
+                    if region.plan is not None:
+                        for held in region.plan['held'].values():
+                            holders.update(held)
+                self._departures.listed(names, holders, self._last_heard, now)
+
+        self._port.client.instances(done=done)
+
+    def _load(self, region):
+        region.busy = True
+
+        def done(item, exc):
+            region.busy = False
+            if isinstance(exc, errors.KeyNotFound):
+                region.plan = plan_rules.empty_plan(region.name)
+                region.key_version = 0
+            elif exc is None:
+                region.plan = json.loads(item.value)
+                region.key_version = item.version
+                self._port.publish(
+                    PLAN_PREFIX + region.name, region.plan, item.version
+                )
+            else:
+                return
+            steps = region.plan.get('steps', {})
+            region.steps = region_steps.RegionSteps(
+                region.name,
+                steps.get('movements', {}),
+                steps.get('legacy', {}),
+                self._loop.now(),
+            )
+
+        self._port.client.get(PLAN_PREFIX + region.name, done=done)
+
+    def _plan(self, region, now):
+        members = self._port.members()
+        names = {member.name for member in members}
+        inbox = self._inboxes.setdefault(region.name, reports.Inbox())
+        fresh = {
+            name: report
+            for name, report in inbox.fresh(now).items()
+            if name in names
+        }
+        known = {name: r['known'] for name, r in inbox.all().items()}
+        region.fence.observe(region.plan, known, self._departures.gone, now)
+        drained = self._port.drained()
+        limits = limit_table.region_limits(
+            region.name, self._port.config, drained, self._legacy_load(now)
+        )
+        in_force = _in_force(region.plan, names, fresh)
+        region.progress.update(
+            region.plan, limits, fresh, names, self._port.config, now
+        )
+        steps = region.steps.advance(
+            self._port.config,
+            list(fresh.values()),
+            in_force,
+            region.progress.room,
+            now,
+            self._is_first(region.name),
+        )
+        self._shares.update(steps['legacy'])
+        inputs = plan_rules.Inputs(
+            limits=limits,
+            members=members,
+            demand=_demand(fresh),
+            acked={
+                name: (report['acked'][0], report['acked'][1])
+                for name, report in inbox.all().items()
+            },
+            gone=self._departures.gone,
+            floor=lambda limit_id: region.fence.floor(limit_id, now),
+            term=region.token,
+        )
+        extra = {'steps': steps, 'planner': self._port.instance_id}
+        changed = any(region.plan.get(k) != v for k, v in extra.items())
+        following = plan_rules.next_plan(region.plan, inputs, force=changed)
+        self._tell_progress(region)
+        if following is not region.plan:
+            following.update(extra)
+            self._store(region, following)
+
+    def _tell_progress(self, region):
+        value = region.progress.document(region.steps)
+        self._port.notify(PROGRESS_PREFIX + region.name, value, PROGRESS_TTL_S)
+
+    def _store(self, region, following):
+        now = self._loop.now()
+        if self._port.duties.holds('planner/' + region.name, now) is None:
+            return
+        region.busy = True
+        key = PLAN_PREFIX + region.name
+        data = json.dumps(following, separators=(',', ':')).encode()
+
+        def done(version, exc):
+            region.busy = False
+            if exc is not None:
+                # Another planner wrote, or the outcome is unknown: what is
+                # stored decides.
+                self._metrics.inc(
+                    'plan_writes_failed_total', kind=exc.kind.value
+                )
+                region.plan = None
+                return
+            self._metrics.inc('plan_writes_total', region=region.name)
+            region.plan, region.key_version = following, version
+            self._port.publish(key, following, version)
+
+        self._port.client.put(key, data, region.key_version, done=done)
+
+    def _legacy_load(self, now):
+        specs = [doc['spec'] for doc in self._port.config.all('legacy_share')]
+        shares = {
+            spec['service']: self._shares.get(spec['service'], spec['share'])
+            for spec in specs
+        }
+        counted = self._counted.update(shares, now)
+        return legacy.region_loads(specs, counted)
+
+    def _is_first(self, name):
+        regions = [
+            doc['metadata']['name'] for doc in self._port.config.all('region')
+        ]
+        return bool(regions) and name == min(regions)
+
+
+def _in_force(plan, names, fresh):
+    """Return whether all live instances acknowledged a plan."""
+    if not names <= set(fresh):
+        return False
+    return all(
+        fresh[name]['acked'][0] >= plan['version']
+        and not fresh[name]['acked'][1]
+        for name in names
+    )
+
+
+def _demand(fresh):
+    found = {}
+    for name, report in fresh.items():
+        for key, amount in report['demand'].items():
+            found.setdefault(key, {})[name] = amount
+    return found
--- /dev/null
+++ b/src/jasminehold/control/relay.py
@@ -0,0 +1,150 @@
+"""Feeds the platform's configuration and plans into gossip.
+
+A relay reads everything below ``state/`` once and then holds the one waiting
+watch of its duty. Besides the documents it publishes the head: the revision
+and the digest of the configuration. An instance whose own digest is equal has
+exactly that configuration in force.
+"""
+
+import json
+
+from jasminehold import config as config_module
+from jasminehold import errors
+from jasminehold import logs
+from jasminehold import store
+
+PREFIX = 'state/'
+HEAD_KEY = 'head/config'
+WATCH_WAIT_S = 20.0
+RETRY_S = 0.5
+RETRY_MAX_S = 5.0
+
+_log = logs.get('relay')
+
+
+class Relay:
+    """Watches the platform while this instance holds a relay duty.
+
+    Args:
+        loop: the event loop.
+        client: the platform client.
+        publish: ``publish(key, value, version)`` spreads a document.
+        rng: random source of the jitter.
+        metrics: counters.
+    """
+
+    def __init__(self, loop, client, publish, rng, metrics):
+        self._loop = loop
+        self._client = client
+        self._publish = publish
+        self._rng = rng
+        self._metrics = metrics
+        self._duties = set()
+        self._epoch = 0
+        self._failures = 0
+        self._seen = config_module.ConfigSet()
+
+    @property
+    def active(self):
+        """Whether this instance relays."""
+        return bool(self._duties)
+
+    def on_duty_change(self, name, token):
+        """Take note of a duty gained or lost, as ``Duties.on_change``."""
+        if not name.startswith('relay/'):
+            return
+        before = self.active
+        if token is None:
+            self._duties.discard(name)
+        else:
+            self._duties.add(name)
+        if self.active == before:
+            return
+        self._epoch += 1
+        if self.active:
+            self._seen = config_module.ConfigSet()
+            self._read('', self._epoch)
+
+    def _later(self, func, *args):
+        self._failures += 1
+        bound = min(RETRY_S * 2 ** min(self._failures, 8), RETRY_MAX_S)
+        delay = RETRY_S / 2 + self._rng.uniform(0, bound)
+        self._loop.call_later(delay, func, *args)
+
+    def _read(self, after, epoch, revision=None):
+        """Read all pages; the watch starts at the first page's revision."""
+        if epoch != self._epoch:
+            return
+
+        def done(page, exc):
+            if epoch != self._epoch:
+                return
+            if exc is not None:
+                self._later(self._read, after, epoch, revision)
+                return
+            self._failures = 0
+            start = page.revision if revision is None else revision
+            for item in page.items:
+                self._take(item.key, item.value, item.version)
+            if page.more:
+                self._read(page.items[-1].key, epoch, start)
+                return
+            self._publish_head()
+            self._watch(start, epoch)
+
+        self._client.list(PREFIX, after, done)
+
+    def _watch(self, revision, epoch):
+        if epoch != self._epoch:
+            return
+
+        def done(changes, exc):
+            if epoch != self._epoch:
+                return
+            if isinstance(exc, errors.Compacted):
+                self._metrics.inc('relay_resyncs_total')
+                self._read('', epoch)
+            elif exc is not None:
+                self._later(self._watch, revision, epoch)
+            else:
+                self._failures = 0
+                self._on_changes(changes)
+                self._watch(changes.revision, epoch)
+
+        self._client.watch(PREFIX, revision, WATCH_WAIT_S, done)
+
+    def _on_changes(self, changes):
+        for event in changes.events:
+            if not event.deleted:
+                self._take(event.key, event.value, event.version)
+        self._publish_head()
+        if changes.events:
+            self._complete_audit(list(changes.events))
+
+    def _take(self, key, value, version):
+        try:
+            doc = json.loads(value)
+        except ValueError:
+            self._metrics.inc('relay_faulty_documents_total')
+            _log('document is not JSON', level='error', key=key)
+            return
+        self._metrics.inc('relay_documents_total')
+        self._publish(key, doc, version)
+        entry = {'key': key, 'value': doc, 'version': version}
+        self._seen.apply([entry], 0)
+
+    def _publish_head(self):
+        versions = self._seen.versions()
+        if versions:
+            revision = max(versions.values())
+            value = {'revision': revision, 'digest': self._seen.digest()}
+            self._publish(HEAD_KEY, value, revision)
+
+    def _complete_audit(self, events):
+        def done(written, exc):
+            if exc is not None and self.active:
+                self._later(self._complete_audit, events)
+            elif written:
+                self._metrics.inc('relay_audit_entries_total', written)
+
+        store.complete_audit(self._client, events, done)
--- a/src/jasminehold/decisions/admission.py
+++ b/src/jasminehold/decisions/admission.py
@@ -158,6 +158,12 @@
                 hopeless.append(waiting)
         return None, hopeless
 
+    def restore(self, waiting):
+        """Put back a request that :meth:`next` gave, ahead of its class."""
+        queue = self._queues[waiting.priority]
+        queue[waiting.ident] = waiting
+        queue.move_to_end(waiting.ident, last=False)
+
     def hopeless(self, now):
         """Remove and return all that can no longer finish in time."""
         found = []
--- a/src/jasminehold/decisions/holder.py
+++ b/src/jasminehold/decisions/holder.py
@@ -124,6 +124,27 @@
         loan = self.loans.admit(limit_id, deadline, now)
         return Ticket(limit_id, loan.gate) if loan else None
 
+    def room(self, limit_id, now):
+        """Return whether a short request would be admitted now."""
+        return self.free(limit_id, now)[0] > 0
+
+    def free(self, limit_id, now):
+        """Return ``(free amount, whole amount)`` usable now, loans included.
+
+        Args:
+            limit_id: id of the limit.
+            now: local time.
+        """
+        gate = self.gates.get(limit_id)
+        if gate is None or not self.usable(limit_id, now):
+            return 0, 0
+        free, share = gate.free(now), gate.share - gate.lent
+        for loan in self.loans.borrowed.values():
+            if loan.limit == limit_id and loan.expires > now:
+                free += loan.gate.free(now)
+                share += loan.gate.share
+        return free, max(share, 0)
+
     def finish(self, ticket):
         """Count the end of a request."""
         if not limits.is_rate(ticket.limit):
--- a/src/jasminehold/decisions/legacy.py
+++ b/src/jasminehold/decisions/legacy.py
@@ -53,17 +53,52 @@
     return LegacyState(state.share + change, now)
 
 
-def load_left(load_rps, declared, share):
-    """Return the load of the older system to count, requests a second.
+class CountedShares:
+    """Shares to count as load while callers may still use older answers.
 
-    Callers keep an answer for a while, so the load of a share that is being
-    lowered counts with the higher of the two values until the step after.
+    A lowered share counts with its former value until callers have dropped
+    the look-up answers that they keep.
 
     Args:
-        load_rps: load that the operator declared for ``declared``.
-        declared: share at which the load was declared, 0 to 1.
-        share: the share in force, 0 to 1.
+        hold_s: seconds for which the former value counts.
     """
-    if declared <= 0:
-        return load_rps if share > 0 else 0.0
-    return load_rps * min(max(share / declared, 0.0), 1.0)
+
+    def __init__(self, hold_s=5.0):
+        self._hold = hold_s
+        self._known = {}
+
+    def update(self, shares, now):
+        """Take the present shares and return those to count.
+
+        Args:
+            shares: ``{service: share}``.
+            now: seconds, monotonic.
+        """
+        counted = {}
+        for service, share in shares.items():
+            peaks = [
+                (at, value)
+                for at, value in self._known.get(service, [])
+                if now - at < self._hold
+            ]
+            counted[service] = max([share] + [value for _, value in peaks])
+            self._known[service] = peaks + [(now, share)]
+        for service in set(self._known) - set(shares):
+            del self._known[service]
+        return counted
+
+
+def region_loads(specs, counted):
+    """Return the older system's load by region, requests a second.
+
+    Args:
+        specs: specs of the kind ``legacy_share``; ``load_rps`` is the load
+            at a share of 1.
+        counted: ``{service: share}`` to count.
+    """
+    loads = {}
+    for spec in specs:
+        share = counted.get(spec['service'], spec['share'])
+        for region, load in spec.get('load_rps', {}).items():
+            loads[region] = loads.get(region, 0.0) + load * share
+    return loads
--- a/src/jasminehold/decisions/plan.py
+++ b/src/jasminehold/decisions/plan.py
@@ -298,12 +298,13 @@
     return chosen
 
 
-def next_plan(previous, inputs):
+def next_plan(previous, inputs, force=False):
     """Build the next plan of a region.
 
     Args:
         previous: the newest stored plan.
         inputs: :class:`Inputs`.
+        force: whether a new version is needed although the shares stay.
 
     Returns:
         The next plan, or ``previous`` itself when nothing has to change. The
@@ -348,7 +349,8 @@
     )
     drains = sorted(limit.id for limit in inputs.limits if limit.drained)
     if (
-        shares == previous['shares']
+        not force
+        and shares == previous['shares']
         and witnesses == previous['witnesses']
         and drains == previous['drains']
     ):
--- a/src/jasminehold/platform/http.py
+++ b/src/jasminehold/platform/http.py
@@ -75,6 +75,11 @@
         self._retry_at = 0.0
         self._closed = False
 
+    @property
+    def connected(self):
+        """Whether a connection is open."""
+        return bool(self._conns)
+
     def available(self):
         """Return whether a request would be tried now."""
         return not self._failures or (
--- /dev/null
+++ b/src/jasminehold/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Steering of one instance: places, upstreams and look-up answers."""
