--- a/src/jasminehold/proxy/exchange.py
+++ b/src/jasminehold/proxy/exchange.py
@@ -447,7 +447,12 @@
         """Take the answer's head."""
         headers = list(event.headers)
         values = dict(headers)
-        if values.get(b'jasminehold-request', self._id) != self._id:
+        echo = values.get(b'jasminehold-request')
+        if echo is not None:
+            self._upstream.echoes = True
+        # A second answer to an earlier request can arrive after the
+        # connection was taken for this one.
+        if self._upstream.echoes and echo != self._id:
             self._server.metrics.inc('answers_foreign_total')
             self._on_faulty()
             return
--- a/src/jasminehold/proxy/upstream.py
+++ b/src/jasminehold/proxy/upstream.py
@@ -30,11 +30,16 @@
     The user sets ``user``, an object with ``on_head(event)``,
     ``on_answer_body(data)``, ``on_answer_end()``, ``on_loss(exc)`` and
     ``on_upstream_drain()``.
+
+    Attributes:
+        echoes: whether an answer on this connection named its request, so
+            that each later one has to.
     """
 
     def __init__(self, pool, entry, conn):
         self.user = None
         self.idle_since = 0.0
+        self.echoes = False
         self._pool = pool
         self._entry = entry
         self._conn = conn
--- a/src/jasminehold/standin/upstream.py
+++ b/src/jasminehold/standin/upstream.py
@@ -1,8 +1,9 @@
 """A stand-in for an upstream server, with slots, faults and counts.
 
 Its answer's body is derived from the request, so that a test can check each
-answer byte by byte with :func:`answer_body`. Request headers ask for sizes
-and faults:
+answer byte by byte with :func:`answer_body`. It names the headers and
+the deadline that it saw in ``X-Seen`` and ``X-Deadline``. Request headers ask
+for sizes and faults:
 
 - ``X-Size``: bytes of the answer's body; ``X-Framing: chunked``.
 - ``X-Service-Ms``: service time instead of the drawn one.
@@ -129,7 +130,9 @@
             elif isinstance(event, h11.EndOfMessage):
                 self._upstream.submit(self.work)
 
-    def answer(self, status, headers, body, chunked=False, cut=None, end=None):
+    def answer(
+        self, status, headers, body, chunked=False, cut=None, foreign=None
+    ):
         """Send an answer.
 
         Args:
@@ -138,11 +141,14 @@
             body: bytes.
             chunked: framing.
             cut: number of bytes after which the connection is closed.
-            end: called after the whole answer was written.
+            foreign: request id to name instead of the right one.
         """
         if self.conn.closed:
             return
         headers = list(headers)
+        echo = self.work.values.get(b'jasminehold-request')
+        if echo is not None:
+            headers.append((b'jasminehold-request', foreign or echo))
         if not chunked:
             headers.append((b'content-length', b'%d' % len(body)))
         head = h11.Response(status_code=status, headers=headers)
@@ -154,7 +160,7 @@
             body[start : min(start + WRITE_BYTES, limit)]
             for start in range(0, limit, WRITE_BYTES)
         ]
-        self._after = end or self._next
+        self._after = self._next
         if cut is not None:
             self._after = self.conn.close
         self._send_more()
@@ -354,10 +360,12 @@
             work.number(b'x-size', 64),
         )
         chunked = values.get(b'x-framing') == b'chunked'
-        echo = values.get(b'jasminehold-request', b'')
-        headers = [(b'x-upstream', self.name.encode())]
-        if echo:
-            headers.append((b'jasminehold-request', echo))
+        headers = [
+            (b'x-upstream', self.name.encode()),
+            (b'x-seen', b' '.join(name for name, _ in head.headers)),
+            (b'x-deadline', values.get(b'jasminehold-deadline', b'')),
+            (b'keep-alive', b'timeout=9'),
+        ]
         fault = self._fault(work)
         if fault in (b'reset', b'short'):
             cut = len(body) // 2 if fault == b'reset' else len(body) - 1
@@ -365,13 +373,14 @@
         elif fault == b'drop':
             served.conn.close()
         elif fault == b'foreign':
-            headers[-1] = (b'jasminehold-request', b'other-1')
-            served.answer(200, headers, body, chunked)
+            served.answer(200, headers, body, chunked, foreign=b'other-1')
         elif fault in _RAW:
             served.answer_raw(_RAW[fault] % len(body) + body)
         elif fault == b'double':
-            raw = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % len(body)
-            served.conn.write((raw + body) * 2)
+            echo = values.get(b'jasminehold-request', b'')
+            raw = _DOUBLE % (echo, len(body)) + body
+            served.conn.write(raw)
+            served.conn.write(raw)
         else:
             served.answer(200, headers, body, chunked)
 
@@ -405,6 +414,10 @@
         }
 
 
+_DOUBLE = (
+    b'HTTP/1.1 200 OK\r\njasminehold-request: %s\r\n'
+    b'content-length: %d\r\n\r\n'
+)
 _RAW = {
     b'unframed': b'HTTP/1.1 200 OK\r\nx-size: %d\r\n\r\n',
     b'both': b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n'
--- a/tests/features/proxy_path.feature
+++ b/tests/features/proxy_path.feature
@@ -93,6 +93,21 @@
     When a caller sends 8000000 bytes, asks for 20000000 and reads slowly
     Then it gets its whole answer and buffers stayed under 1500000 bytes
 
+  Scenario: Headers of one hop stay there and the deadline is bounded
+    Given proxies
+    When a caller sends a request with headers of one hop and a deadline
+    Then the upstream saw none of these headers and less time than allowed
+
+  Scenario: A target that comes after its caller left is released
+    Given proxies
+    When a caller leaves while its request waits for a target
+    Then the late target is released and nothing ran
+
+  Scenario: A caller that does not read its answer is cut off at the deadline
+    Given proxies
+    When a caller asks for 30000000 bytes and does not read
+    Then its request ends and the work is cancelled
+
   Scenario: Pipelined requests are answered in order
     Given proxies
     When a caller sends 20 requests in one write
--- a/tests/features/steps/proxy_path_steps.py
+++ b/tests/features/steps/proxy_path_steps.py
@@ -8,6 +8,8 @@
 import h11
 
 from builders import proxy_rig
+from jasminehold import errors
+from jasminehold.proxy import hooks
 from jasminehold.proxy import server as server_module
 from jasminehold.standin import caller
 from jasminehold.standin import upstream as standin
@@ -327,6 +329,65 @@
     assert 0 < context.most < bound, context.most
 
 
+@behave.when('a caller sends a request with headers of one hop and a deadline')
+def when_hop(context):
+    context.client = _client(context)
+    headers = {'Connection': 'X-Own, keep-alive', 'X-Own': '1', 'TE': 'gzip'}
+    headers |= {'Keep-Alive': '5', 'Upgrade': 'h2c', 'Proxy-Connection': 'x'}
+    headers['Jasminehold-Deadline'] = 500
+    context.reply = context.client.ask('GET', '/', headers)
+
+
+@behave.then(
+    'the upstream saw none of these headers and less time than allowed'
+)
+def then_hop(context):
+    seen = context.reply.headers['x-seen'].split()
+    own = ['jasminehold-deadline', 'jasminehold-request']
+    assert sorted(seen) == ['host'] + own, seen
+    assert 'keep-alive' not in context.reply.headers
+    assert 0 < int(context.reply.headers['x-deadline']) <= 500
+    reply = context.client.ask('GET', '/', {'Jasminehold-Deadline': 90000})
+    assert 0 < int(reply.headers['x-deadline']) <= 800, reply
+
+
+@behave.when('a caller leaves while its request waits for a target')
+def when_wait(context):
+    rig, waiting = context.rig, []
+    pick = rig.hooks.pick
+    rig.proxies[0].hooks = rig.hooks._replace(
+        pick=lambda *args: hooks.Refusal(errors.Kind.OVERLOADED),
+        wait_for_target=lambda req, deadline, done: waiting.append(done),
+    )
+    client = _client(context)
+    client.send('POST', '/')
+    assert _until(lambda: waiting)
+    client.close()
+    assert _until(lambda: not rig.proxies[0].exchanges)
+    rig.call(lambda: waiting[0](pick(None, (), 0)))
+
+
+@behave.then('the late target is released and nothing ran')
+def then_late_target(context):
+    assert context.rig.released == 1
+    then_nothing(context)
+
+
+@behave.when('a caller asks for {size:d} bytes and does not read')
+def when_unread(context, size):
+    _client(context).send('GET', '/', {'X-Size': size})
+    assert _until(lambda: context.rig.proxies[0].exchanges)
+
+
+@behave.then('its request ends and the work is cancelled')
+def then_unread(context):
+    rig = context.rig
+    assert _until(lambda: not rig.proxies[0].exchanges)
+    name = 'answers_cut_total'
+    assert rig.metrics.value(name, kind='deadline_unknown') == 1
+    assert rig.taken == rig.released == 1
+
+
 @behave.when('a caller sends {count:d} requests in one write')
 def when_pipelined(context, count):
     client = _client(context)
