--- a/src/jasminehold/proxy/exchange.py
+++ b/src/jasminehold/proxy/exchange.py
@@ -227,8 +227,12 @@
 
     def on_caller_gone(self):
         """Take the loss of the caller's connection."""
-        if self._state is not None:
-            self.on_event(Event.CANCEL)
+        if self._state is None:
+            return
+        self.on_event(Event.CANCEL)
+        if self._upstream is not None:
+            # A detached request is read to its end.
+            self._upstream.resume()
 
     def stop(self):
         """End the request at once because the process stops."""
@@ -447,7 +451,12 @@
         """Take the answer's head."""
         headers = list(event.headers)
         values = dict(headers)
-        if values.get(b'jasminehold-request', self._id) != self._id:
+        echo = values.get(b'jasminehold-request')
+        if echo is not None:
+            self._upstream.echoes = True
+        # A second answer to an earlier request can arrive after the
+        # connection was taken for this one.
+        if self._upstream.echoes and echo != self._id:
             self._server.metrics.inc('answers_foreign_total')
             self._on_faulty()
             return
--- a/src/jasminehold/proxy/upstream.py
+++ b/src/jasminehold/proxy/upstream.py
@@ -30,11 +30,16 @@
     The user sets ``user``, an object with ``on_head(event)``,
     ``on_answer_body(data)``, ``on_answer_end()``, ``on_loss(exc)`` and
     ``on_upstream_drain()``.
+
+    Attributes:
+        echoes: whether an answer on this connection named its request, so
+            that each later one has to.
     """
 
     def __init__(self, pool, entry, conn):
         self.user = None
         self.idle_since = 0.0
+        self.echoes = False
         self._pool = pool
         self._entry = entry
         self._conn = conn
@@ -239,6 +244,13 @@
         if conn in entry.idle:
             entry.idle.remove(conn)
 
+    def reap(self, now):
+        """Close connections that have been idle for too long."""
+        for entry in self._entries.values():
+            # The most recently used ones are at the end.
+            while entry.idle and now - entry.idle[0].idle_since > IDLE_S:
+                entry.idle[0].abort()
+
     def close_idle(self):
         """Close all idle connections."""
         for entry in self._entries.values():
