--- a/src/jasminehold/decisions/membership.py
+++ b/src/jasminehold/decisions/membership.py
@@ -230,7 +230,10 @@
         self.listed = frozenset(entry['id'] for entry in entries)
         self.listed_at = now
         for entry in entries:
-            if entry['id'] in self._members or entry.get('state') != 'live':
+            if (
+                entry['id'] in self._members
+                or entry.get('state', 'live') != 'live'
+            ):
                 continue
             self._put(
                 Member(
--- a/src/jasminehold/decisions/status_tree.py
+++ b/src/jasminehold/decisions/status_tree.py
@@ -10,9 +10,14 @@
 FAN_IN = 16
 MAX_STRAGGLERS = 8
 PERIOD_S = 1.0
-# In fleets above LARGE_FLEET the control budget allows a summary every 5 s.
-LARGE_PERIOD_S = 5.0
+# In fleets above LARGE_FLEET the replies carry the ages of 24 witnesses each
+# second. With fan-in 16 an inner node then moves 14.4 KB a second in both
+# directions, with 4 at most 8.2 KB (bench/gossip.py's model, 400 instances).
+# A summary every 2.5 s costs 2% more than one every 5 s and makes up for the
+# deeper tree.
 LARGE_FLEET = 64
+LARGE_FAN_IN = 4
+LARGE_PERIOD_S = 2.5
 # Time without a message from a child until its summary is dropped. Children
 # ask about once a second, also between summaries. A child that moved to
 # another parent counts twice for that long.
@@ -26,12 +31,12 @@
 
     Args:
         own_id: this instance's id.
-        fan_in: children per node.
+        fan_in: children per node up to ``LARGE_FLEET`` instances.
     """
 
     def __init__(self, own_id, fan_in=FAN_IN):
         self.own_id = own_id
-        self.fan_in = fan_in
+        self.fan_in = self._small_fan_in = fan_in
         self.period = PERIOD_S
         self._order = [own_id]
         self._index = {own_id: 0}
@@ -50,7 +55,9 @@
         if planner in order:
             order.remove(planner)
             order.insert(0, planner)
-        self.period = LARGE_PERIOD_S if fleet > LARGE_FLEET else PERIOD_S
+        large = fleet > LARGE_FLEET
+        self.period = LARGE_PERIOD_S if large else PERIOD_S
+        self.fan_in = LARGE_FAN_IN if large else self._small_fan_in
         if order == self._order:
             return
         self._order = order
--- /dev/null
+++ b/src/jasminehold/peers/agent.py
@@ -0,0 +1,240 @@
+"""Drives membership, documents, notices and the status tree over the mesh.
+
+Holds no rule; see ``decisions.peer_state`` for them.
+"""
+
+import typing
+
+from jasminehold.decisions import membership
+from jasminehold.decisions import peer_state
+from jasminehold import errors
+from jasminehold import logs
+from jasminehold.peers import frames
+
+_log = logs.get('peers')
+
+
+class AgentCfg(typing.NamedTuple):
+    """Settings, in seconds.
+
+    Attributes:
+        own: this instance's ``membership.Member``.
+        members: the ``membership.MembershipCfg``.
+        period: between two exchanges.
+        push_delay: how long news is gathered before it is pushed.
+        ask_timeout: for exchanges, fetches and status.
+    """
+
+    own: membership.Member
+    members: membership.MembershipCfg = membership.MembershipCfg()
+    period: float = 1.0
+    push_delay: float = 0.02
+    ask_timeout: float = 2.0
+
+
+class Hooks(peer_state.Hooks):
+    """What the application supplies; values are decoded documents."""
+
+
+class _DecodingHooks:
+    def __init__(self, hooks, metrics):
+        self._hooks = hooks
+        self._metrics = metrics
+
+    def __getattr__(self, name):
+        return getattr(self._hooks, name)
+
+    def on_document(self, key, value, version):
+        self._metrics.inc('gossip_documents_received')
+        self._hooks.on_document(key, frames.unpack(value), version)
+
+    def on_member(self, member):
+        self._metrics.inc('peer_member_changes', state=member.state)
+        self._hooks.on_member(member)
+
+
+class Agent:
+    """One instance's part in what instances tell each other.
+
+    Args:
+        loop: the :class:`loop.Loop`.
+        mesh: the :class:`mesh.Mesh`; its ``address_of`` is set here.
+        cfg: the :class:`AgentCfg`.
+        rng: ``random.Random``.
+        metrics: the :class:`metrics.Metrics`.
+        hooks: the :class:`Hooks`.
+
+    Attributes:
+        state: the :class:`peer_state.PeerState`.
+    """
+
+    def __init__(self, loop, mesh, cfg, rng, metrics, hooks):
+        self._loop = loop
+        self._mesh = mesh
+        self._cfg = cfg
+        self._rng = rng
+        self._metrics = metrics
+        self._push_timer = None
+        self._stopped = False
+        self.state = peer_state.PeerState(
+            cfg.own,
+            cfg.members,
+            rng,
+            _DecodingHooks(hooks, metrics),
+            loop.now(),
+        )
+        mesh.address_of = self.address_of
+        mesh.on_up = self._on_up
+        mesh.on_down = self.state.members.drop_peer
+        for kind in ('exchange', 'fetch', 'documents', 'status', 'leave'):
+            mesh.handle(kind, self._on_message)
+        self._timer = loop.call_later(rng.random() * cfg.period, self._tick)
+
+    def start(self, seeds=()):
+        """Add known instances.
+
+        Args:
+            seeds: entries as in the platform's list, from the settings, so
+                that an instance can start while the platform is down.
+        """
+        self.on_platform_list(seeds)
+
+    def on_platform_list(self, entries):
+        """Take the platform's lagging list of instances."""
+        self.state.members.on_platform_list(entries, self._loop.now())
+        self._relink()
+
+    def address_of(self, instance_id):
+        """Return ``(host, port)`` of an instance, or None."""
+        member = self.state.members.get(instance_id)
+        return None if member is None else (member.host, member.port)
+
+    def set_state(self, state):
+        """Change this instance's own state, for example to ``LIVE``."""
+        self.state.members.set_state(state, self._loop.now())
+        self._push_soon()
+
+    def publish(self, key, value, version):
+        """Spread a document.
+
+        Args:
+            key: its key.
+            value: anything msgpack encodes, at most 512 KiB.
+            version: the platform's version of it.
+
+        Returns:
+            True when it was newer than the one known.
+
+        Raises:
+            ValueError: when it is too large.
+            PeerError: when it cannot be encoded.
+        """
+        newer = self.state.publish(key, frames.pack(value), version)
+        if newer:
+            self._push_soon()
+        return newer
+
+    def notify(self, key, value, ttl):
+        """Spread a small notice for ``ttl`` seconds."""
+        self.state.notify(key, value, ttl, self._loop.now())
+        self._push_soon()
+
+    def leave(self, done):
+        """Tell the peers that this instance ends, then call ``done()``.
+
+        The application sets ``LEAVING`` when its drain begins and calls this
+        when nothing is in flight.
+        """
+        self._send(self.state.leave(self._loop.now()))
+        self.stop()
+        # Gives the links time to send what is buffered.
+        self._loop.call_later(0.2, done)
+
+    def stop(self):
+        """Stop the timers."""
+        self._stopped = True
+        self._timer.cancel()
+        if self._push_timer is not None:
+            self._push_timer.cancel()
+
+    def _tick(self):
+        cfg = self._cfg
+        # A tenth of jitter keeps the instances out of step.
+        delay = cfg.period * self._rng.uniform(0.9, 1.1)
+        self._timer = self._loop.call_later(delay, self._tick)
+        now = self._loop.now()
+        members = self.state.members
+        for peer in members.peers():
+            heard = self._mesh.last_heard(peer)
+            if heard is not None:
+                members.on_heard(peer, heard)
+        self._send(self.state.tick(now))
+        self._relink()
+        self._metrics.set('peer_members', members.count())
+        self._metrics.set('peer_links', len(self._mesh.connected()))
+        self._metrics.set('gossip_documents_wanted', self.state.gossip.wants())
+
+    def _relink(self):
+        self._mesh.set_peers(self.state.links())
+
+    def _on_up(self, instance_id):
+        if self._stopped:
+            return
+        # An exchange at once shortens the start of an empty instance and
+        # the repair after a cut.
+        self._send([self.state.greet(instance_id)])
+
+    def _push_soon(self):
+        if self._push_timer is None and not self._stopped:
+            self._push_timer = self._loop.call_later(
+                self._cfg.push_delay, self._push
+            )
+
+    def _push(self):
+        self._push_timer = None
+        self._send(self.state.push(self._loop.now()))
+
+    def _on_message(self, sender, message, reply):
+        self._send(
+            self.state.on_message(sender, message, self._loop.now(), reply)
+        )
+        if self.state.has_news():
+            self._push_soon()
+
+    def _send(self, outs):
+        for out in outs:
+            if out.ask:
+                self._ask(out.peer, out.message)
+            else:
+                self._mesh.send(out.peer, out.message)
+
+    def _ask(self, peer, message):
+        asked_at = self._loop.now()
+
+        def done(reply, exc):
+            now = self._loop.now()
+            if self._stopped:
+                return
+            if exc is not None:
+                self._metrics.inc('peer_asks_failed', type=message['type'])
+                self._send(self.state.on_failed(peer, message, now))
+                return
+            try:
+                outs = self.state.on_reply(peer, message, reply, asked_at, now)
+            except (
+                LookupError,
+                TypeError,
+                ValueError,
+                AttributeError,
+                errors.PeerError,
+            ) as exc:
+                self._metrics.inc('peer_messages_faulty')
+                _log(
+                    'reply failed', level='error', peer=peer, reason=repr(exc)
+                )
+                return
+            self._send(outs)
+            if self.state.has_news():
+                self._push_soon()
+
+        self._mesh.ask(peer, message, self._cfg.ask_timeout, done)
--- a/src/jasminehold/peers/mesh.py
+++ b/src/jasminehold/peers/mesh.py
@@ -87,6 +87,7 @@
         self._numbers = itertools.count(1)
         self._listener = None
         self._handshakes = set()
+        self._closed_bytes = [0, 0]
         self._stopped = False
         self._tick_timer = loop.call_later(TICK_S, self._tick)
 
@@ -118,6 +119,13 @@
         peer = self._peers.get(instance_id)
         return peer is not None and _ready(peer) is not None
 
+    def traffic(self):
+        """Return the bytes received and sent by links since the start."""
+        links = [x for peer in self._peers.values() for x in peer.links]
+        received = sum(link.bytes_in for link in links)
+        sent = sum(link.bytes_out for link in links)
+        return self._closed_bytes[0] + received, self._closed_bytes[1] + sent
+
     def last_heard(self, instance_id):
         """Return when an instance's ready link was last heard, or None."""
         peer = self._peers.get(instance_id)
@@ -384,6 +392,8 @@
     def _on_close(self, link, exc):
         was_handshake = link in self._handshakes
         self._handshakes.discard(link)
+        self._closed_bytes[0] += link.bytes_in
+        self._closed_bytes[1] += link.bytes_out
         self._metrics.inc('peer_links_closed', reason=_reason(exc))
         if not link.ready:
             if link.initiated:
--- a/tests/builders/peers.py
+++ b/tests/builders/peers.py
@@ -4,8 +4,11 @@
 
 import circuits
 
+from jasminehold.decisions import membership
+from jasminehold.decisions import status_tree
 from jasminehold import loop as loop_module
 from jasminehold import metrics
+from jasminehold.peers import agent
 from jasminehold.peers import link
 from jasminehold.peers import mesh
 
@@ -105,3 +108,84 @@
 
         listener = self.loop.listen('127.0.0.1', 0, on_accept)
         self.addresses[name] = (listener.host, listener.port)
+
+
+class _Recorder(agent.Hooks):
+    def __init__(self, fleet, name):
+        self.fleet = fleet
+        self.name = name
+        self.documents = {}
+        self.notices = {}
+        self.contacts = set()
+        self.summary = None
+
+    def on_document(self, key, value, version):
+        self.documents[key] = (version, value)
+
+    def on_notice(self, key, value, seconds_left):
+        self.notices[key] = value
+
+    def heard(self, region, witness, asked_at, age_s, plan_version, now):
+        self.contacts.add((region, witness, plan_version))
+
+    def on_region_summary(self, summary):
+        self.summary = summary
+
+    def own_summary(self):
+        return status_tree.leaf(self.name, 'p', 1, {'sul': 7}, {}, 2)
+
+    def witnesses(self):
+        return {'sul': ['a', 'b']}
+
+    def own_witness(self):
+        return {'sul': 7} if self.name in ('a', 'b') else {}
+
+
+class Agents(Meshes):
+    """A root component with one loop and an agent per instance."""
+
+    def init(self):
+        super().init()
+        self.agents = {}
+        self.hooks = {}
+        self.incarnation = 1000
+
+    def add_agent(self, name, seeds=()):
+        """Start an instance that knows the seeds only."""
+        made = self.add(name)
+        self.incarnation += 1
+        host, port = self.addresses[name]
+        own = membership.Member(
+            name, self.incarnation, membership.LIVE, host, port, 'p', 'sul'
+        )
+        self.hooks[name] = _Recorder(self, name)
+        self.agents[name] = agent.Agent(
+            self.loop,
+            made,
+            agent.AgentCfg(
+                own,
+                membership.MembershipCfg(suspect_after=3.0, gone_after=1.0),
+                period=0.5,
+            ),
+            random.Random(name),
+            self.metrics[name],
+            self.hooks[name],
+        )
+        self.agents[name].start(
+            [
+                {**self.agents[seed].state.members.own._asdict()}
+                for seed in seeds
+            ]
+        )
+        return self.agents[name]
+
+    def kill(self, name):
+        """End an instance without notice."""
+        self.agents.pop(name).stop()
+        self.meshes[name].stop()
+
+    def active(self):
+        """Return the sets of active members that the instances hold."""
+        return {
+            tuple(made.state.members.active()) for made in self.agents.values()
+        }
