Bound the time and memory of clients that do not read

Cause: the close event waits without a bound for the write buffer, so a client that never reads kept its connection and up to a page of memory. Change: the guard aborts a connection idle_timeout after its answer started; the kernel's send buffer is set to 64 KiB.

--- a/src/jasminehold/api.py
+++ b/src/jasminehold/api.py
@@ -16,6 +16,7 @@
 import json
 import random
 import re
+import socket
 import typing
 import urllib.parse
 
@@ -38,6 +39,9 @@
 # follow, so that one reader cannot make an instance buffer the whole config.
 PAGE_BYTES = 1024 * 1024
 PAGE_ITEMS = 1000
+# Kernel memory for a connection whose client does not read; without it the
+# kernel takes a whole page, 256 MB for the default limit on connections.
+SEND_BUFFER_BYTES = 64 * 1024
 
 _log = logs.get('api')
 
@@ -100,14 +104,20 @@
         # Not ``circuits.web.BaseServer``: it ends the process 3 s after any
         # signal, which would cut off requests that a planned stop waits for.
         self._server = sockets.TCPServer(
-            tuple(cfg.api_listen), channel=self.channel
+            tuple(cfg.api_listen),
+            channel=self.channel,
+            socket_options=[
+                (socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+            ],
         ).register(self)
         self.host, self.port = self._server.host, self._server.port
         http = web_http.HTTP(self, channel=self.channel).register(self)
         # Its handler reads attributes that events of other components lack
         # and would then raise on its own exception event, without end.
         http.removeHandler(http._on_exception, 'exception')
-        self._guard = api_guard.Guard(cfg, loop, self._metrics).register(self)
+        self._guard = api_guard.Guard(
+            cfg, loop, self._metrics, self._server._close
+        ).register(self)
 
     @property
     def in_flight(self):
--- a/src/jasminehold/api_guard.py
+++ b/src/jasminehold/api_guard.py
@@ -70,15 +70,18 @@
         cfg: the settings.
         loop: the event loop, for time-outs.
         metrics: counters; ``api_refused_total`` has the label ``kind``.
+        abort: ``abort(sock)`` closes a connection and drops what it has not
+            sent; the ``close`` event waits for that without a bound.
     """
 
     channel = 'web'
 
-    def __init__(self, cfg, loop, metrics):
+    def __init__(self, cfg, loop, metrics, abort):
         super().__init__(channel=self.channel)
         self._cfg = cfg
         self._loop = loop
         self._metrics = metrics
+        self._abort = abort
         self._states = {}
 
     def request_of(self, sock):
@@ -111,6 +114,15 @@
         if state is not None:
             state.timer.cancel()
 
+    @circuits.handler('response', priority=100)
+    def _on_response(self, res):
+        state = self._states.get(res.request.sock)
+        if state is not None:
+            state.timer.cancel()
+            state.timer = self._loop.call_later(
+                self._cfg.idle_timeout, self._expire, state
+            )
+
     @circuits.handler('write', priority=100)
     def _on_write(self, event, sock, data):
         # The client may be gone by now; the poller fails on closed sockets.
@@ -234,12 +246,13 @@
         state.timer = self._loop.call_later(LINGER_S, self._close, state)
 
     def _expire(self, state):
+        # The request or the reading of the answer took too long.
         self._metrics.inc('api_refused_total', kind='timeout')
         self._close(state)
 
     def _close(self, state):
         if state.sock in self._states:
-            self.fire(net_events.close(state.sock))
+            self._abort(state.sock)
 
 
 def error_document(exc):
--- a/tests/features/api.feature
+++ b/tests/features/api.feature
@@ -76,7 +76,11 @@
     Then audit entries after a version arrive, a waiting reader gets the next one, and the actors are those of the tokens
 
   Scenario: Lists are paged by size
-    Then 4 resources of 400 KB are listed on two pages
+    Given 4 resources of 400 KB are listed on two pages
+
+  Scenario: A client that does not read its answer loses its connection
+    Given 4 resources of 400 KB are listed on two pages
+    Then a client that does not read such a page is closed within 3 s and counted
 
   Scenario: Health, readiness and a stop
     Then healthz is 200, readyz follows the reasons, and a stop ends waiting watches and refuses new connections
--- a/tests/features/steps/api_steps.py
+++ b/tests/features/steps/api_steps.py
@@ -17,7 +17,10 @@
 @behave.given("an operators' API")
 def given_api(context):
     context.api = api_server.ApiServer(
-        api_read_timeout=1.0, api_max_connections=8, watch_history=6
+        api_read_timeout=1.0,
+        idle_timeout=1.0,
+        api_max_connections=8,
+        watch_history=6,
     )
     context.add_cleanup(context.api.stop)
 
@@ -235,7 +238,7 @@
     assert entry['change']['actor'] == 'ana', entry
 
 
-@behave.then('4 resources of 400 KB are listed on two pages')
+@behave.given('4 resources of 400 KB are listed on two pages')
 def then_pages(context):
     context.api.config.apply(documents.base_entries())
     for name in 'abcd':
@@ -271,3 +274,19 @@
     except ConnectionRefusedError:
         return
     raise AssertionError('accepted a connection after the stop')
+
+
+@behave.then(
+    'a client that does not read such a page is closed within 3 s and '
+    'counted'
+)
+def then_unread(context):
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect(('127.0.0.1', context.api.port))
+        request = 'GET /v1/resources/client_blocks HTTP/1.1\r\n%s\r\n' % AUTH
+        sock.sendall(request.encode())
+        time.sleep(3)
+        assert len(_read_all(sock)) < 1000000
+    value = context.api.metrics.value('api_refused_total', kind='timeout')
+    assert value == 1, value
--- a/tests/features/steps/config_steps.py
+++ b/tests/features/steps/config_steps.py
@@ -64,14 +64,9 @@
 
 @behave.then('10000 blocks are valid and 10001 are not')
 def then_blocks(context):
-    blocks = [
-        {'cidr': '10.%d.%d.0/24' % divmod(i, 256), 'site': 'sul-1'}
-        for i in range(10001)
-    ]
-    spec = {'region': 'sul', 'blocks': blocks[:10000]}
-    assert resources.check('client_blocks', spec, _held()) == []
-    spec['blocks'] = blocks
-    assert resources.check('client_blocks', spec)
+    good, bad = documents.blocks(10000), documents.blocks(10001)
+    assert resources.check('client_blocks', good, _held()) == []
+    assert resources.check('client_blocks', bad)
 
 
 @behave.then("each example on the operators' page is valid")
