--- a/src/jasminehold/app.py
+++ b/src/jasminehold/app.py
@@ -22,7 +22,6 @@
 from jasminehold.control import reports
 from jasminehold.control import statuses
 from jasminehold.decisions import claim_log
-from jasminehold.decisions import contact
 from jasminehold.decisions import duty
 from jasminehold.decisions import holder as holder_module
 from jasminehold.decisions import limit_table
@@ -30,6 +29,8 @@
 from jasminehold.decisions import membership
 from jasminehold.decisions import plan as plan_rules
 from jasminehold import duties as duties_module
+from jasminehold import effective
+from jasminehold import errors
 from jasminehold import logs
 from jasminehold import loop as loop_module
 from jasminehold import metrics as metrics_module
@@ -110,6 +111,7 @@
         self.loop = loop_module.Loop().register(self)
         self.metrics = metrics_module.Metrics()
         self.config = config_module.ConfigSet()
+        self.effective = effective.EffectiveConfig(self.config)
         self.tables = tables_module.Tables()
         self.holder = holder_module.Holder(cfg.id)
         self._head = None
@@ -124,6 +126,10 @@
 
     def _build_platform(self):
         cfg = self.cfg
+        if not cfg.platform:
+            raise errors.SettingsError('platform: needs an address')
+        if not cfg.peer_keys:
+            raise errors.SettingsError('peer_keys: needs a key')
         self.client = platform_client.PlatformClient(
             self.loop,
             [tuple(address) for address in cfg.platform],
@@ -176,7 +182,7 @@
             self.loop,
             planner_module.Port(
                 client=self.client,
-                config=self.config,
+                config=self.effective,
                 members=self._plan_members,
                 publish=self.publish,
                 notify=self.notify,
@@ -455,11 +461,11 @@
         for plan in self.holder.plans.values():
             for part, values in plan.get('steps', {}).items():
                 steps[part].update(values)
-        self.tables.rebuild(self.config, steps, self.picker.leaving)
+        self.tables.rebuild(self.effective, steps, self.picker.leaving)
         declared = []
         for region in set(self.tables.place_region.values()):
             declared += limit_table.region_limits(
-                region, self.config, self.tables.drained, {}
+                region, self.effective, self.tables.drained, {}
             )
         self.holder.set_groups(declared)
         self.picker.on_tables()
@@ -513,7 +519,7 @@
 
     def _drained(self):
         return tables_module.drained_targets(
-            self.config, self.tables.place_region, self.picker.leaving
+            self.effective, self.tables.place_region, self.picker.leaving
         )
 
     def _is_gone(self, instance_id):
--- a/src/jasminehold/decisions/membership.py
+++ b/src/jasminehold/decisions/membership.py
@@ -41,6 +41,8 @@
         place: its place.
         region: its region.
         left: whether it announced its own end.
+        caller_host: IP address of its callers' port.
+        caller_port: its callers' port, 0 when unknown.
     """
 
     id: str
@@ -51,6 +53,8 @@
     place: str
     region: str
     left: bool = False
+    caller_host: str = ''
+    caller_port: int = 0
 
 
 class MembershipCfg(typing.NamedTuple):
@@ -485,7 +489,7 @@
     Raises:
         ValueError: when a field is missing or of another type.
     """
-    if len(entry) != 8:
+    if len(entry) != len(Member._fields):
         raise ValueError('member entry has %d fields' % len(entry))
     member = Member(*entry)
     texts = (member.id, member.host, member.place, member.region)
@@ -494,6 +498,8 @@
         or not isinstance(member.incarnation, int)
         or not 0 <= member.incarnation < MAX_INCARNATION
         or not isinstance(member.port, int)
+        or not isinstance(member.caller_host, str)
+        or not isinstance(member.caller_port, int)
         or member.state not in RANKS
         or not isinstance(member.left, bool)
     ):
--- a/src/jasminehold/decisions/plan.py
+++ b/src/jasminehold/decisions/plan.py
@@ -152,6 +152,9 @@
 
 
 def _weights(limit, members, demand):
+    if limit.kind == 'link':
+        # Only the instances at the start of a link send over it.
+        members = [m for m in members if m.place == limit.place]
     wanted = demand.get(limit.id) or demand.get(limit.group) or {}
     total = sum(wanted.get(member.name, 0) for member in members)
     weights = {}
--- a/src/jasminehold/peers/link.py
+++ b/src/jasminehold/peers/link.py
@@ -51,8 +51,8 @@
         conn: the open :class:`loop.Conn`.
         ring: the :class:`KeyRing`.
         own_id: this instance's id.
-        expected: id that the other side must have, or None when it
-            connected to this instance.
+        expected: id that the other side must have, '' when any will do, or
+            None when it connected to this instance.
         on_ready: called with the link after authentication.
         on_message: called with the link and each decoded message.
         on_close: called once with the link and None or the exception.
@@ -199,6 +199,8 @@
 
     def _on_challenge(self, message):
         _check(message, 'challenge', id=str, nonce=bytes, key=str, proof=bytes)
+        if not self.peer_id and message['id'] != self._own_id:
+            self.peer_id = message['id']
         if message['id'] != self.peer_id:
             raise errors.PeerError('another instance answered')
         if self._ring.get(message['key']) is None:
--- a/src/jasminehold/peers/mesh.py
+++ b/src/jasminehold/peers/mesh.py
@@ -22,6 +22,7 @@
 IDLE_CLOSE_S = 60.0
 TICK_S = 0.5
 MAX_QUEUED = 64
+SEED_RETRY_S = 2.0
 MAX_ASKS = 4096
 # Unauthenticated connections are closed beyond this number, so that they
 # cannot use up the descriptors of the process.
@@ -96,6 +97,26 @@
         self._listener = self.loop.listen(host, port, self._on_accept)
         return self._listener
 
+    def add_seed(self, host, port):
+        """Link to an address whose instance is unknown, until one is linked.
+
+        Args:
+            host: IP address of a peer port.
+            port: its port.
+        """
+        if self._stopped or self.connected():
+            return
+        delay = self._rng.uniform(SEED_RETRY_S / 2, SEED_RETRY_S)
+        self.loop.call_later(delay, self.add_seed, host, port)
+
+        def on_open(conn):
+            self._handshakes.add(self._link(conn, ''))
+
+        self._metrics.inc('peer_connects')
+        self.loop.connect(
+            host, port, on_open, lambda exc: None, CONNECT_TIMEOUT_S
+        )
+
     def handle(self, kind, func):
         """Register ``func(sender_id, message, reply)`` for a message type.
 
--- a/src/jasminehold/proxy/exchange.py
+++ b/src/jasminehold/proxy/exchange.py
@@ -465,6 +465,10 @@
             and values.get(b'jasminehold-run') == b'not-run'
         ):
             self._refused = True
+            if b'leaving' in values:
+                target = self._target.upstream
+                now = self._loop.now()
+                self._hooks.note_result(target, 'leaving', 0.0, now)
             after = values.get(b'retry-after', b'')
             self._retry_after = int(after) if after[:6].isdigit() else 1.0
             return
--- a/src/jasminehold/proxy/hooks.py
+++ b/src/jasminehold/proxy/hooks.py
@@ -11,6 +11,8 @@
 from jasminehold import errors
 
 ANSWERS_KEPT = 10_000
+ANSWERS_KEPT_BYTES = 32 * 1024 * 1024
+ANSWERS_KEPT_S = 600.0
 ATTEMPTS = 3
 IDEMPOTENT = frozenset((b'GET', b'HEAD', b'OPTIONS', b'PUT', b'DELETE'))
 
@@ -113,23 +115,57 @@
 
 
 class AnswerStore:
-    """Answers of claimed requests, at most ``limit``, oldest out first."""
+    """Answers of claimed requests, oldest out first.
 
-    def __init__(self, limit=ANSWERS_KEPT):
+    Args:
+        limit: answers at most.
+        limit_bytes: bytes of their bodies at most.
+        keep_s: seconds for which an answer is kept.
+    """
+
+    def __init__(
+        self,
+        limit=ANSWERS_KEPT,
+        limit_bytes=ANSWERS_KEPT_BYTES,
+        keep_s=ANSWERS_KEPT_S,
+    ):
         self._limit = limit
+        self._limit_bytes = limit_bytes
+        self._keep = keep_s
         self._answers = collections.OrderedDict()
+        self._bytes = 0
 
-    def keep(self, key_digest, answer):
-        """Keep an answer; None is not kept."""
+    def keep(self, key_digest, answer, now=0.0):
+        """Keep an answer; None is not kept.
+
+        Args:
+            key_digest: digest of the key.
+            answer: a :class:`KeptAnswer` or None.
+            now: seconds, monotonic.
+        """
         if answer is None:
             return
-        self._answers[key_digest] = answer
-        while len(self._answers) > self._limit:
-            self._answers.popitem(last=False)
-
-    def find(self, key_digest):
-        """Return the answer or None."""
-        return self._answers.get(key_digest)
+        self._drop(key_digest)
+        self._answers[key_digest] = (now, answer)
+        self._bytes += len(answer.body)
+        while self._answers and (
+            len(self._answers) > self._limit
+            or self._bytes > self._limit_bytes
+            or now - next(iter(self._answers.values()))[0] >= self._keep
+        ):
+            self._drop(next(iter(self._answers)))
+
+    def find(self, key_digest, now=0.0):
+        """Return the answer, or None when there is none or it is too old."""
+        found = self._answers.get(key_digest)
+        if found is None or now - found[0] >= self._keep:
+            return None
+        return found[1]
+
+    def _drop(self, key_digest):
+        found = self._answers.pop(key_digest, None)
+        if found is not None:
+            self._bytes -= len(found[1].body)
 
 
 def _ignore(*args):
