Fail a feature when a callback of the rig raised

circuits reports such faults on standard error only, so a scenario could pass over one. proxy_path.feature and proxy_random.feature: 49 scenarios passed and no callback raised.

--- a/tests/builders/proxy_rig.py
+++ b/tests/builders/proxy_rig.py
@@ -52,6 +52,15 @@
         del self.entries[key]
 
 
+class _Faults(circuits.Component):
+    def init(self):
+        self.seen = []
+
+    @circuits.handler('exception', channel='*')
+    def _on_exception(self, *args, **kwargs):
+        self.seen.append(args[1])
+
+
 class Rig:
     """Runs a loop in a thread with proxies and upstreams."""
 
@@ -65,6 +74,7 @@
         rng=None,
     ):
         self.root = circuits.Component()
+        self.faults = _Faults().register(self.root)
         self.loop = loop_module.Loop().register(self.root)
         self.metrics = metrics_module.Metrics()
         self.options = options or standin.Options()
@@ -160,3 +170,4 @@
         self.stopping = True
         self.root.stop()
         self.thread.join(10)
+        assert not self.faults.seen, self.faults.seen
