--- a/tests/builders/proxy_rig.py
+++ b/tests/builders/proxy_rig.py
@@ -72,6 +72,7 @@
         limits=None,
         timeout_s=2.0,
         rng=None,
+        connections=300,
     ):
         self.root = circuits.Component()
         self.faults = _Faults().register(self.root)
@@ -84,6 +85,7 @@
         self.all = []
         self.crashes = []
         self.taken = self.released = 0
+        self.connections = connections
         self.stopping = False
         for name in names:
             self.start_upstream(name, 0)
@@ -117,7 +119,9 @@
             if isinstance(found, hooks_module.Refusal):
                 return found
             self.taken += 1
-            return found._replace(release=self._release)
+            return found._replace(
+                release=self._release, connections=self.connections
+            )
 
         return counted
 
--- a/tests/features/proxy_path.feature
+++ b/tests/features/proxy_path.feature
@@ -60,7 +60,15 @@
 
   Scenario: A shed request is not run and says so
     Given the rig "proxies with one slot and no queue"
-    Then of 6 slow requests at once 2 run, the others are shed
+    Then of 6 slow requests at once 2 run, others get "overloaded"
+
+  Scenario: Connections to an upstream are bounded
+    Given the rig "proxies with one connection to each upstream"
+    Then of 6 slow requests at once 2 run, others get "overloaded"
+
+  Scenario: Callers beyond the limit are turned away
+    Given the rig "proxies that accept no caller"
+    Then the connection of a caller that sends nothing is closed
 
   Scenario: Draining upstreams get no new work
     Given the rig "proxies"
--- a/tests/features/steps/proxy_path_steps.py
+++ b/tests/features/steps/proxy_path_steps.py
@@ -101,6 +101,10 @@
         'limits': server_module.Limits(body_bytes=100_000)
     },
     'proxies with one upstream': {'names': ('a',)},
+    'proxies with one connection to each upstream': {'connections': 1},
+    'proxies that accept no caller': {
+        'limits': server_module.Limits(callers=0)
+    },
 }
 
 
@@ -169,8 +173,8 @@
         assert _correct(client.ask('GET', '/next'), 'GET', '/next')
 
 
-@behave.then('of {count:d} slow requests at once 2 run, the others are shed')
-def then_shed(context, count):
+@behave.then('of {count:d} slow requests at once 2 run, others get "{kind}"')
+def then_shed(context, count, kind):
     clients = [_client(context) for _ in range(count)]
     for index, client in enumerate(clients):
         client.send('POST', '/', {'X-Service-Ms': 400, 'X-Request-Id': index})
@@ -179,7 +183,7 @@
     assert [reply.kind for reply in replies].count('') == 2, replies
     for index, reply in enumerate(replies):
         if reply.kind:
-            _expect(reply, 'overloaded', 'not-run')
+            _expect(reply, kind, 'not-run')
             assert 'retry-after' in reply.headers
         assert runs.get(str(index), 0) == (0 if reply.kind else 1)
 
