--- a/tests/builders/proxy_rig.py
+++ b/tests/builders/proxy_rig.py
@@ -52,6 +52,15 @@
         del self.entries[key]
 
 
+class _Faults(circuits.Component):
+    def init(self):
+        self.seen = []
+
+    @circuits.handler('exception', channel='*')
+    def _on_exception(self, *args, **kwargs):
+        self.seen.append(args[1])
+
+
 class Rig:
     """Runs a loop in a thread with proxies and upstreams."""
 
@@ -63,8 +72,10 @@
         limits=None,
         timeout_s=2.0,
         rng=None,
+        connections=300,
     ):
         self.root = circuits.Component()
+        self.faults = _Faults().register(self.root)
         self.loop = loop_module.Loop().register(self.root)
         self.metrics = metrics_module.Metrics()
         self.options = options or standin.Options()
@@ -74,6 +85,7 @@
         self.all = []
         self.crashes = []
         self.taken = self.released = 0
+        self.connections = connections
         self.stopping = False
         for name in names:
             self.start_upstream(name, 0)
@@ -107,7 +119,9 @@
             if isinstance(found, hooks_module.Refusal):
                 return found
             self.taken += 1
-            return found._replace(release=self._release)
+            return found._replace(
+                release=self._release, connections=self.connections
+            )
 
         return counted
 
@@ -160,3 +174,4 @@
         self.stopping = True
         self.root.stop()
         self.thread.join(10)
+        assert not self.faults.seen, self.faults.seen
