Leave no state and no traceback when operators' clients leave early

Cause: circuits.web raised on sockets that closed while a request was passed on, and kept its parser and write buffer of them. Change: the guard drops such requests, the API removes both leftovers. Result: tests/run.py api.feature passes (42 scenarios); the new scenario fails on the sources before this change.

--- a/src/jasminehold/api.py
+++ b/src/jasminehold/api.py
@@ -111,7 +111,8 @@
             ],
         ).register(self)
         self.host, self.port = self._server.host, self._server.port
-        http = web_http.HTTP(self, channel=self.channel).register(self)
+        self._http = http = web_http.HTTP(self, channel=self.channel)
+        http.register(self)
         # Its handler reads attributes that events of other components lack
         # and would then raise on its own exception event, without end.
         http.removeHandler(http._on_exception, 'exception')
@@ -150,6 +151,10 @@
     @circuits.handler('disconnect')
     def _on_disconnect(self, sock):
         self._open.pop(sock, None)
+        # Both keep entries of connections that end while a request is passed
+        # on or an answer is sent.
+        self._http._buffers.pop(sock, None)
+        self._server._buffers.pop(sock, None)
         watch = self._watches.pop(sock, None)
         if watch is not None:
             watch.timer.cancel()
--- a/src/jasminehold/api_guard.py
+++ b/src/jasminehold/api_guard.py
@@ -131,10 +131,13 @@
 
     @circuits.handler('read', priority=100)
     def _on_read(self, event, sock, data):
+        state = self._states.get(sock)
         if getattr(event, 'checked', False):
+            # circuits.web fails on a client that left in the meantime.
+            if state is None or not _connected(sock):
+                event.stop()
             return
         event.stop()
-        state = self._states.get(sock)
         if state is None or state.done:
             return
         try:
@@ -255,6 +258,14 @@
             self._abort(state.sock)
 
 
+def _connected(sock):
+    try:
+        sock.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 def error_document(exc):
     """Return the JSON answer to an error, as a dictionary."""
     document = {'kind': exc.kind.value, 'message': str(exc)}
--- a/tests/features/api.feature
+++ b/tests/features/api.feature
@@ -82,5 +82,8 @@
     Given 4 resources of 400 KB are listed on two pages
     Then a client that does not read such a page is closed within 3 s and counted
 
+  Scenario: Clients that leave before their answer leave nothing behind
+    Then after 200 clients that left at once no state and no exception remains
+
   Scenario: Health, readiness and a stop
     Then healthz is 200, readyz follows the reasons, and a stop ends waiting watches and refuses new connections
--- a/tests/features/steps/api_steps.py
+++ b/tests/features/steps/api_steps.py
@@ -5,6 +5,7 @@
 import time
 
 import behave
+import circuits
 
 from builders import api_server
 from builders import documents
@@ -290,3 +291,31 @@
         assert len(_read_all(sock)) < 1000000
     value = context.api.metrics.value('api_refused_total', kind='timeout')
     assert value == 1, value
+
+
+class _Exceptions(circuits.Component):
+    seen = 0
+
+    @circuits.handler('exception', channel='*')
+    def _on_exception(self, *args, **kwargs):
+        self.seen += 1
+
+
+@behave.then(
+    'after {count:d} clients that left at once no state and no '
+    'exception remains'
+)
+def then_left(context, count):
+    api = context.api.api
+    exceptions = _Exceptions().register(context.api.root)
+    targets = ('watch?wait=30', 'resources/region', 'audit?wait=30')
+    for number in range(count):
+        request = 'GET /v1/%s HTTP/1.1\r\n%s' % (targets[number % 3], AUTH)
+        with socket.create_connection(('127.0.0.1', context.api.port)) as sock:
+            sock.sendall(request.encode() + b'\r\n' * (number % 4 > 0))
+        time.sleep(0.004 * (number % 2))
+    time.sleep(1)
+    held = (api._open, api._watches, api._guard._states, api._http._buffers)
+    held += (api._http._clients, api._server._buffers, api._server._clients)
+    assert [len(each) for each in held] == [0] * 7, held
+    assert exceptions.seen == 0
