Load claim segments by pages and document platform operations

Cause: a new owner read one segment per call and never removed segments that an earlier owner had stored but not named; the head that names a new segment cost a write of its own, which delayed claims.

--- a/src/jasminehold/claims.py
+++ b/src/jasminehold/claims.py
@@ -260,6 +260,8 @@
             value, version = b'', result
             if action.verb == 'get' and exc is None:
                 value, version = result.value, result.version
+            elif action.verb == 'list' and exc is None:
+                value, version = result.items, result.more
             log = self._logs[shard]
             log.finish(action, outcome, value, version, self._loop.now())
             self._drive(shard)
@@ -267,6 +269,9 @@
         if action.verb == 'get':
             self._client.get(action.key, done=on_answer)
             return
+        if action.verb == 'list':
+            self._client.list(action.key, action.after, done=on_answer)
+            return
         self._metrics.inc('claim_writes_total', verb=action.verb)
         if action.verb == 'put':
             self._client.put(
--- a/src/jasminehold/decisions/claim_log.py
+++ b/src/jasminehold/decisions/claim_log.py
@@ -75,12 +75,16 @@
 
 
 class Action(typing.NamedTuple):
-    """A call to the platform: ``get``, ``put`` or ``delete``."""
+    """A call to the platform: ``get``, ``put``, ``delete`` or ``list``.
+
+    For ``list``, ``key`` is the prefix and ``after`` the last key known.
+    """
 
     verb: str
     key: str
     value: bytes = b''
     if_version: int = 0
+    after: str = ''
 
 
 class Entry(typing.NamedTuple):
@@ -163,10 +167,12 @@
         self._order = collections.deque()
         self._head_ops = []
         self._segments = []
-        self._to_load = []
+        self._after = ''
         self._loaded = {}
+        self._orphans = []
         self._tail_ops = []
         self._spill = None
+        self._spilled = None
         self._garbage = []
         self._next_sweep = 0.0
 
@@ -263,7 +269,8 @@
         if self._phase is _Phase.HEAD:
             return Action('get', self._head_key)
         if self._phase is _Phase.SEGMENTS:
-            return Action('get', self._segment_key(self._to_load[0]))
+            prefix = self._segment_prefix
+            return Action('list', prefix, after=self._after)
         if self._phase is _Phase.FENCE:
             self._begin([], [], self._segments, self._head_ops, now)
             return self._put_pending()
@@ -273,7 +280,7 @@
             action = self._next_batch(now, wall)
             if action is not None:
                 return action
-        if now >= self._next_sweep:
+        if now >= self._next_sweep and self._spilled is None:
             self._next_sweep = now + _HOUSEKEEPING_S
             self._forget_expired(wall)
             if self._kept_segments(wall) != self._segments:
@@ -297,8 +304,10 @@
             action: the :class:`Action` given out; any other is ignored, it
                 belongs to an earlier ownership.
             outcome: :class:`Outcome`.
-            value: bytes read, for ``get``.
-            version: version read or written.
+            value: bytes read, for ``get``; ``(key, value, version)`` of one
+                page, for ``list``.
+            version: version read or written; whether pages follow, for
+                ``list``.
             now: monotonic seconds.
         """
         if action is not self._current:
@@ -316,7 +325,7 @@
         elif self._phase is _Phase.HEAD:
             self._on_head(outcome, value, version)
         elif self._phase is _Phase.SEGMENTS:
-            self._on_segment(outcome, value)
+            self._on_segments(outcome, value, version)
         elif action.verb == 'put':
             self._on_spill(outcome)
         else:
@@ -334,21 +343,24 @@
             self._batch_id = doc['batch']
             self._head_ops = doc['ops']
             self._segments = [_Segment(*cell) for cell in doc['segs']]
-            self._loaded = {}
-            self._to_load = list(self._segments)
             self._phase = _Phase.SEGMENTS
-            if not self._to_load:
-                self._replay()
 
-    def _on_segment(self, outcome, value):
-        if outcome is Outcome.OK:
-            segment = self._to_load.pop(0)
-            self._loaded[segment.number] = msgpack.unpackb(value)
-            if not self._to_load:
-                self._replay()
-        elif outcome is Outcome.ABSENT:
-            # The previous owner dropped it after this head was read.
+    def _on_segments(self, outcome, items, more):
+        if outcome is not Outcome.OK:
+            return
+        named = {self._segment_key(cell): cell for cell in self._segments}
+        for key, value, version in items:
+            if key in named:
+                self._loaded[named[key].number] = msgpack.unpackb(value)
+            else:
+                self._orphans.append((key, version))
+        if more:
+            self._after = items[-1][0]
+        elif len(self._loaded) < len(named):
+            # The previous owner dropped one after this head was read.
             self._reset(_Phase.HEAD)
+        else:
+            self._replay()
 
     def _replay(self):
         self._entries = {}
@@ -365,7 +377,10 @@
     # Batches
 
     def _next_batch(self, now, wall):
-        head_ops = self._head_ops
+        head_ops, segments = self._head_ops, self._segments
+        if self._spilled is not None:
+            # The stored segment is named in place of its operations.
+            head_ops, segments = [], self._spilled
         room = self._room(head_ops)
         overlay = {}
         ops, results = [], []
@@ -385,7 +400,7 @@
             results.append((item.ticket, result))
             self._queue.popleft()
         if ops:
-            self._begin(ops, results, self._segments, head_ops, now)
+            self._begin(ops, results, segments, head_ops, now)
             return self._put_pending()
         self._done.extend(results)
         if self._queue:
@@ -468,6 +483,7 @@
             if segment.number not in named:
                 self._garbage.append((self._segment_key(segment), None))
         self._segments = batch.segments
+        self._spilled = None
         self._head_ops = batch.head_ops + batch.new_ops
         for op in batch.new_ops:
             self._apply(op)
@@ -475,6 +491,8 @@
             self._done.extend(batch.results)
         if self._phase is _Phase.FENCE:
             self._phase = _Phase.READY
+            # No earlier owner can name these any more.
+            self._garbage, self._orphans = self._orphans, []
 
     def _superseded(self):
         # Another owner wrote the head: what was sent without doubt can never
@@ -519,9 +537,8 @@
         # A mismatch is the success of an earlier try: numbers are random
         # and each is used by one owner only.
         self._spill = None
+        self._spilled = kept + [segment]
         self._tail_ops = ops
-        # The next head names the segment in place of its operations.
-        self._begin([], [], kept + [segment], [], 0.0)
 
     def _on_garbage(self, action, outcome, version):
         if outcome in (Outcome.UNKNOWN, Outcome.UNAVAILABLE):
