--- a/tests/builders/sim.py
+++ b/tests/builders/sim.py
@@ -30,6 +30,17 @@
     def at(self, due, func):
         heapq.heappush(self._heap, (due, next(self._order), func))
 
+    def disturb(self, loop, verb, arg):
+        """Pause a process or change how the platform fails."""
+        if verb == 'pause':
+            loop.paused_until = self.time + arg
+        elif verb == 'down':
+            self.down = arg
+        elif verb == 'lose':
+            self.lose_next = arg
+        else:
+            self.delay = arg
+
     def run(self, seconds, check=lambda: None):
         """Advance the time and run ``check`` after every event."""
         end = self.time + seconds
@@ -122,42 +133,37 @@
         world.at(world.time + delay, apply)
 
     def get(self, key, done):
-        def func(store):
-            item = store.get(key)
-            if item is None:
-                raise store_module.Missing()
-            return client_module.Item(key, item.value, item.version)
-
-        self._call(func, done, False)
+        self._call(lambda store: _read(store, key), done, False)
 
     def list(self, prefix, after, done):
         def func(store):
             found, more = store.list(prefix, after)
-            items = [
-                client_module.Item(key, item.value, item.version)
-                for key, item in found
-            ]
+            items = [_read(store, key) for key, _ in found]
             return client_module.Page(items, store.revision, more)
 
         self._call(func, done, False)
 
-    def put(self, key, value, if_version, done, lease=None):
-        self._call(
-            lambda store: store.put(key, value, if_version, lease or ''),
-            done,
-            True,
-        )
+    def put(self, key, value, if_version, done, lease=''):
+        args = (key, value, if_version, lease)
+        self._call(lambda store: store.put(*args), done, True)
 
     def delete(self, key, if_version, done):
         self._call(lambda store: store.delete(key, if_version), done, True)
 
     def grant(self, ttl, done):
-        world = self._world
-        self._call(lambda store: store.grant(ttl, world.time), done, True)
+        now = self._loop.now
+        self._call(lambda store: store.grant(ttl, now()), done, True)
 
     def renew(self, lease, done):
-        world = self._world
-        self._call(lambda store: store.renew(lease, world.time), done, True)
+        now = self._loop.now
+        self._call(lambda store: store.renew(lease, now()), done, True)
 
     def revoke(self, lease, done):
         self._call(lambda store: store.revoke(lease), done, True)
+
+
+def _read(store, key):
+    item = store.get(key)
+    if item is None:
+        raise store_module.Missing()
+    return client_module.Item(key, item.value, item.version)
--- a/tests/features/steps/claims_steps.py
+++ b/tests/features/steps/claims_steps.py
@@ -134,7 +134,6 @@
 
 
 def _apply(fleet, verb, owner, arg):
-    world = fleet.world
     if verb == 'claim':
         fleet.claim(owner, arg)
     elif verb == 'burst':
@@ -143,17 +142,11 @@
     elif verb == 'release':
         fleet.release(owner, arg)
     elif verb == 'run':
-        world.run(arg, fleet.check)
-    elif verb == 'pause':
-        fleet.loops[owner].paused_until = world.time + arg
+        fleet.world.run(arg, fleet.check)
     elif verb == 'own':
         fleet.duties[owner].held = arg
-    elif verb == 'down':
-        world.down = arg
-    elif verb == 'lose':
-        world.lose_next = arg
     else:
-        world.delay = arg
+        fleet.world.disturb(fleet.loops[owner], verb, arg)
 
 
 def _search():
--- a/tests/features/steps/duties_steps.py
+++ b/tests/features/steps/duties_steps.py
@@ -14,16 +14,14 @@
 NAME = 'planner/sul'
 IDS = ('a', 'b', 'c')
 
-PAUSE = strategies.tuples(
-    strategies.integers(0, len(IDS) - 1), strategies.floats(0.5, 12)
-)
+INDEX = strategies.integers(0, len(IDS) - 1)
 STEPS = strategies.lists(
     strategies.one_of(
         [
-            strategies.tuples(strategies.just(verb), values)
+            strategies.tuples(INDEX, strategies.just(verb), values)
             for verb, values in (
                 ('run', strategies.floats(0.1, 6)),
-                ('pause', PAUSE),
+                ('pause', strategies.floats(0.5, 12)),
                 ('down', strategies.sampled_from(['', 'hang', 'refuse'])),
                 ('lose', strategies.integers(1, 3)),
                 ('delay', strategies.sampled_from([0.005, 0.9, 0.9])),
@@ -68,20 +66,6 @@
             assert token == max(self.owners), 'the holder would be fenced off'
 
 
-def _apply(fleet, verb, arg):
-    if verb == 'pause':
-        index, seconds = arg
-        fleet.loops[index].paused_until = fleet.world.time + seconds
-    elif verb == 'down':
-        fleet.world.down = arg
-    elif verb == 'lose':
-        fleet.world.lose_next = arg
-    elif verb == 'delay':
-        fleet.world.delay = arg
-    else:
-        fleet.world.run(arg, fleet.check)
-
-
 def _search(examples):
     held = []
 
@@ -97,8 +81,11 @@
     def run(steps):
         fleet = _Fleet()
         fleet.world.run(3, fleet.check)
-        for verb, arg in steps:
-            _apply(fleet, verb, arg)
+        for index, verb, arg in steps:
+            if verb == 'run':
+                fleet.world.run(arg, fleet.check)
+            else:
+                fleet.world.disturb(fleet.loops[index], verb, arg)
             fleet.world.run(0.2, fleet.check)
         fleet.world.down, fleet.world.lose_next = '', 0
         fleet.world.delay = 0.005
