--- a/src/jasminehold/decisions/plan.py
+++ b/src/jasminehold/decisions/plan.py
@@ -152,7 +152,7 @@
 
 
 def _weights(limit, members, demand):
-    if limit.kind == 'link':
+    if limit.kind == 'link' and limit.place:
         # Only the instances at the start of a link send over it.
         members = [m for m in members if m.place == limit.place]
     wanted = demand.get(limit.id) or demand.get(limit.group) or {}
