Fix two ways in which notices differed for long, document the streams

Change: the origin breaks ties and the longer renewal is published again; instances with a differing digest also get expired notices, so that the origin can raise its version.

--- a/src/jasminehold/decisions/peer_state.py
+++ b/src/jasminehold/decisions/peer_state.py
@@ -56,7 +56,13 @@
         """Called at the region's root once per period."""
 
     def heard(self, region, witness, asked_at, age_s, plan_version, now):
-        """Called with each later contact with a witness."""
+        """Called with each later contact with a witness.
+
+        Contact took place at ``asked_at - age_s`` or later. When the reply
+        was held until newer contact came, ``asked_at`` is that moment and
+        not the one of the question. An instance that is a witness itself is
+        reported with age 0 once per period.
+        """
 
     def own_summary(self):
         """Return this instance's :func:`status_tree.leaf`, or None."""
@@ -88,7 +94,7 @@
         self.own_id = own.id
         self.members = membership.Membership(own, cfg, rng, now)
         self.gossip = gossip.Gossip(rng)
-        self.notices = notices.Notices()
+        self.notices = notices.Notices(own.id)
         self.ages = contact_ages.ContactAges()
         self.tree = status_tree.StatusTree(own.id)
         self._rng = rng
@@ -135,6 +141,9 @@
         self.members.tick(now)
         self.notices.tick(now)
         self._update_tree()
+        for region, version in self._hooks.own_witness().items():
+            self.ages.hear(region, self.own_id, now, version)
+            self._hooks.heard(region, self.own_id, now, 0.0, version, now)
         self._rounds = MAX_ROUNDS
         outs = []
         peers = self.members.peers()
@@ -397,12 +406,9 @@
                 now,
             )
 
-    def _hear_own(self, now):
+    def _report_ages(self, received_at, now):
         for region, version in self._hooks.own_witness().items():
             self.ages.hear(region, self.own_id, now, version)
-
-    def _report_ages(self, received_at, now):
-        self._hear_own(now)
         return self.ages.report(
             received_at, now, REPORT_LIMIT_S, self._large()
         )
--- a/tests/features/peer_links.feature
+++ b/tests/features/peer_links.feature
@@ -55,6 +55,11 @@
     When b is stopped for 1 second and started on the same port
     Then a is connected to b again within 6 seconds
 
+  Scenario: A cut without a reset is noticed and healed
+    Given instances a and b with a relay that can be cut
+    When the relay passes nothing for 9 seconds
+    Then b counted silent and an ask works again within 8 seconds
+
   Scenario: Both sides connecting at once end with one link
     Given instances a and b
     When both connect at once
--- a/tests/features/peer_states.feature
+++ b/tests/features/peer_states.feature
@@ -12,6 +12,8 @@
       | 1    |
       | 2    |
       | 3    |
+      | 20   |
+      | 34   |
 
   Scenario Outline: The checks find broken variants
     Then a variant that <fault> fails the run with seed 1
@@ -41,6 +43,10 @@
   Scenario: Expired notices do not come back
     Then a late copy of an expired notice is not taken
 
+  Scenario: A renewal is not lost to a shorter one
+    Then the longer of two renewals made at once is kept
+    And a new instance publishes over a notice that expired before
+
   Scenario: A paused instance does not suspect the others
     Then an instance that was paused for 60 seconds suspects nobody
 
--- a/tests/features/steps/peer_links_steps.py
+++ b/tests/features/steps/peer_links_steps.py
@@ -322,6 +322,36 @@
     assert context.fleet.metrics['a'].total('peer_connects') < 12
 
 
+@behave.given('instances a and b with a relay that can be cut')
+def given_cut(context):
+    _pair(context)
+    context.cut = False
+    context.fleet.relay('b', lambda n, frame: [] if context.cut else [frame])
+    _connect(context)
+
+
+@behave.when('the relay passes nothing for {seconds:d} seconds')
+def when_cut(context, seconds):
+    context.cut = True
+    context.fleet.run_until(lambda: False, seconds)
+    context.cut = False
+
+
+@behave.then(
+    'b counted silent and an ask works again within {limit:d} seconds'
+)
+def then_healed(context, limit):
+    assert context.fleet.closed_for('b', 'silent') >= 1
+    assert not context.a.is_connected('b')
+    context.replies = []
+    connected = context.fleet.run_until(
+        lambda: context.a.is_connected('b'), limit
+    )
+    assert connected is not None
+    when_asks(context)
+    then_right(context)
+
+
 @behave.when('both connect at once')
 def when_both(context):
     context.b.set_peers(['a'])
--- a/tests/features/steps/peer_states_steps.py
+++ b/tests/features/steps/peer_states_steps.py
@@ -240,7 +240,7 @@
 
 @behave.then('a late copy of an expired notice is not taken')
 def then_notice(context):
-    first, second = notices.Notices(), notices.Notices()
+    first, second = notices.Notices('a'), notices.Notices('b')
     first.publish('n', b'', 10.0, 0.0)
     entries = first.take_fresh(0.0)
     assert second.merge(entries, 0.0) == [('n', b'', 10.0)]
@@ -253,6 +253,32 @@
     assert second.total == 0 and second._notices == {}
 
 
+@behave.then('a new instance publishes over a notice that expired before')
+def then_republished(context):
+    first, second = notices.Notices('a'), notices.Notices('b')
+    for now in (0.0, 1.0, 2.0):
+        first.publish('n', b'', 1.0, now)
+    first.tick(4.0)
+    second.publish('n', b'', 50.0, 5.0)
+    assert first.merge(second.take_fresh(5.0), 5.0) == []
+    assert first.total != second.total
+    second.merge(first.some(random.Random(0), 5.0), 5.0)
+    assert first.merge(second.take_fresh(5.0), 5.0) == [('n', b'', 50.0)]
+    assert first.total == second.total
+
+
+@behave.then('the longer of two renewals made at once is kept')
+def then_renewed(context):
+    first, second = notices.Notices('a'), notices.Notices('b')
+    first.publish('n', b'', 50.0, 0.0)
+    second.publish('n', b'', 10.0, 0.0)
+    for _ in range(2):
+        first.merge(second.take_fresh(0.0), 0.0)
+        second.merge(first.take_fresh(0.0), 0.0)
+    assert first.total == second.total
+    assert list(first.active(49.0)) == list(second.active(49.0)) == ['n']
+
+
 @behave.then(
     'an instance that was paused for {seconds:d} seconds suspects nobody'
 )
