Use the stand-in's registration, log internal errors, keep repeated entries listed

An entry that was registered again more often than the list's lag was never listed, so instances did not find each other: 3 of 9 became ready.

--- a/src/jasminehold/app.py
+++ b/src/jasminehold/app.py
@@ -38,9 +38,9 @@
 from jasminehold.peers import link
 from jasminehold.peers import mesh as mesh_module
 from jasminehold.platform import client as platform_client
-from jasminehold.platform import registration
 from jasminehold.proxy import hooks as hooks_module
 from jasminehold.proxy import server as proxy_server
+from jasminehold.standin import registration
 from jasminehold.steering import lookups
 from jasminehold.steering import picker as picker_module
 from jasminehold.steering import tables as tables_module
@@ -334,6 +334,16 @@
         if signo in (signal.SIGTERM, signal.SIGINT):
             self.leave()
 
+    @circuits.handler('exception', channel='*')
+    def _on_exception(self, etype, value, trace, handler=None, fevent=None):
+        self.metrics.inc('internal_errors_total', type=etype.__name__)
+        _log(
+            'internal error',
+            level='error',
+            error=repr(value),
+            trace=''.join(trace)[-2000:],
+        )
+
     def leave(self):
         """Stop gracefully: leave the list, finish what runs, then exit."""
         if self.leaving:
--- a/src/jasminehold/standin/platform.py
+++ b/src/jasminehold/standin/platform.py
@@ -80,6 +80,7 @@
         self._watches = []
         self._instances = {}
         self._listed = {}
+        self._entries = {}
         self._serial = 0
         self._listener = loop.listen(host, port, self._accept)
         self.port = self._listener.port
@@ -292,8 +293,16 @@
 
     def _register(self, session, path, query, body):
         entry = json.loads(body)
+        ident = entry['id']
+        known = session.registered.get(ident)
+        if known is not None and self._entries.get(ident) == (known, entry):
+            # A repeat must not restart the lag: an entry that is repeated
+            # more often than the lag would never be listed.
+            session.reply(200, {})
+            return
         self._serial += 1
-        session.registered[entry['id']] = self._serial
+        session.registered[ident] = self._serial
+        self._entries[ident] = (self._serial, entry)
         self._change(entry['id'], self._serial, entry, 0.0)
         session.reply(200, {})
 
