--- a/src/jasminehold/control/planner.py
+++ b/src/jasminehold/control/planner.py
@@ -22,6 +22,8 @@
 PLAN_PREFIX = 'state/plan/'
 PROGRESS_PREFIX = 'progress/'
 PROGRESS_TTL_S = 10.0
+# Rates change all the time; they alone are told at this period.
+PROGRESS_EVERY_S = 3.0
 
 _log = logs.get('planner')
 
@@ -63,6 +65,8 @@
         self.fence = contact.Fence()
         self.steps = None
         self.progress = progress.Progress(name)
+        self.told = None
+        self.told_at = 0.0
 
 
 class Planner:
--- a/src/jasminehold/decisions/admission.py
+++ b/src/jasminehold/decisions/admission.py
@@ -17,14 +17,15 @@
 
     Attributes:
         max_queue: most requests waiting.
-        max_wait_s: longest expected wait in seconds that is accepted for a
-            look-up; orders may wait until their deadline allows no more.
+        max_wait_s: longest wait of a look-up in seconds, expected or real.
+        max_order_wait_s: the same for an order.
         first_service_s: service time assumed before any was measured.
         smoothing: weight of a new service time in the average.
     """
 
     max_queue: int = 200
     max_wait_s: float = 0.25
+    max_order_wait_s: float = 2.0
     first_service_s: float = 0.05
     smoothing: float = 0.05
 
@@ -118,7 +119,7 @@
         retry_after = max(self.expected_wait(total, slots), self._service_s)
         if slots <= 0 or now + wait + self._service_s > deadline:
             return Offer(False, retry_after, ())
-        if priority == Priority.NORMAL and wait > self._cfg.max_wait_s:
+        if wait > self._longest_wait(priority):
             return Offer(False, retry_after, ())
         evicted = ()
         if total >= self._cfg.max_queue:
@@ -165,15 +166,27 @@
         queue.move_to_end(waiting.ident, last=False)
 
     def hopeless(self, now):
-        """Remove and return all that can no longer finish in time."""
+        """Remove and return all that have to be refused.
+
+        These are the requests that can no longer finish in time, and those
+        that have waited for the longest time accepted although their wait
+        was expected to be shorter, so that none is held for nothing.
+        """
         found = []
-        for queue in self._queues.values():
+        for priority, queue in self._queues.items():
+            longest = self._longest_wait(priority)
             for ident, waiting in list(queue.items()):
-                if now + self._service_s > waiting.deadline:
+                late = now + self._service_s > waiting.deadline
+                if late or now - waiting.since > longest:
                     del queue[ident]
                     found.append(waiting)
         return found
 
+    def _longest_wait(self, priority):
+        if priority == Priority.ORDER:
+            return self._cfg.max_order_wait_s
+        return self._cfg.max_wait_s
+
     def _evict_newest_normal(self):
         queue = self._queues[Priority.NORMAL]
         if not queue:
--- a/src/jasminehold/decisions/peer_state.py
+++ b/src/jasminehold/decisions/peer_state.py
@@ -24,6 +24,9 @@
 # Follow-up exchanges of one period; an empty instance needs about one per
 # 500 documents.
 MAX_ROUNDS = 16
+# In a full mesh the origin of news reaches everyone itself, so others pass it
+# on to a few only; with all of them, each piece arrives once per member.
+MESH_FORWARDS = 3
 
 
 class Out(typing.NamedTuple):
@@ -118,10 +121,12 @@
         if not self.gossip.put(key, version, value):
             return False
         self._fresh[key] = None
+        self._own_news = True
         return True
 
     def notify(self, key, value, ttl, now):
         """Publish or renew a notice; ``push`` sends it."""
+        self._own_news = True
         self.notices.publish(key, value, ttl, now)
 
     def links(self):
@@ -185,8 +190,9 @@
         entries = self.notices.take_fresh(now)
         if not (fresh or entries or self._news):
             return outs
-        self._news = False
-        for peer in self.members.peers():
+        peers = self._push_targets()
+        self._news = self._own_news = False
+        for peer in peers:
             keys = [key for key, source in fresh.items() if source != peer]
             whole, announce = self.gossip.push(keys)
             while whole:
@@ -206,6 +212,14 @@
                 outs.append(Out(peer, message, False))
         return outs
 
+    def _push_targets(self):
+        peers = self.members.peers()
+        if self._own_news or self._news or len(peers) <= MESH_FORWARDS:
+            return peers
+        if self.members.count() > self.members.cfg.full_mesh:
+            return peers
+        return self._rng.sample(peers, MESH_FORWARDS)
+
     def on_message(self, sender, message, now, reply):
         """Handle a message.
 
--- a/src/jasminehold/steering/picker.py
+++ b/src/jasminehold/steering/picker.py
@@ -94,7 +94,7 @@
         self.limit_demand = {}
         self.client_demand = {}
         self.place_stats = {}
-        loop.call_later(DISPATCH_S, self._tick)
+        self._ticking = False
 
     def on_tables(self):
         """Take note of new tables."""
@@ -175,6 +175,9 @@
             done(hooks_module.Refusal(Kind.OVERLOADED, offer.retry_after_s))
             return
         state.waiting[ident] = (req, done)
+        if not self._ticking:
+            self._ticking = True
+            self._loop.call_later(DISPATCH_S, self._tick)
         state.in_flight.change(1, now)
 
     def may_retry(self, req, attempt, now):
@@ -384,14 +387,18 @@
         )
 
     def _slots(self, service, now):
-        total = 0
+        """Return the slots that serve a service's queue, at least 1.
+
+        Without a share of its own an instance can still hope for a loan, but
+        without contact it can use neither and 0 is returned.
+        """
+        total, usable = 0, False
         for upstream in self._tables.upstreams.values():
             if upstream.service == service:
-                total += self._holder.free(
-                    limit_table.upstream_slots(upstream.name), now
-                )[1]
-        # Without a share of its own, an instance can only hope for a loan.
-        return max(total, 1)
+                limit_id = limit_table.upstream_slots(upstream.name)
+                usable = usable or self._holder.usable(limit_id, now)
+                total += self._holder.free(limit_id, now)[1]
+        return max(total, 1) if usable else 0
 
     def _borrow(self, service, now):
         ids = [
@@ -404,17 +411,20 @@
         self._want_loan(service, ids, short)
 
     def _tick(self):
-        self._loop.call_later(DISPATCH_S, self._tick)
+        """Serve and refuse waiting requests; runs only while some wait."""
         now = self._loop.now()
+        self._ticking = False
         for service, state in list(self._states.items()):
-            if state.waiting:
-                for waiting in state.admission.hopeless(now):
-                    self._refuse(
-                        state, waiting.ident, state.admission.service_time_s
-                    )
-                self._dispatch(service)
-        for name in [n for n, at in self.leaving.items() if at <= now]:
-            del self.leaving[name]
+            if not state.waiting:
+                continue
+            for waiting in state.admission.hopeless(now):
+                self._refuse(
+                    state, waiting.ident, state.admission.service_time_s
+                )
+            self._dispatch(service)
+            if state.waiting and not self._ticking:
+                self._ticking = True
+                self._loop.call_later(DISPATCH_S, self._tick)
 
     def _dispatch(self, service):
         state = self._states.get(service)
--- a/tests/features/overload.feature
+++ b/tests/features/overload.feature
@@ -34,3 +34,6 @@
 
   Scenario: Good reports never raise an upstream's weight
     Then reports never raise the weight above that without a report
+
+  Scenario: A request is not held when no slot becomes free
+    Then a waiting request is refused after its longest wait, not near its deadline
--- a/tests/features/steps/overload_steps.py
+++ b/tests/features/steps/overload_steps.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from bench import overload
+from jasminehold.decisions import admission
 from jasminehold.decisions import blame
 from jasminehold.decisions import health
 
@@ -156,3 +157,21 @@
             assert told.weight('u1', now) <= plain.weight('u1', now)
 
     check()
+
+
+@behave.then(
+    'a waiting request is refused after its longest wait, not near its '
+    'deadline'
+)
+def then_not_held(context):
+    # An instance without contact once held requests for 9.96 s of 10 s.
+    rule, cfg = admission.Admission(), admission.AdmissionConfig()
+    for ident, priority in enumerate(admission.Priority):
+        offer = rule.offer(ident, priority, 10.0, 4, 0.0)
+        assert offer.accepted
+    assert not rule.hopeless(cfg.max_wait_s)
+    refused = rule.hopeless(cfg.max_wait_s + 0.01)
+    assert [item.priority for item in refused] == [admission.Priority.NORMAL]
+    refused = rule.hopeless(cfg.max_order_wait_s + 0.01)
+    assert [item.priority for item in refused] == [admission.Priority.ORDER]
+    assert not rule.offer(9, admission.Priority.ORDER, 10.0, 0, 0.0).accepted
