--- a/src/jasminehold/decisions/plan.py
+++ b/src/jasminehold/decisions/plan.py
@@ -174,11 +174,18 @@
     target = split_evenly(limit.usable, weights)
     kept = {name: previous.get(name, 0) for name in target}
     gap = limit.usable - sum(kept.values())
-    excess = sum(max(0, share - target[name]) for name, share in kept.items())
+    # A difference of one is rounding and moves nothing.
+    excess = sum(
+        max(0, share - target[name] - 1) for name, share in kept.items()
+    )
+    need = sum(
+        max(0, target[name] - share - 1) for name, share in kept.items()
+    )
+    moved = max(excess, need - gap)
     starved = any(
         share > 1 and not kept[name] for name, share in target.items()
     )
-    if gap < 0 or starved or excess > HYSTERESIS * limit.usable:
+    if gap < 0 or starved or moved > HYSTERESIS * limit.usable:
         return target
     lacking = {
         name: max(0, share - kept[name]) for name, share in target.items()
