--- a/src/jasminehold/decisions/peer_state.py
+++ b/src/jasminehold/decisions/peer_state.py
@@ -107,6 +107,7 @@
         self._fresh = {}
         self._status_at = now - rng.random() * status_tree.PERIOD_S
         self._tree_input = None
+        self._own_news = False
         self._news = False
         self._held = []
         self._reporting = None
