--- /dev/null
+++ b/src/jasminehold/proxy/hooks.py
@@ -0,0 +1,213 @@
+"""Functions that the request path gets from the rest of the product.
+
+The path itself holds no steering rule. :func:`round_robin` builds a working
+set of hooks from a list of upstreams, without claims.
+"""
+
+import collections
+import itertools
+import typing
+
+from jasminehold import errors
+
+ANSWERS_KEPT = 10_000
+ANSWERS_KEPT_BYTES = 32 * 1024 * 1024
+ANSWERS_KEPT_S = 600.0
+ATTEMPTS = 3
+IDEMPOTENT = frozenset((b'GET', b'HEAD', b'OPTIONS', b'PUT', b'DELETE'))
+
+
+class RequestInfo(typing.NamedTuple):
+    """What the hooks may look at.
+
+    Attributes:
+        method: method in upper case, bytes.
+        path: request target, bytes.
+        headers: list of ``(lower-case name, value)``, bytes.
+        service: service named by the caller.
+        attempt: value of ``Jasminehold-Attempt``, 0 when absent.
+        fingerprint: digest of method, path and body for crash tracking,
+            empty until the body is known.
+        plan: the :class:`RequestPlan`, None before ``route``.
+        peer: address of the caller.
+    """
+
+    method: bytes
+    path: bytes
+    headers: list
+    service: str
+    attempt: int
+    fingerprint: bytes
+    plan: typing.Any
+    peer: str
+
+
+class RequestPlan(typing.NamedTuple):
+    """Result of ``route``; ``timeout_s`` bounds the caller's deadline."""
+
+    service: str
+    idempotent: bool
+    timeout_s: float
+    priority: int = 1
+
+
+class Target(typing.NamedTuple):
+    """One upstream with a slot taken; ``release`` is called exactly once."""
+
+    upstream: str
+    host: str
+    port: int
+    release: typing.Callable
+    connections: int = 300
+
+
+class Refusal(typing.NamedTuple):
+    """No target; the request was not run."""
+
+    kind: errors.Kind
+    retry_after_s: float = 1.0
+
+
+class KeptAnswer(typing.NamedTuple):
+    """Whole answer of a claimed request."""
+
+    request_digest: bytes
+    status: int
+    headers: list
+    body: bytes
+
+
+class Claim(typing.NamedTuple):
+    """Result of a claim: granted, an answer, or the kind of the refusal."""
+
+    granted: bool
+    kind: typing.Any = None
+    answer: typing.Any = None
+
+
+class Hooks(typing.NamedTuple):
+    """All injected functions.
+
+    Attributes:
+        route: ``(req) -> RequestPlan or Kind``.
+        pick: ``(req, tried, now) -> Target or Refusal``.
+        wait_for_target: ``(req, deadline, done)``; ``done`` takes the same.
+        claim: ``(key_digest, request_digest, done)``; ``done(Claim)``.
+        release_claim: ``(key_digest)``: the request certainly did not run.
+        keep_answer: ``(key_digest, KeptAnswer or None)``; None when it may
+            have run and no answer can be kept.
+        find_answer: ``(key_digest) -> KeptAnswer or None``.
+        may_retry: ``(req, outcome, now) -> delay in seconds or None``.
+        note_result: ``(upstream, outcome, latency_s, now)``.
+        note_crash: ``(upstream, fingerprints)``.
+    """
+
+    route: typing.Callable
+    pick: typing.Callable
+    wait_for_target: typing.Callable
+    claim: typing.Callable
+    release_claim: typing.Callable
+    keep_answer: typing.Callable
+    find_answer: typing.Callable
+    may_retry: typing.Callable
+    note_result: typing.Callable
+    note_crash: typing.Callable
+
+
+class AnswerStore:
+    """Answers of claimed requests, oldest out first.
+
+    Args:
+        limit: answers at most.
+        limit_bytes: bytes of their bodies at most.
+        keep_s: seconds for which an answer is kept.
+    """
+
+    def __init__(
+        self,
+        limit=ANSWERS_KEPT,
+        limit_bytes=ANSWERS_KEPT_BYTES,
+        keep_s=ANSWERS_KEPT_S,
+    ):
+        self._limit = limit
+        self._limit_bytes = limit_bytes
+        self._keep = keep_s
+        self._answers = collections.OrderedDict()
+        self._bytes = 0
+
+    def keep(self, key_digest, answer, now=0.0):
+        """Keep an answer; None is not kept.
+
+        Args:
+            key_digest: digest of the key.
+            answer: a :class:`KeptAnswer` or None.
+            now: seconds, monotonic.
+        """
+        if answer is None:
+            return
+        self._drop(key_digest)
+        self._answers[key_digest] = (now, answer)
+        self._bytes += len(answer.body)
+        while self._answers and (
+            len(self._answers) > self._limit
+            or self._bytes > self._limit_bytes
+            or now - next(iter(self._answers.values()))[0] >= self._keep
+        ):
+            self._drop(next(iter(self._answers)))
+
+    def find(self, key_digest, now=0.0):
+        """Return the answer, or None when there is none or it is too old."""
+        found = self._answers.get(key_digest)
+        if found is None or now - found[0] >= self._keep:
+            return None
+        return found[1]
+
+    def _drop(self, key_digest):
+        found = self._answers.pop(key_digest, None)
+        if found is not None:
+            self._bytes -= len(found[1].body)
+
+
+def _ignore(*args):
+    return None
+
+
+def round_robin(upstreams, timeout_s=10.0):
+    """Return hooks that use a list of upstreams in turn.
+
+    Args:
+        upstreams: list of ``(id, host, port)``.
+        timeout_s: the service's time-out.
+
+    Returns:
+        :class:`Hooks` without claims, with up to two repeats each.
+    """
+    turn = itertools.count()
+    answers = AnswerStore()
+
+    def route(req):
+        return RequestPlan(req.service, req.method in IDEMPOTENT, timeout_s)
+
+    def pick(req, tried, now):
+        free = [item for item in upstreams if item[0] not in tried]
+        if not free:
+            return Refusal(errors.Kind.OVERLOADED)
+        return Target(*free[next(turn) % len(free)], _ignore)
+
+    def may_retry(req, outcome, now):
+        return 0.0 if len(outcome.tried) < ATTEMPTS else None
+
+    return Hooks(
+        route=route,
+        pick=pick,
+        wait_for_target=lambda req, deadline, done: done(
+            Refusal(errors.Kind.OVERLOADED)
+        ),
+        claim=lambda key, digest, done: done(Claim(True)),
+        release_claim=_ignore,
+        keep_answer=answers.keep,
+        find_answer=answers.find,
+        may_retry=may_retry,
+        note_result=_ignore,
+        note_crash=_ignore,
+    )
--- /dev/null
+++ b/tests/features/store.feature
@@ -0,0 +1,50 @@
+Feature: Operators' writes
+  Guards against lost updates, outcomes reported wrongly after a lost reply,
+  and changes that are missing from the audit trail.
+
+  Background:
+    Given a fake platform
+
+  Scenario: The generation rises only when the spec changes
+    Then puts of capacities 400, 400, 500 have generations 1, 1, 2 and audit entries
+
+  Scenario: Two updates from one version have one winner
+    Given region sul is declared
+    Then of two updates at the same time one succeeds and one is stale
+
+  Scenario: Declaring an existing resource changes nothing
+    Given region sul is declared
+    Then declaring it again is stale and leaves the platform unchanged
+
+  Scenario: A deleted resource leaves a tombstone and can be declared again
+    Given region sul is declared
+    Then a delete stores a tombstone, a further one finds nothing and a declaration continues at generation 3
+
+  Scenario Outline: Faults of the platform during an update
+    Given region sul is declared
+    When an update meets <faults> and then <others> other writers with audit <audit>
+    Then it ends with <outcome>
+
+    Examples:
+      | faults | others | audit | outcome |
+      | lost | 0 | missing | success |
+      | late | 0 | missing | success |
+      | late | 1 | missing | StaleVersion |
+      | lost | 1 | complete | success |
+      | lost | 2 | complete | success |
+      | lost | 2 | missing | OutcomeUnknown |
+      | down | 0 | missing | PlatformUnavailable |
+      | late, down, down, down, down | 0 | missing | OutcomeUnknown |
+
+  Scenario: A late copy of a write cannot take effect after its outcome is told
+    Given region sul is declared
+    When an update meets late and then 0 other writers with audit missing
+    Then it ends with success
+    And the late copy is refused by its version
+
+  Scenario: The audit trail is completed once
+    Then after a declaration without audit entry the first of two relays writes it and the second nothing
+
+  Scenario: Old tombstones are purged
+    Given region sul is declared
+    Then a purge removes its tombstone after the time to keep, not before
