--- a/src/jasminehold/peers/mesh.py
+++ b/src/jasminehold/peers/mesh.py
@@ -89,6 +89,7 @@
         self._listener = None
         self._handshakes = set()
         self._closed_bytes = [0, 0]
+        self._counted_bytes = (0, 0)
         self._stopped = False
         self._tick_timer = loop.call_later(TICK_S, self._tick)
 
@@ -437,6 +438,7 @@
     def _tick(self):
         self._tick_timer = self.loop.call_later(TICK_S, self._tick)
         now = self.loop.now()
+        self._count_bytes()
         for instance_id, peer in list(self._peers.items()):
             for link in list(peer.links):
                 if now - link.last_heard > SILENT_AFTER_S:
@@ -454,6 +456,13 @@
                     peer.timer.cancel()
                 del self._peers[instance_id]
 
+    def _count_bytes(self):
+        received, sent = self.traffic()
+        before = self._counted_bytes
+        self._counted_bytes = (received, sent)
+        self._metrics.inc('peer_bytes_received', received - before[0])
+        self._metrics.inc('peer_bytes_sent', sent - before[1])
+
 
 def _ready(peer):
     best = None
--- a/tests/features/peer_links.feature
+++ b/tests/features/peer_links.feature
@@ -12,6 +12,11 @@
     When a asks b
     Then the reply is right
 
+  Scenario: Bytes of open and of closed links are counted
+    Given instances a and b
+    When a asks b
+    Then both count the same bytes, before and after the link closes
+
   Scenario: Requests that cannot be answered end with an error
     Given instances a and b
     Then an unknown type, a faulty handler, a silent handler and an unknown instance each end the request once
--- a/tests/features/steps/peer_links_steps.py
+++ b/tests/features/steps/peer_links_steps.py
@@ -100,6 +100,27 @@
     assert not context.fleet.faults, context.fleet.faults
 
 
+@behave.then('both count the same bytes, before and after the link closes')
+def then_bytes(context):
+    def counted(name, way):
+        return context.fleet.metrics[name].value('peer_bytes_' + way)
+
+    def equal():
+        there = counted('a', 'sent'), counted('a', 'received')
+        back = counted('b', 'received'), counted('b', 'sent')
+        # A handshake alone takes more than 200 bytes each way.
+        return there == back and min(there) > 200
+
+    assert context.fleet.run_until(equal) is not None
+    before = counted('a', 'sent')
+    for link in _links(context.a, 'b'):
+        link.close()
+    context.fleet.run_until(lambda: not _links(context.b, 'a'), 2.0)
+    context.fleet.run_until(lambda: False, 2 * mesh_module.TICK_S)
+    assert counted('a', 'sent') >= before
+    assert equal()
+
+
 @behave.then('the ask fails as not sent and a counts wrong key')
 def then_wrong(context):
     assert [r for r, _ in context.replies] == [None]
