Rank a region's duties among the instances of that region

Cause: planner and relay duties were ranked among all instances although only those of the region try. The best candidates were mostly elsewhere, so after a holder stopped the soonest look of the others came late.

The new scenario fails without the change.

--- a/src/jasminehold/app.py
+++ b/src/jasminehold/app.py
@@ -163,6 +163,7 @@
                 duty.LeaseConfig(
                     ttl=cfg.lease_ttl, renew_every=cfg.lease_renew
                 ),
+                frozenset(self._local_duties()),
             ),
             self.rng,
             self._on_duty_change,
@@ -499,12 +500,20 @@
         if self.leaving:
             instances.pop(self.cfg.id, None)
         self._view = (self._view[0] + 1, instances)
-        self.duties.set_candidates(instances)
+        own = self.cfg.region
+        near = [
+            name for name, item in instances.items() if item[0].region == own
+        ]
+        self.duties.set_candidates(instances, near)
+
+    def _local_duties(self):
+        region = self.cfg.region
+        relays = ['relay/%s/%d' % (region, n) for n in (0, 1)]
+        return relays + ['planner/' + region]
 
     def _duty_names(self):
         names = ['claims/%d' % n for n in range(self.cfg.claim_shards)]
-        names += ['relay/%s/%d' % (self.cfg.region, n) for n in (0, 1)]
-        names.append('planner/' + self.cfg.region)
+        names += self._local_duties()
         # A region without live instances is planned by the others.
         if self.proxy is not None:
             live = {item[0].region for item in self._view[1].values()}
--- a/src/jasminehold/duties.py
+++ b/src/jasminehold/duties.py
@@ -25,11 +25,14 @@
         instance_id: id of this instance.
         names: duties that exist.
         lease: times, see :class:`jasminehold.decisions.duty.LeaseConfig`.
+        local: names of the duties that only instances of this region try
+            for.
     """
 
     instance_id: str
     names: tuple
     lease: duty.LeaseConfig = duty.LeaseConfig()
+    local: frozenset = frozenset()
 
 
 class Duties:
@@ -53,6 +56,7 @@
         self._lease = duty.Lease(cfg.lease)
         self._names = tuple(cfg.names)
         self._weights = {cfg.instance_id: duty.weight(cfg.instance_id)}
+        self._near = self._weights
         self._ranks = {}
         self._holders = {}
         self._won_at = {}
@@ -68,16 +72,24 @@
         self._due = dict.fromkeys(self._names, now)
         self._timer = loop.call_later(TICK_S, self._tick)
 
-    def set_candidates(self, idents):
-        """Set the ids of the live instances that may hold duties."""
+    def set_candidates(self, idents, near=None):
+        """Set the live instances that may hold duties.
+
+        Args:
+            idents: ids of all of them.
+            near: ids of those of this region, which alone are ranked for the
+                local duties; all when None.
+        """
         idents = set(idents) | {self._cfg.instance_id}
-        if idents == self._weights.keys():
+        near = idents if near is None else set(near) | {self._cfg.instance_id}
+        if idents == self._weights.keys() and near == self._near.keys():
             return
         known = self._weights
         self._weights = {
             ident: known[ident] if ident in known else duty.weight(ident)
-            for ident in idents
+            for ident in idents | near
         }
+        self._near = {ident: self._weights[ident] for ident in near}
         self._schedule_all()
 
     def set_names(self, names):
@@ -133,7 +145,11 @@
         before = self._due
         self._due = {}
         self._ranks = {
-            name: duty.rank(name, self._cfg.instance_id, self._weights)
+            name: duty.rank(
+                name,
+                self._cfg.instance_id,
+                self._near if name in self._cfg.local else self._weights,
+            )
             for name in self._names
         }
         for name in self._names:
--- a/tests/features/duties.feature
+++ b/tests/features/duties.feature
@@ -10,6 +10,9 @@
   Scenario: A duty moves after its holder stops and returns at once on release
     Then a killed holder is replaced within 6 s and a released duty within 2 s
 
+  Scenario: A region's duty moves as fast when most instances are elsewhere
+    Then a killed holder of a local duty is replaced within 6 s among 200 others
+
   Scenario: A lost reply of an acquisition is resolved by reading back
     Then an instance whose acquisition lost its reply holds the duty
 
--- a/tests/features/steps/duties_steps.py
+++ b/tests/features/steps/duties_steps.py
@@ -34,13 +34,15 @@
 
 
 class _Fleet:
-    def __init__(self, seed=1, names=(NAME,)):
+    def __init__(self, seed=1, names=(NAME,), others=()):
         self.world = sim.World(random.Random(seed))
         self.loops, self.duties, self.changes = [], [], []
         self.owners = {}
         for ident in IDS:
             loop = sim.Loop(self.world)
-            cfg = duties_module.DutiesConfig(ident, names)
+            cfg = duties_module.DutiesConfig(
+                ident, names, local=frozenset(names if others else ())
+            )
             duties = duties_module.Duties(
                 loop,
                 sim.Client(loop),
@@ -48,7 +50,7 @@
                 random.Random(ident),
                 lambda *change: self.changes.append(change),
             )
-            duties.set_candidates(IDS)
+            duties.set_candidates(IDS + tuple(others), IDS)
             self.loops.append(loop)
             self.duties.append(duties)
 
@@ -141,6 +143,18 @@
     assert fleet.holders()[0] not in (first, second)
 
 
+@behave.then(
+    'a killed holder of a local duty is replaced within 6 s among 200 others'
+)
+def then_local(context):
+    fleet = _Fleet(others=['other-%d' % n for n in range(200)])
+    fleet.world.run(3, fleet.check)
+    first = fleet.holders()[0]
+    fleet.loops[first].paused_until = float('inf')
+    fleet.world.run(6, fleet.check)
+    assert fleet.holders() not in ([], [first])
+
+
 @behave.then('an instance whose acquisition lost its reply holds the duty')
 def then_lost(context):
     fleet = _Fleet()
