--- a/bench/plan_cost.py
+++ b/bench/plan_cost.py
@@ -76,6 +76,7 @@
         (96, 72),
         (192, 72),
         (305, 138),
+        (725, 138),
     ):
         seconds, size, count = measure(members, sites, seed)
         pairs = members * sites * 2
--- a/bench/routing_tables.py
+++ b/bench/routing_tables.py
@@ -20,9 +20,11 @@
 from jasminehold import config as config_module
 from jasminehold.decisions import hashing
 from jasminehold.decisions import limit_table
+from jasminehold.decisions import lookup_order
 from jasminehold.decisions import plan
 from jasminehold.decisions import routing
 from jasminehold import effective
+from jasminehold.steering import lookups
 from jasminehold.steering import tables as tables_module
 
 STEPS = {'movements': {}, 'legacy': {}}
@@ -134,6 +136,19 @@
     def limits():
         return limit_table.region_limits('r0', whole, made.drained, {})
 
+    names = sorted('r%d' % number for number in range(regions))
+    changed = next(e for e in entries if e['value']['kind'] == 'upstream')
+    version = [len(entries)]
+
+    def change():
+        # What each instance does for a changed upstream.
+        version[0] += 1
+        config.apply([{**changed, 'version': version[0]}])
+        made.rebuild(whole, STEPS, frozenset())
+        for name in names:
+            limit_table.region_limits(name, whole, made.drained, {})
+
+    result['change'] = _best(change)
     result['limits'] = _best(limits)
     declared = limits()
     result['limits_count'] = len(declared)
@@ -160,6 +175,29 @@
     return _best(lambda: plan.next_plan(first, changed), 1)
 
 
+def lookup_cost(instances, regions=8):
+    """Return seconds of a look-up that is cached and one that is not."""
+    config = config_module.ConfigSet()
+    whole = effective.EffectiveConfig(config)
+    config.apply(documents(19, 1, regions))
+    made = tables_module.Tables()
+    made.rebuild(whole, STEPS, frozenset())
+    view = {}
+    for number in range(instances):
+        name, place = 'i%04d' % number, 'p%02d' % (number % 19)
+        entry = lookup_order.Entry(name, place, made.place_region[place])
+        view[name] = (entry, '10.0.0.1', 7000)
+    answer = lookups.make(made, lambda: (1, view), 2.0)
+    count = max(20, 20000 // instances)
+    blocks = ['10.1.%d.0' % number for number in range(min(count, 250))]
+
+    def ask():
+        for block in blocks:
+            answer('s000', block)
+
+    return _best(ask, 1) / len(blocks), _best(ask) / len(blocks)
+
+
 def main():
     """Print one line for each size, and slopes."""
     parser = argparse.ArgumentParser()
@@ -168,13 +206,14 @@
     print('python bench/routing_tables.py --seed %d' % args.seed)
     print(
         'sites ups regions   docs | first ms  rebuild  routes  limits'
-        '  (count)  plan, 12 members | options us  hash us | baseline ms'
+        '  (count)  plan, 12 members  changed upstream | options us  hash us'
+        ' | baseline ms'
     )
     found = {}
     for case in CASES:
         item = found[case] = measure(*case, args.seed)
         print(
-            '%5d %3d %7d %6d | %8.1f %8.1f %7.1f %7.1f %8d %17.1f |'
+            '%5d %3d %7d %6d | %8.1f %8.1f %7.1f %7.1f %8d %17.1f %17.1f |'
             ' %10.2f %8.2f | %11.1f'
             % (
                 *case,
@@ -185,12 +224,20 @@
                 item['limits'] * 1000,
                 item['limits_count'],
                 item['region_plan'] * 1000,
+                item['change'] * 1000,
                 item['options'] * 1e6,
                 item['point'] * 1e6,
                 item['baseline'] * 1000,
             ),
             flush=True,
         )
+    print('instances  look-up not cached us  cached us')
+    costs = {n: lookup_cost(n) for n in (12, 100, 1000, 5800)}
+    for number, pair in costs.items():
+        shown = (number, pair[0] * 1e6, pair[1] * 1e6)
+        print('%9d %22.1f %10.2f' % shown)
+    slope = (costs[5800][0] - costs[12][0]) / 5788 * 1e6
+    print('slope of a look-up not cached: %.2f us per instance' % slope)
     for name, low, high, by in (
         ('site, 2 upstreams', (100, 2, 3), (1100, 2, 3), 1000),
         ('upstream, 300 sites', (300, 2, 3), (300, 8, 3), 1800),
--- a/bench/run_all.py
+++ b/bench/run_all.py
@@ -22,6 +22,7 @@
     ('maps', (), 60),
     ('routing_tables', (), 20),
     ('plan_cost', (), 40),
+    ('roles', (), 30),
     ('proxy', ('1500',), 30),
     ('overload', (), 30),
     ('slot_policies', ('1', '20'), 30),
