--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -6,7 +6,8 @@
 The baseline of the same run sends the full tables in each exchange, which is
 what a gossip without digests would do.
 
-Usage: ``python bench/gossip.py [--sizes 12,48,200,1000] [--seed 1]``
+Usage: ``python bench/gossip.py [--sizes 12,48,200,1000] [--seed 1]
+[--every 9.2]``; ``every`` is the seconds between two published documents.
 """
 
 import argparse
@@ -236,7 +237,7 @@
                 self.worst_age = max(self.worst_age, values[1])
 
 
-def measure(size, seed, seconds, publish):
+def measure(size, seed, seconds, publish, every=PUBLISH_EVERY_S):
     """Run one fleet and return its figures per instance and second."""
     run = Run(size, seed)
     run.run(12.0)
@@ -247,7 +248,7 @@
         if publish:
             run.publish(number)
             number += 1
-        run.run(min(run.now + PUBLISH_EVERY_S, begin + seconds))
+        run.run(min(run.now + every, begin + seconds))
     run.counting = False
     run.run(run.now + 10.0)
     total = size * seconds
@@ -280,6 +281,7 @@
     parser.add_argument('--sizes', default='12,48,200,1000')
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=28.0)
+    parser.add_argument('--every', type=float, default=PUBLISH_EVERY_S)
     args = parser.parse_args()
     print('command: python bench/gossip.py %s' % ' '.join(sys.argv[1:]))
     print('seed: %d, measured: %.0f s simulated' % (args.seed, args.seconds))
@@ -291,7 +293,7 @@
     points = []
     for size in map(int, args.sizes.split(',')):
         begin = time.monotonic()
-        row = measure(size, args.seed, args.seconds, True)
+        row = measure(size, args.seed, args.seconds, True, args.every)
         points.append((size, row['bytes'], row['cpu']))
         print(
             '%5d %9.0f %6.1f %12.0f %14.3f %10.3f %6.3f %3d %16.2f %14.0f '
