Count a lowered share with outstanding loans as 0, not below

A share that was lowered while part of it was lent made the whole amount of a limit share - lent < 0, so a borrowed slot on top of it gave a whole amount of 0 with one slot free. Choosing an upstream then divided by zero and the request ended with an internal error.

The whole amount now starts at 0 at the least.

--- a/src/jasminehold/decisions/holder.py
+++ b/src/jasminehold/decisions/holder.py
@@ -138,12 +138,13 @@
         gate = self.gates.get(limit_id)
         if gate is None or not self.usable(limit_id, now):
             return 0, 0
-        free, share = gate.free(now), gate.share - gate.lent
+        # A lowered share may be less than what is lent until the loan ends.
+        free, share = gate.free(now), max(gate.share - gate.lent, 0)
         for loan in self.loans.borrowed.values():
             if loan.limit == limit_id and loan.expires > now:
                 free += loan.gate.free(now)
                 share += loan.gate.share
-        return free, max(share, 0)
+        return free, share
 
     def finish(self, ticket):
         """Count the end of a request."""
--- a/tests/features/limits.feature
+++ b/tests/features/limits.feature
@@ -35,5 +35,8 @@
     Then the last free slot of a service is not lent
     And a spare amount reported 6 seconds ago is not asked for
 
+  Scenario: A share lowered below its lent amount leaves loans usable
+    Then a lender whose share was lowered to 0 sees a borrowed slot as whole
+
   Scenario: Plans of places stay within the region's plan
     Then random two-level plans keep the sum over all instances in the limit
--- a/tests/features/steps/limits_steps.py
+++ b/tests/features/steps/limits_steps.py
@@ -317,6 +317,23 @@
         assert one.lend(ask, 0.0)['amount'] == (index < 2)
 
 
+@behave.then(
+    'a lender whose share was lowered to 0 sees a borrowed slot as whole'
+)
+def then_lowered_lender(context):
+    one = holder.Holder('w')
+    stored = dict(plan.empty_plan('r'), version=1, witnesses=['w'])
+    one.apply(dict(stored, shares={'slots:x': {'w': 2}}), 0.0)
+    ask = loans.LoanAsk(id='a', limit='slots:x', amount=1, renews='')
+    assert one.lend(ask, 0.0)['amount'] == 1
+    one.apply(dict(stored, version=2, shares={'slots:x': {'w': 0}}), 0.0)
+    asked = one.loans.ask('slots:x', 1, 'p', 0.0)
+    grant = {'limit': 'slots:x', 'amount': 1, 'seconds': 10.0}
+    one.loans.receive({**grant, 'id': asked['id']}, 0.0)
+    # The usage of a slot is a part of the whole amount, so it is never 0.
+    assert one.free('slots:x', 0.0) == (1, 1), one.free('slots:x', 0.0)
+
+
 @behave.then('a spare amount reported {age:d} seconds ago is not asked for')
 def then_stale(context, age):
     spares = {'p': (0.0, {'rate:r': 5})}
