Let a step be in force although newer shares are not

A movement or an older system's share advanced only when every instance had acknowledged the newest plan without any limit that still lags.

A plan now carries the version in which its steps became what they are, and a step is in force once all live instances have that version.

--- a/src/jasminehold/control/planner.py
+++ b/src/jasminehold/control/planner.py
@@ -190,7 +190,7 @@
         limits = limit_table.region_limits(
             region.name, self._port.config, drained, self._legacy_load(now)
         )
-        in_force = _in_force(region.plan, names, fresh)
+        in_force = region_steps.in_force(region.plan, names, fresh)
         region.progress.update(
             region.plan, limits, fresh, names, self._port.config, now
         )
@@ -221,6 +221,9 @@
         self._tell_progress(region)
         if following is not region.plan:
             following.update(extra)
+            following['steps_version'] = region_steps.steps_version(
+                region.plan, following
+            )
             self._store(region, following)
 
     def _tell_progress(self, region):
@@ -267,17 +270,6 @@
         return bool(regions) and name == min(regions)
 
 
-def _in_force(plan, names, fresh):
-    """Return whether all live instances acknowledged a plan."""
-    if not names <= set(fresh):
-        return False
-    return all(
-        fresh[name]['acked'][0] >= plan['version']
-        and not fresh[name]['acked'][1]
-        for name in names
-    )
-
-
 def _demand(fresh):
     found = {}
     for name, report in fresh.items():
--- a/src/jasminehold/decisions/region_steps.py
+++ b/src/jasminehold/decisions/region_steps.py
@@ -57,6 +57,37 @@
     return total
 
 
+def steps_version(before, following):
+    """Return the version of the plan in which its steps became what they are.
+
+    Args:
+        before: the plan before.
+        following: the next plan, with its steps.
+    """
+    if before.get('steps') == following['steps']:
+        return before.get('steps_version', before['version'])
+    return following['version']
+
+
+def in_force(plan, names, reports):
+    """Return whether the steps of a plan are in force at all instances.
+
+    Shares change with the demand, as often as twice a second, so an
+    acknowledgement of the newest plan would rarely be complete. A limit whose
+    use does not yet fit a lowered share does not concern the steps.
+
+    Args:
+        plan: the stored plan.
+        names: set of the live instances.
+        reports: their recent reports.
+    """
+    version = plan.get('steps_version', plan['version'])
+    return all(
+        name in reports and reports[name]['acked'][0] >= version
+        for name in names
+    )
+
+
 class RegionSteps:
     """Movements into a region and older shares, as its planner steps them.
 
--- a/tests/features/routing.feature
+++ b/tests/features/routing.feature
@@ -27,6 +27,9 @@
     When no measurement arrives for an hour
     Then the moved share stays the same
 
+  Scenario: Changes of shares do not hold up a movement
+    Then a step is in force once all instances have the plan that made it
+
   Scenario: Noise does not change the order of places
     Then 1000 measurements with 15 percent noise never change the order
 
--- a/tests/features/steps/routing_steps.py
+++ b/tests/features/steps/routing_steps.py
@@ -11,6 +11,7 @@
 from jasminehold.decisions import drain
 from jasminehold.decisions import legacy
 from jasminehold.decisions import movement
+from jasminehold.decisions import region_steps
 from jasminehold.decisions import routing
 
 SETTINGS = hypothesis.settings(
@@ -197,3 +198,23 @@
     assert state.phase is drain.Phase.NO_NEW_WORK
     state = drain.advance(state, True, 0, 0, None, 9.0)
     assert (state.phase, state.drain_s) == (drain.Phase.EMPTY, 9.0)
+
+
+@behave.then(
+    'a step is in force once all instances have the plan that made it'
+)
+def then_step_in_force(context):
+    old = {'version': 4, 'steps': {'movements': {'m': 0.1}}}
+    step = {'version': 5, 'steps': {'movements': {'m': 0.2}}}
+    step['steps_version'] = region_steps.steps_version(old, step)
+    later = {'version': 6, 'steps': step['steps']}
+    later['steps_version'] = region_steps.steps_version(step, later)
+    for acked, expected in ((4, False), (5, True), (6, True)):
+        reports = {
+            'a': {'acked': [6, {}]},
+            'b': {'acked': [acked, {'rate:place/p': 4}]},
+        }
+        for plan in (step, later):
+            found = region_steps.in_force(plan, {'a', 'b'}, reports)
+            assert found is expected, (acked, plan)
+    assert not region_steps.in_force(later, {'a', 'b', 'c'}, reports)
