--- a/src/jasminehold/app.py
+++ b/src/jasminehold/app.py
@@ -251,12 +251,13 @@
         )
         listener = self.proxy.listen(*cfg.caller_listen)
         self.caller_port = listener.port
+        told = cfg.peer_advertise or (cfg.peer_listen.host, self._peer_port)
         own = membership.Member(
             id=cfg.id,
             incarnation=int(time.time() * 1000),
             state=membership.JOINING,
-            host=cfg.peer_listen.host,
-            port=self._peer_port,
+            host=told[0],
+            port=told[1],
             place=cfg.place,
             region=cfg.region,
             caller_host=cfg.caller_listen.host,
--- a/src/jasminehold/settings.py
+++ b/src/jasminehold/settings.py
@@ -88,6 +88,12 @@
     return Address(host, int(port))
 
 
+def _address_or_none(value):
+    if value is None:
+        return None
+    return _addresses([value])[0]
+
+
 def _addresses(value):
     if not isinstance(value, list) or len(value) > 64:
         raise ValueError
@@ -176,6 +182,15 @@
         'Address for other instances.',
         Address,
     ),
+    _text(
+        'peer_advertise',
+        _address_or_none,
+        _ADDRESS_TEXT.replace('0 to', '1 to'),
+        None,
+        'Address that other instances are told, where it differs from '
+        'peer_listen.',
+        typing.Optional[Address],
+    ),
     _text(
         'platform',
         _addresses,
--- a/src/jasminehold/standin/caller.py
+++ b/src/jasminehold/standin/caller.py
@@ -1,5 +1,6 @@
 """A stand-in for a caller: a blocking HTTP client that sees cut answers."""
 
+import select
 import socket
 import typing
 
@@ -34,16 +35,29 @@
     Args:
         port: port on the local address.
         timeout: seconds for each socket call.
+        source: IP address that the caller comes from.
 
     Attributes:
         continued: whether the server asked for a body.
     """
 
-    def __init__(self, port, timeout=8.0):
-        self.sock = socket.create_connection(('127.0.0.1', port), timeout)
+    def __init__(self, port, timeout=8.0, source='127.0.0.1'):
+        self.sock = socket.create_connection(
+            ('127.0.0.1', port), timeout, (source, 0)
+        )
         self.http = h11.Connection(h11.CLIENT)
         self.continued = False
 
+    @property
+    def usable(self):
+        """Whether another request can be sent on the connection."""
+        if self.http.our_state is not h11.IDLE:
+            return False
+        # An idle connection is readable only when the server closed it.
+        poll = select.poll()
+        poll.register(self.sock, select.POLLIN)
+        return not poll.poll(0)
+
     def send(self, method, path, headers=(), body=b''):
         """Send a request.
 
--- a/src/jasminehold/standin/platform.py
+++ b/src/jasminehold/standin/platform.py
@@ -418,6 +418,8 @@
 def run(host='127.0.0.1', port=8500, control_port=8501, seed=1):
     """Serve the stand-in in this process until it is ended.
 
+    Prints one JSON line with both ports when it listens.
+
     Args:
         host: IP address.
         port: port of the service.
@@ -426,5 +428,7 @@
     """
     root = circuits.Component()
     loop = loop_module.Loop().register(root)
-    Platform(loop, host, port, control_port, random.Random(seed))
+    platform = Platform(loop, host, port, control_port, random.Random(seed))
+    ports = {'port': platform.port, 'control_port': platform.control_port}
+    print(json.dumps(ports), flush=True)
     root.run()
--- a/src/jasminehold/standin/upstream.py
+++ b/src/jasminehold/standin/upstream.py
@@ -20,6 +20,8 @@
 import json
 import os
 import random
+import sys
+import time
 import typing
 
 import circuits
@@ -45,6 +47,10 @@
         cold_requests: requests until the factor has fallen to one.
         load_lag_s: age step of the load report.
         seed: seed of the service times.
+        trace: whether each execution and each request that has to wait is
+            written to standard output at once, one JSON list a line:
+            ``[event, seconds (monotonic), request id, key]``. What was
+            written outlives a kill of the process.
     """
 
     slots: int = 3
@@ -56,6 +62,7 @@
     cold_requests: int = 100
     load_lag_s: float = 1.0
     seed: int = 0
+    trace: bool = False
 
 
 def answer_body(method, path, body, key, size):
@@ -279,6 +286,7 @@
         if len(self._running) < self.options.slots:
             self._start(work)
         elif len(self._waiting) < self.options.queue:
+            self._trace('waits', work)
             self._waiting.append(work)
         else:
             self._refuse(work, 503, 'shed', [(b'retry-after', b'1')])
@@ -306,6 +314,7 @@
             return
         self._running.add(work)
         self.counts['executions'] += 1
+        self._trace('runs', work)
         values = work.values
         if b'idempotency-key' in values:
             self.by_key[values[b'idempotency-key'].decode()] += 1
@@ -319,6 +328,14 @@
             seconds += LATE_S
         work.timer = self._loop.call_later(seconds, self._complete, work)
 
+    def _trace(self, event, work):
+        if self.options.trace:
+            ident = work.values.get(b'x-request-id', b'').decode()
+            key = work.values.get(b'idempotency-key', b'').decode()
+            line = json.dumps([event, time.monotonic(), ident, key])
+            sys.stdout.write(line + '\n')
+            sys.stdout.flush()
+
     def _crash(self):
         if self._on_crash is None:
             os._exit(CRASH_STATUS)
