--- a/bench/control.py
+++ b/bench/control.py
@@ -19,7 +19,7 @@
 import threading
 import time
 
-from bench import processes
+from bench import measured_fleet
 from jasminehold import errors
 from jasminehold.standin import caller
 
@@ -43,7 +43,7 @@
 
     def run(self):
         """Send until the end; a late request does not delay the next."""
-        headers = {'Jasminehold-Service': processes.SERVICE}
+        headers = {'Jasminehold-Service': measured_fleet.SERVICE}
         headers['X-Service-Ms'] = 2
         due = time.monotonic()
         while self._clients and due < self._end:
@@ -61,8 +61,8 @@
     """Return the figures of all processes at one moment."""
     return {
         'at': time.monotonic(),
-        'cpu': [processes.cpu_s(i.process.pid) for i in fleet.instances],
-        'metrics': [processes.scrape(i.api) for i in fleet.instances],
+        'cpu': [measured_fleet.cpu_s(i.process.pid) for i in fleet.instances],
+        'metrics': [measured_fleet.scrape(i.api) for i in fleet.instances],
         'calls': fleet.platform_calls(),
     }
 
@@ -72,8 +72,8 @@
     seconds = after['at'] - before['at']
 
     def rate(name):
-        grown = processes.totals(after['metrics'], name)
-        grown -= processes.totals(before['metrics'], name)
+        grown = measured_fleet.totals(after['metrics'], name)
+        grown -= measured_fleet.totals(before['metrics'], name)
         return grown / seconds / count
 
     shares = [(b - a) / seconds for a, b in zip(before['cpu'], after['cpu'])]
@@ -112,7 +112,7 @@
     found['failed'] = sum(worker.failed for worker in load)
     found['rate'] = found['sent'] / len(fleet.instances) / (seconds + 2.0)
     found['mb'] = max(
-        processes.resident_mb(item.process.pid) for item in fleet.instances
+        measured_fleet.resident_mb(item.process.pid) for item in fleet.instances
     )
     return found
 
@@ -127,13 +127,13 @@
     def in_force():
         """The status shows the change in force at all places."""
         status = fleet.get('region', 'sul')['status']
-        places = min(len(fleet.instances), len(processes.PLACES))
+        places = min(len(fleet.instances), len(measured_fleet.PLACES))
         return (
             status.get('observed_generation') == generation
             and status['places_in_force'] == status['places'] == places
         )
 
-    processes.wait_until(in_force, LIMIT_S, 0.02)
+    measured_fleet.wait_until(in_force, LIMIT_S, 0.02)
     return accepted, time.monotonic() - begin
 
 
@@ -147,7 +147,7 @@
         """The status shows the drain as empty."""
         return fleet.get('drain', 'bench')['status'].get('phase') == 'empty'
 
-    processes.wait_until(empty, LIMIT_S, 0.05)
+    measured_fleet.wait_until(empty, LIMIT_S, 0.05)
     taken = time.monotonic() - begin
     shown = fleet.get('drain', 'bench')['status'].get('drain_seconds')
     fleet.api.call('DELETE', '/v1/resources/drain/bench')
@@ -157,9 +157,9 @@
 def run_size(count, seconds, rate):
     """Return all figures of one fleet size."""
     begin = time.monotonic()
-    with processes.Fleet(count) as fleet:
-        processes.wait_until(lambda: _declared(fleet), LIMIT_S, 0.5)
-        processes.wait_until(fleet.ready, LIMIT_S)
+    with measured_fleet.Fleet(count) as fleet:
+        measured_fleet.wait_until(lambda: _declared(fleet), LIMIT_S, 0.5)
+        measured_fleet.wait_until(fleet.ready, LIMIT_S)
         ready = time.monotonic() - begin
         time.sleep(SETTLE_S)
         result = {'instances': count, 'ready_s': ready}
--- a/bench/maps.py
+++ b/bench/maps.py
@@ -23,7 +23,7 @@
 import statistics
 import time
 
-from bench import processes
+from bench import measured_fleet
 from jasminehold import config as config_module
 from jasminehold.decisions import blocks
 from jasminehold.decisions import gossip
@@ -108,7 +108,7 @@
 
 def _mb():
     gc.collect()
-    return processes.resident_mb('self')
+    return measured_fleet.resident_mb('self')
 
 
 class _MapOnly:
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,304 +1,355 @@
-"""Starts a small fleet of real processes for measurements.
+"""A miniature deployment as separate processes on loopback.
 
-The platform stand-in, upstream stand-ins and instances are started through
-the command line, each with its output in a file of a temporary directory.
+Starts the platform's stand-in, upstream stand-ins and instances, each as a
+process of its own with ports that the system chooses, and ends them by their
+own ids.
 """
 
-import contextlib
 import hashlib
+import http.client
 import json
 import os
-import random
-import re
-import socket
+import pathlib
+import signal
 import subprocess
 import sys
 import tempfile
+import threading
 import time
-import urllib.request
 
 from jasminehold import api_client
 from jasminehold import errors
 
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = '127.0.0.1'
-TOKEN = 'bench-operator'
-PLACES = (
-    ('sul-a', 'sul'),
-    ('sul-b', 'sul'),
-    ('sudeste-a', 'sudeste'),
-    ('sudeste-b', 'sudeste'),
-    ('europa-a', 'europa'),
-    ('europa-b', 'europa'),
-)
-SERVICE = 'loja'
-SLOTS = 96
-TICKS = os.sysconf('SC_CLK_TCK')
-_LINE = re.compile(r'^jasminehold_(\w+?)(?:\{(.*)\})? (\S+)$')
-_LABEL = re.compile(r'(\w+)="([^"]*)"')
-
-
-def free_ports(count):
-    """Return unused ports below the range of outgoing connections.
-
-    A port of that range could be taken by an outgoing connection of an
-    earlier process before its own process listens.
+KEYS = {'k1': '5a' * 32}
+START_S = 20.0
+
+
+class Process:
+    """One child process whose output lines are collected.
+
+    Args:
+        args: arguments of the command line ``jasminehold``.
+
+    Attributes:
+        lines: lines of standard output, as text.
+        logs: lines of standard error, as text.
     """
-    candidates = random.Random().sample(range(20000, 32000), 3 * count)
-    found = []
-    for port in candidates:
-        with socket.socket() as sock:
-            try:
-                sock.bind((HOST, port))
-            except OSError:
-                continue
-        found.append(port)
-    return found[:count]
-
-
-def cpu_s(pid):
-    """Return the processor seconds that a process has used."""
-    with open('/proc/%d/stat' % pid) as file:
-        fields = file.read().rpartition(')')[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS
-
-
-def resident_mb(pid):
-    """Return the resident memory of a process in MB (2**20 bytes)."""
-    with open('/proc/%s/status' % pid) as file:
-        for line in file:
-            if line.startswith('VmRSS'):
-                return int(line.split()[1]) / 1024
-    return 0.0
-
-
-def fetch(port, path, timeout=5.0):
-    """Return the body of a GET request."""
-    url = 'http://%s:%d%s' % (HOST, port, path)
-    with urllib.request.urlopen(url, timeout=timeout) as answer:
-        return answer.read()
-
-
-def scrape(port):
-    """Return an instance's metrics as ``{(name, labels): value}``."""
-    found = {}
-    for line in fetch(port, '/metrics').decode().splitlines():
-        match = _LINE.match(line)
-        if match:
-            labels = tuple(sorted(_LABEL.findall(match.group(2) or '')))
-            found[match.group(1), labels] = float(match.group(3))
-    return found
-
-
-def totals(samples, name):
-    """Return a metric's sum over its labels and over all samples."""
-    return sum(
-        value
-        for sample in samples
-        for (key, _), value in sample.items()
-        if key == name
-    )
-
-
-def wait_until(check, limit, every=0.05):
-    """Return the seconds until a check holds.
+
+    def __init__(self, *args):
+        env = dict(os.environ, PYTHONPATH=str(ROOT / 'src'))
+        self.popen = subprocess.Popen(
+            [sys.executable, '-m', 'jasminehold'] + [str(a) for a in args],
+            env=env,
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        self.lines, self.logs = [], []
+        self._threads = []
+        for stream, into in (
+            (self.popen.stdout, self.lines),
+            (self.popen.stderr, self.logs),
+        ):
+            thread = threading.Thread(
+                target=into.extend, args=(stream,), daemon=True
+            )
+            thread.start()
+            self._threads.append(thread)
+
+    def signal(self, signo):
+        """Send a signal to the process if it still runs."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(signo)
+
+    def end(self):
+        """Kill the process, frozen or not, and collect its output."""
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+        for thread in self._threads:
+            thread.join(5)
+
+    def events(self):
+        """Return the log lines as dictionaries."""
+        return [json.loads(x) for x in list(self.logs) if x.startswith('{')]
+
+
+def wait_until(condition, seconds, what):
+    """Wait for a condition and return the seconds that it took.
 
     Raises:
-        SystemExit: when it does not hold in time.
+        AssertionError: when it does not come true in time.
     """
     begin = time.monotonic()
-    while time.monotonic() - begin < limit:
-        if check():
-            return time.monotonic() - begin
-        time.sleep(every)
-    raise SystemExit('not reached within %g s: %s' % (limit, check.__doc__))
+    while not condition():
+        if time.monotonic() - begin > seconds:
+            raise AssertionError('not within %g s: %s' % (seconds, what))
+        time.sleep(0.05)
+    return time.monotonic() - begin
+
+
+class Instance(Process):
+    """One instance with the ports that it chose."""
+
+    def __init__(self, cfg, folder):
+        self.cfg = cfg
+        path = os.path.join(folder, cfg['id'] + '.json')
+        with open(path, 'w') as out:
+            json.dump(cfg, out)
+        super().__init__('serve', path)
+        self.ports = None
 
+    def wait_started(self):
+        """Wait until the instance has told its ports."""
 
-class Instance:
-    """One instance process and its ports."""
+        def told():
+            for event in self.events():
+                if event['event'] == 'instance started':
+                    self.ports = event
+            if self.popen.poll() is not None:
+                raise AssertionError(''.join(self.logs)[-2000:])
+            return self.ports
 
-    def __init__(self, number, ports):
-        self.id = 'i%02d' % number
-        self.place, self.region = PLACES[number % len(PLACES)]
-        self.caller, self.api, self.peer = ports
-        self.process = None
+        wait_until(told, START_S, 'start of ' + self.cfg['id'])
+
+    def ready(self):
+        """Return whether the instance takes callers."""
+        conn = http.client.HTTPConnection(
+            HOST, self.ports['api_port'], timeout=3
+        )
+        try:
+            conn.request('GET', '/readyz')
+            return conn.getresponse().status == 200
+        except OSError:
+            return False
+        finally:
+            conn.close()
 
 
 class Fleet:
-    """A fleet of processes; use it as a context manager.
+    """One deployment in miniature.
 
     Args:
-        count: number of instances.
+        docs: resources; the host and port of upstreams are filled in.
+        instances: number of instances, spread over the places in turn.
+        operators: names of operators; the token is the name.
+        settings: further settings of each instance.
+
+    Attributes:
+        docs: resources as declared, by ``(kind, name)``.
+        upstreams: :class:`Process` by name.
+        instances: :class:`Instance` by id.
     """
 
-    def __init__(self, count):
-        self._stack = contextlib.ExitStack()
-        self._dir = None
-        self._processes = []
-        ports = free_ports(2 + len(PLACES) + 3 * count)
-        self.platform, self.platform_control = ports[:2]
-        self.upstreams = ports[2 : 2 + len(PLACES)]
-        rest = ports[2 + len(PLACES) :]
-        self.instances = [
-            Instance(n, rest[3 * n : 3 * n + 3]) for n in range(count)
+    def __init__(self, docs, instances=9, operators=('demo',), **settings):
+        self.docs = {(d['kind'], d['metadata']['name']): d for d in docs}
+        self.folder = tempfile.mkdtemp(prefix='jasminehold-')
+        self.settings = settings
+        self.operators = operators
+        self.upstreams, self.instances = {}, {}
+        self.ended = []
+        self.platform = None
+        self.addresses = {}
+        places = self.of('place')
+        names = list(places)
+        self._where = [
+            ('i%d' % n, names[n % len(names)]) for n in range(instances)
         ]
-        self.api = api_client.Client(
-            [(HOST, item.api) for item in self.instances], TOKEN
-        )
 
-    def __enter__(self):
-        self._dir = self._stack.enter_context(tempfile.TemporaryDirectory())
-        try:
-            self._start()
-        except BaseException:
-            self.__exit__()
-            raise
-        return self
-
-    def __exit__(self, *exc):
-        for process in reversed(self._processes):
-            process.terminate()
-        for process in self._processes:
-            try:
-                process.wait(3)
-            except subprocess.TimeoutExpired:
-                process.kill()
-                process.wait()
-        self._stack.close()
-
-    def _run(self, name, *args):
-        path = os.path.join(self._dir, name + '.log')
-        file = self._stack.enter_context(open(path, 'wb'))
-        command = [sys.executable, '-m', 'jasminehold', *args]
-        process = subprocess.Popen(command, stdout=file, stderr=file)
-        self._processes.append(process)
-        return process
-
-    def _start(self):
-        self._run(
-            'platform',
+    def of(self, kind):
+        """Return the specs of a kind by name."""
+        return {
+            name: doc['spec']
+            for (found, name), doc in self.docs.items()
+            if found == kind
+        }
+
+    def start(self, hold_back=()):
+        """Start everything, except instances that are held back."""
+        self.start_platform()
+        for name in self.of('upstream'):
+            self.start_upstream(name)
+        for name, spec in self.of('upstream').items():
+            process = self.upstreams[name]
+            wait_until(lambda: process.lines, START_S, 'start of ' + name)
+            spec.update(host=HOST, port=json.loads(process.lines[0])['port'])
+        for name, place in self._where:
+            if name not in hold_back:
+                self.start_instance(name, place)
+
+    def start_platform(self):
+        """Start the platform's stand-in."""
+        self.platform = Process(
+            'stand-in', 'platform', '--port=0', '--control_port=0'
+        )
+        wait_until(lambda: self.platform.lines, START_S, 'platform')
+        self.addresses['platform'] = json.loads(self.platform.lines[0])
+
+    def start_upstream(self, name, port=0):
+        """Start an upstream's stand-in."""
+        spec = self.of('upstream')[name]
+        if name in self.upstreams:
+            self.ended.append((name, self.upstreams[name]))
+        self.upstreams[name] = Process(
             'stand-in',
-            'platform',
-            '--port=%d' % self.platform,
-            '--control_port=%d' % self.platform_control,
+            'upstream',
+            '--name=' + name,
+            '--port=%d' % port,
+            '--slots=%d' % spec['slots'],
+            '--connections=%d' % spec['connections'],
+            '--service_s=0.01',
+            '--trace=True',
         )
-        for (place, _), port in zip(PLACES, self.upstreams):
-            self._run(
-                'upstream-' + place,
-                'stand-in',
-                'upstream',
-                '--name=%s-%s' % (SERVICE, place),
-                '--port=%d' % port,
-                '--slots=%d' % SLOTS,
-            )
-        self._wait_platform()
-        for item in self.instances:
-            item.process = self._run(item.id, 'serve', self._settings(item))
-        wait_until(self._answering, 60)
-
-    def _wait_platform(self):
-        def check():
-            """The platform stand-in answers."""
-            try:
-                self.platform_calls()
-            except OSError:
-                return False
-            return True
-
-        wait_until(check, 15)
-
-    def _settings(self, item):
-        digest = hashlib.sha256(TOKEN.encode()).hexdigest()
-        document = {
-            'id': item.id,
-            'place': item.place,
-            'region': item.region,
-            'caller_listen': '%s:%d' % (HOST, item.caller),
-            'api_listen': '%s:%d' % (HOST, item.api),
-            'peer_listen': '%s:%d' % (HOST, item.peer),
-            'platform': ['%s:%d' % (HOST, self.platform)],
-            'peers': ['%s:%d' % (HOST, self.instances[0].peer)],
-            'peer_keys': {'k1': '11' * 32},
+
+    def start_instance(self, name, place, **changes):
+        """Start an instance; the others' peer ports are its ``peers``."""
+        cfg = {
+            'id': name,
+            'place': place,
+            'region': self.of('place')[place]['region'],
+            'platform': ['%s:%d' % (HOST, self.addresses['platform']['port'])],
+            'peers': self.peer_addresses(),
+            'peer_keys': KEYS,
             'peer_key_id': 'k1',
-            'operators': {'bench': digest},
+            'operators': {
+                name: hashlib.sha256(name.encode()).hexdigest()
+                for name in self.operators
+            },
+            **self.settings,
+            **changes,
         }
-        path = os.path.join(self._dir, item.id + '.json')
-        with open(path, 'w') as file:
-            json.dump(document, file)
-        return path
-
-    def _answering(self):
-        """All instances answer health requests."""
-        for item in self.instances:
-            if item.process.poll() is not None:
-                path = os.path.join(self._dir, item.id + '.log')
-                with open(path) as file:
-                    raise SystemExit('%s ended: %s' % (item.id, file.read()))
-        try:
-            for item in self.instances:
-                fetch(item.api, '/healthz')
-        except OSError:
-            return False
-        return True
+        self.instances[name] = Instance(cfg, self.folder)
+        if not cfg['peers']:
+            self.instances[name].wait_started()
+        return self.instances[name]
+
+    def peer_addresses(self):
+        """Return peer addresses of instances that run."""
+        return [
+            '%s:%d' % (HOST, one.ports['peer_port'])
+            for one in self.instances.values()
+            if one.ports
+        ][:3]
+
+    def wait_ready(self, seconds=START_S):
+        """Wait until all instances take callers; return the seconds."""
+        for one in self.instances.values():
+            one.wait_started()
+        return wait_until(
+            lambda: all(one.ready() for one in self.instances.values()),
+            seconds,
+            'all instances ready',
+        )
 
-    def ready(self):
-        """All instances are ready for callers."""
-        try:
-            for item in self.instances:
-                fetch(item.api, '/readyz')
-        except OSError:
-            return False
-        return True
+    def lookup_ports(self):
+        """Return the callers' ports of the instances that run."""
+        return [
+            one.ports['caller_port']
+            for one in list(self.instances.values())
+            if one.ports and one.popen.poll() is None
+        ]
 
-    def platform_calls(self):
-        """Return the stand-in's count of calls by kind."""
-        body = fetch(self.platform_control, '/v1/stats')
-        return json.loads(body)['calls']
+    def servers(self, *names):
+        """Return operators' addresses of instances, by default of all."""
+        return [
+            (HOST, self.instances[name].ports['api_port'])
+            for name in names or list(self.instances)
+        ]
 
-    def put(self, kind, name, spec):
-        """Declare a resource and return its stored document."""
-        path = '/v1/resources/%s/%s' % (kind, name)
-        version = 0
+    def api(self, method, path, body=None, names=(), actor=None, timeout=10.0):
+        """Make an operator's call."""
+        token = actor or self.operators[0]
+        client = api_client.Client(self.servers(*names), token, timeout)
+        return client.call(method, '/v1/resources/' + path, body=body)
+
+    def apply(self, docs):
+        """Declare resources by the command line and return its output."""
+        path = os.path.join(self.folder, 'apply.json')
+        with open(path, 'w') as out:
+            json.dump(docs, out)
+        servers = ','.join('%s:%d' % each for each in self.servers())
+        command = Process(
+            'apply', path, '--servers=' + servers, '--token=demo'
+        )
+        status = command.popen.wait(60)
+        command.end()
+        if status:
+            raise AssertionError(''.join(command.lines + command.logs))
+        return ''.join(command.lines)
+
+    def status(self, kind, name, condition):
+        """Return whether a condition of a resource is true, and status."""
         try:
-            version = self.get(kind, name)['metadata']['resource_version']
-        except errors.RequestError as exc:
-            if exc.kind is not errors.Kind.NOT_FOUND:
-                raise
-        body = {
-            'metadata': {'name': name, 'resource_version': version},
-            'spec': spec,
-        }
-        return self.api.call('PUT', path, body=body)
-
-    def get(self, kind, name):
-        """Return a resource with its status."""
-        return self.api.call('GET', '/v1/resources/%s/%s' % (kind, name))
-
-    def declare(self):
-        """Declare the service, regions, places, upstreams and blocks."""
-        self.put('service', SERVICE, {'request_timeout_ms': 5000})
-        for region in sorted({region for _, region in PLACES}):
-            self.put('region', region, {'capacity_rps': 20000})
-        for place, region in PLACES:
-            latencies = {
-                other: 0.5 if near == region else 20.0
-                for other, near in PLACES
-                if other != place
-            }
-            spec = {'region': region, 'capacity_rps': 10000}
-            self.put('place', place, {**spec, 'latency_ms': latencies})
-        for (place, _), port in zip(PLACES, self.upstreams):
-            spec = {
-                'service': SERVICE,
-                'place': place,
-                'host': HOST,
-                'port': port,
-                'slots': SLOTS,
-                'connections': 960,
-            }
-            self.put('upstream', '%s-%s' % (SERVICE, place), spec)
-        blocks = [
-            {'cidr': '10.%d.0.0/16' % n, 'site': place}
-            for n, (place, _) in enumerate(PLACES)
+            doc = self.api('GET', '%s/%s' % (kind, name))
+        except errors.JasmineholdError:
+            return False, {}
+        found = [
+            each['status'] == 'True'
+            for each in doc['status'].get('conditions', [])
+            if each['type'] == condition
         ]
-        spec = {'region': 'sul', 'blocks': blocks}
-        self.put('client_blocks', 'clients', spec)
+        return found == [True], doc['status']
+
+    def wait_status(self, kind, name, condition, seconds):
+        """Wait for a condition of a resource; return seconds and status."""
+        took = wait_until(
+            lambda: self.status(kind, name, condition)[0],
+            seconds,
+            '%s of %s %s' % (condition, kind, name),
+        )
+        return took, self.status(kind, name, condition)[1]
+
+    def platform_faults(self, **faults):
+        """Set faults of the platform's stand-in."""
+        port = self.addresses['platform']['control_port']
+        conn = http.client.HTTPConnection(HOST, port, timeout=3)
+        conn.request('POST', '/v1/faults', json.dumps(faults))
+        assert conn.getresponse().status == 200
+        conn.close()
+
+    def take(self, name):
+        """Return an instance and stop counting it to the fleet."""
+        one = self.instances.pop(name)
+        self.ended.append((None, one))
+        return one
+
+    def runs(self):
+        """Return ``(upstream, event, seconds, id, key)`` of all upstreams."""
+        found = []
+        processes = list(self.upstreams.items())
+        processes += [item for item in self.ended if item[0]]
+        for name, process in processes:
+            for line in list(process.lines)[1:]:
+                if line.endswith('\n'):
+                    found.append((name, *json.loads(line)))
+        return sorted(found, key=lambda item: item[2])
+
+    def processes(self):
+        """Return all processes that were started."""
+        found = [one for _, one in self.ended]
+        found += self.instances.values()
+        found += self.upstreams.values()
+        return found + ([self.platform] if self.platform else [])
+
+    def internal_errors(self):
+        """Return the internal errors that instances logged."""
+        found = []
+        for one in self.processes():
+            found += [
+                event
+                for event in one.events()
+                if event.get('event') == 'internal error'
+            ]
+        return found
+
+    def close(self):
+        """End all processes by their own ids."""
+        for process in self.processes():
+            process.signal(signal.SIGKILL)
+        for process in self.processes():
+            process.end()
+        for path in pathlib.Path(self.folder).iterdir():
+            path.unlink()
+        os.rmdir(self.folder)
--- a/bench/roles.py
+++ b/bench/roles.py
@@ -17,7 +17,7 @@
 
 import msgpack
 
-from bench import processes
+from bench import measured_fleet
 from jasminehold import app
 from jasminehold.control import reports
 from jasminehold.decisions import duty
@@ -51,7 +51,7 @@
     """Return MB and microseconds per entry of a member table."""
     entries = [list(_member(number, rng)) for number in range(count)]
     gc.collect()
-    before = processes.resident_mb('self')
+    before = measured_fleet.resident_mb('self')
     table = membership.Membership(
         _member(count, rng), membership.MembershipCfg(), rng, 0.0
     )
@@ -64,7 +64,7 @@
     for number in range(20):
         table.tick(1.0 + number / 10)
     ticks = (time.process_time() - ticks) / 20
-    grown = processes.resident_mb('self') - before
+    grown = measured_fleet.resident_mb('self') - before
     size = len(msgpack.packb(entries[0]))
     return grown, spent / count * 1e6, ticks * 1e6, size
 
