--- a/src/jasminehold/decisions/routing.py
+++ b/src/jasminehold/decisions/routing.py
@@ -222,7 +222,9 @@
 
 
 def _usage(candidate):
-    used = 1 - candidate.free / candidate.share
+    # The whole amount is less than the free one while loans given out exceed a
+    # share that was cut since.
+    used = 1 - candidate.free / max(candidate.share, candidate.free)
     reported = candidate.reported or 0.0
     # A report can only count against an upstream, and less as it ages.
     reported /= 1 + candidate.report_age_s
--- a/tests/features/routing.feature
+++ b/tests/features/routing.feature
@@ -32,3 +32,6 @@
 
   Scenario: A silent instance keeps a drain from being empty
     Then a drain with a missing report is not empty
+
+  Scenario: Loans beyond a share that was cut do not stop the choice
+    Then an upstream with free slots and no share of its own is chosen
--- a/tests/features/steps/routing_steps.py
+++ b/tests/features/steps/routing_steps.py
@@ -197,3 +197,9 @@
     assert state.phase is drain.Phase.NO_NEW_WORK
     state = drain.advance(state, True, 0, 0, None, 9.0)
     assert (state.phase, state.drain_s) == (drain.Phase.EMPTY, 9.0)
+
+
+@behave.then('an upstream with free slots and no share of its own is chosen')
+def then_lent(context):
+    one = routing.Candidate('u', 1, 0, 1.0, False, None, 0.0)
+    assert routing.choose_upstream([one], random.Random(1)) is one
