Give each claim a number, so that a release frees only its own claim

Cause: a claim was named by key and instance. A copy of an order whose claim ended as unknown released the claim under which another copy was running at the same instance, and a key given back was run again locally although its release could still arrive; both allowed a second run. A copy that met a claim whose grant was still on its way, an instance not yet known from gossip, or a claim just released was answered answer_lost. Change: the holder of a claim is '<instance>/<number>'. An own claim that was given back is released and claimed anew. Claims asked for count as running, claims given back stay remembered, unconfirmed releases are sent again, and an instance unknown to the member list counts as gone only after 15 s.

--- a/src/jasminehold/app.py
+++ b/src/jasminehold/app.py
@@ -534,7 +534,7 @@
 
     def _is_gone(self, instance_id):
         member = self.agent.state.members.get(instance_id)
-        return member is None or member.state == membership.GONE
+        return None if member is None else member.state == membership.GONE
 
     def _on_duty_change(self, name, token):
         self.metrics.inc(
--- a/src/jasminehold/claims.py
+++ b/src/jasminehold/claims.py
@@ -94,7 +94,8 @@
         Args:
             key_digest: 16 bytes.
             request_digest: 8 bytes, digest of method, path and body.
-            instance_id: instance that is to run the request.
+            instance_id: holder of the claim, the instance that is to run
+                the request or that instance and a number of the claim's own.
             done: called with ``(Result, None)``.
         """
         message = {
@@ -106,7 +107,10 @@
         self._route(message, done)
 
     def release(self, key_digest, instance_id, done):
-        """Give back a claim whose request certainly did not run."""
+        """Give back a claim whose request certainly did not run.
+
+        Another holder's claim of the key stays.
+        """
         message = {
             'op': 'release',
             'key': key_digest,
--- a/src/jasminehold/control/claiming.py
+++ b/src/jasminehold/control/claiming.py
@@ -4,6 +4,8 @@
 that a resend gets the first one's answer.
 """
 
+import random
+
 from jasminehold.decisions import claim_log
 from jasminehold import errors
 from jasminehold.proxy import hooks as hooks_module
@@ -13,33 +15,53 @@
 
 CLAIM_TIMEOUT_S = 2.5
 FETCH_TIMEOUT_S = 1.0
-# Keys whose claim may be stored although nothing was run.
+# Claims remembered as given back. The key of an older one whose release was
+# lost is answered as lost for as long as claims are kept.
 NOT_RUN_KEPT = 10000
+RELEASE_RETRY_S = 0.5
+RELEASE_RETRY_MAX_S = 30.0
+# An instance that is not among the members may be one that started so
+# recently that its gossip has not arrived. Longer than a suspicion lasts.
+UNKNOWN_GONE_S = 15.0
+UNKNOWN_KEPT = 1000
 
 
 class Claiming:
     """Claim hooks of the request path.
 
+    Each claim is held by ``<instance id>/<number>`` with a random number. A
+    release names the claim that it gives back, so one that arrives late, or
+    that belongs to another copy of the request, cannot free a claim that the
+    same instance made before or after it. A request never runs under a claim
+    for which a release was sent.
+
     Args:
         loop: the event loop.
         mesh: the :class:`mesh.Mesh`.
         instance_id: id of this instance.
-        is_gone: ``is_gone(instance id)`` tells whether an instance ended.
+        is_gone: ``is_gone(instance id)`` tells whether an instance ended;
+            None when it is not known.
         answer_keep: seconds for which answers are kept.
+        rng: random source of the claims' numbers.
 
     Attributes:
         claims: the :class:`claims.Claims`, which needs :meth:`send_claim`.
     """
 
-    def __init__(self, loop, mesh, instance_id, is_gone, answer_keep):
+    def __init__(
+        self, loop, mesh, instance_id, is_gone, answer_keep, rng=None
+    ):
         self.claims = None
         self._loop = loop
         self._mesh = mesh
         self._id = instance_id
         self._is_gone = is_gone
+        self._rng = rng or random.SystemRandom()
         self._answers = hooks_module.AnswerStore(keep_s=answer_keep)
-        self._running = set()
+        self._asked = set()
+        self._running = {}
         self._not_run = {}
+        self._unknown = {}
         mesh.handle('claim', self._on_claim)
         mesh.handle('answer_fetch', self._on_fetch)
 
@@ -47,25 +69,17 @@
 
     def claim(self, key, digest, done):
         """Claim a key: ``done(hooks.Claim)``."""
-
-        def on_result(result, exc):
-            found = self._judge(key, result)
-            if found is None:
-                self._fetch(result.instance, key, done)
-            else:
-                done(found)
-
-        self.claims.claim(key, digest, self._id, on_result)
+        self._claim(key, digest, done, True)
 
     def release(self, key):
         """Give back a claim whose request certainly did not run."""
-        self._running.discard(key)
-        self._remember_not_run(key)
-        self.claims.release(key, self._id, self._on_released(key))
+        holder = self._running.pop(key, None)
+        if holder is not None:
+            self._give_back(key, holder)
 
     def keep(self, key, answer):
         """Keep the answer of a claimed request, or None when it is lost."""
-        self._running.discard(key)
+        self._running.pop(key, None)
         self._answers.keep(key, answer, self._loop.now())
 
     def find(self, key):
@@ -90,53 +104,99 @@
 
     # Internals.
 
-    def _judge(self, key, result):
-        """Return the hook's result, None when another instance knows it."""
-        status = result.status
-        if status is Status.GRANTED:
-            self._running.add(key)
-            return hooks_module.Claim(True)
-        if status is Status.KEY_REUSED:
-            return hooks_module.Claim(False, Kind.KEY_REUSED)
-        if status is Status.TAKEN:
-            if result.instance != self._id:
-                return None
-            return self._own(key)
-        if status is Status.UNKNOWN:
-            # Nothing was sent, so the request did not run; the claim may be
-            # stored and is given back.
-            self.release(key)
-        return hooks_module.Claim(False, Kind.UNAVAILABLE)
-
-    def _own(self, key):
-        answer = self.find(key)
-        if answer is not None:
-            return hooks_module.Claim(False, None, answer)
-        if key in self._running:
-            return hooks_module.Claim(False, Kind.IN_PROGRESS)
-        if self._not_run.pop(key, None):
-            # The claim is this instance's own and nothing was run under it.
-            self._running.add(key)
-            return hooks_module.Claim(True)
-        return hooks_module.Claim(False, Kind.ANSWER_LOST)
-
-    def _remember_not_run(self, key):
-        self._not_run[key] = True
-        while len(self._not_run) > NOT_RUN_KEPT:
-            del self._not_run[next(iter(self._not_run))]
+    def _claim(self, key, digest, done, may_repeat):
+        holder = '%s/%x' % (self._id, self._rng.getrandbits(64))
+        self._asked.add(holder)
+
+        def on_result(result, exc):
+            self._asked.discard(holder)
+            status = result.status
+            if status is Status.GRANTED:
+                self._running[key] = holder
+                done(hooks_module.Claim(True))
+            elif status is Status.KEY_REUSED:
+                done(hooks_module.Claim(False, Kind.KEY_REUSED))
+            elif status is not Status.TAKEN:
+                if status is Status.UNKNOWN:
+                    # Nothing was sent to an upstream, but the claim may be
+                    # stored.
+                    self._give_back(key, holder)
+                done(hooks_module.Claim(False, Kind.UNAVAILABLE))
+            elif result.instance.partition('/')[0] != self._id:
+                self._fetch(result.instance, key, done)
+            else:
+                self._own(key, digest, result.instance, done, may_repeat)
+
+        self.claims.claim(key, digest, holder, on_result)
+
+    def _state(self, key, holder):
+        """Return what became of a claim of this instance."""
+        if self.find(key) is not None:
+            return 'kept'
+        # The owner's answer to another copy can overtake its grant.
+        if key in self._running or holder in self._asked:
+            return 'running'
+        return 'not_run' if holder in self._not_run else 'lost'
+
+    def _own(self, key, digest, holder, done, may_repeat):
+        state = self._state(key, holder)
+        if state == 'kept':
+            done(hooks_module.Claim(False, None, self.find(key)))
+        elif state == 'running':
+            done(hooks_module.Claim(False, Kind.IN_PROGRESS))
+        elif state == 'lost':
+            done(hooks_module.Claim(False, Kind.ANSWER_LOST))
+        else:
+            self._claim_after_release(key, digest, holder, done, may_repeat)
+
+    def _claim_after_release(self, key, digest, holder, done, may_repeat):
+        def on_released(result, exc):
+            ended = result.status in (Status.RELEASED, Status.NOT_HELD)
+            if ended and may_repeat:
+                self._claim(key, digest, done, False)
+            else:
+                done(hooks_module.Claim(False, Kind.UNAVAILABLE))
 
-    def _on_released(self, key):
-        def done(result, exc):
-            if result.status in (Status.RELEASED, Status.NOT_HELD):
-                self._not_run.pop(key, None)
+        self.claims.release(key, holder, on_released)
 
-        return done
+    def _give_back(self, key, holder):
+        self._not_run[holder] = True
+        while len(self._not_run) > NOT_RUN_KEPT:
+            del self._not_run[next(iter(self._not_run))]
+        self._send_release(key, holder, RELEASE_RETRY_S)
+
+    def _send_release(self, key, holder, delay):
+        def on_released(result, exc):
+            # The claim stays remembered: an earlier answer that names it, or
+            # the claim itself after NOT_HELD, may still be on its way.
+            if result.status not in (Status.RELEASED, Status.NOT_HELD):
+                self._loop.call_later(delay, again)
+
+        def again():
+            if holder in self._not_run:
+                longer = min(2 * delay, RELEASE_RETRY_MAX_S)
+                self._send_release(key, holder, longer)
+
+        self.claims.release(key, holder, on_released)
+
+    def _gone(self, instance):
+        gone = self._is_gone(instance)
+        if gone is not None:
+            self._unknown.pop(instance, None)
+            return gone
+        now = self._loop.now()
+        since = self._unknown.setdefault(instance, now)
+        while len(self._unknown) > UNKNOWN_KEPT:
+            del self._unknown[next(iter(self._unknown))]
+        return now - since >= UNKNOWN_GONE_S
+
+    def _fetch(self, holder, key, done):
+        instance = holder.partition('/')[0]
 
-    def _fetch(self, instance, key, done):
         def on_reply(reply, exc):
             if exc is not None:
                 kind = Kind.IN_PROGRESS
-                if self._is_gone(instance):
+                if self._gone(instance):
                     kind = Kind.ANSWER_LOST
                 done(hooks_module.Claim(False, kind))
             elif reply['state'] == 'kept':
@@ -154,13 +214,14 @@
             else:
                 done(hooks_module.Claim(False, Kind.ANSWER_LOST))
 
-        message = {'type': 'answer_fetch', 'key': key}
+        message = {'type': 'answer_fetch', 'key': key, 'claim': holder}
         self._mesh.ask(instance, message, FETCH_TIMEOUT_S, on_reply)
 
     def _on_fetch(self, sender, message, reply):
-        key = message['key']
-        answer = self.find(key)
-        if answer is not None:
+        key, holder = message['key'], message['claim']
+        state = self._state(key, holder)
+        if state == 'kept':
+            answer = self.find(key)
             reply(
                 {
                     'type': 'answer',
@@ -172,13 +233,9 @@
                 }
             )
             return
-        state = 'lost'
-        if key in self._running:
-            state = 'running'
-        elif key in self._not_run:
-            # The claim is given back; the caller may come again.
-            state = 'not_run'
-            self.claims.release(key, self._id, self._on_released(key))
+        if state == 'not_run':
+            # The caller may come again once the claim is given back.
+            self._send_release(key, holder, RELEASE_RETRY_S)
         reply({'type': 'answer', 'state': state})
 
     def _on_claim(self, sender, message, reply):
--- a/src/jasminehold/decisions/claim_log.py
+++ b/src/jasminehold/decisions/claim_log.py
@@ -212,7 +212,8 @@
             ticket: returned with the result by :meth:`take_results`.
             key: digest of the idempotency key.
             request: digest of method, path and body.
-            instance: id of the instance that is to run the request.
+            instance: holder of the claim; only a release by the same one
+                frees the key.
             now: monotonic seconds.
             wall: time of day in seconds.
         """
--- a/src/jasminehold/peers/messages.py
+++ b/src/jasminehold/peers/messages.py
@@ -144,6 +144,7 @@
 
     type: str
     key: bytes
+    claim: str
 
 
 class Answer(typing.TypedDict):
