Judge a lost upstream before its requests go elsewhere

Cause: crash notices named requests without their service while the check used service and digest, so no request was ever condemned; and a lost request was retried at once, before the loss was known to be a crash. Change: note_crash adds the service. A loss is passed on after the probe of the upstream, 0.1 s later when it crashed (time for the notice to spread), and after 0.25 s at the latest.

--- a/src/jasminehold/proxy/exchange.py
+++ b/src/jasminehold/proxy/exchange.py
@@ -527,10 +527,18 @@
             self._drop('refused')
             self.on_event(Event.REFUSED)
             return
-        if self._target is not None:
-            self._server.pool.suspect(self._target, self)
+        target = self._target
+        if target is None:
+            self.on_event(Event.LOSS)
+            return
+
+        def judged():
+            self.on_event(Event.LOSS)
+
+        # Whether the upstream crashed has to be known, here and at the other
+        # instances, before this request or a copy of it is sent elsewhere.
+        self._server.pool.suspect(target, self, judged)
         self._drop('loss')
-        self.on_event(Event.LOSS)
 
     def on_upstream_drain(self):
         """Read the caller's body again after the upstream took its bytes."""
--- a/src/jasminehold/proxy/upstream.py
+++ b/src/jasminehold/proxy/upstream.py
@@ -15,7 +15,11 @@
 # only connections idle for less than this.
 FRESH_S = 1.0
 HEAD_MAX_BYTES = 64 * 1024
-PROBE_DELAY_S = 0.05
+PROBE_DELAY_S = 0.02
+# A probe that gets no reply says nothing soon; the loss is passed on then.
+PROBE_WAIT_S = 0.25
+# Time for the notice of a crash to reach the other instances.
+CRASH_SPREAD_S = 0.1
 
 
 class AnswerError(errors.JasmineholdError):
@@ -166,6 +170,7 @@
         self.idle = []
         self.probing = False
         self.suspects = []
+        self.waiting = []
         self.in_flight = {}
 
 
@@ -265,26 +270,43 @@
         """Record that a request is no longer in flight."""
         self._entry(target).in_flight.pop(exchange, None)
 
-    def suspect(self, target, exchange):
+    def suspect(self, target, exchange, done):
         """Check whether a lost connection was a crash of the upstream.
 
         All requests in flight at the loss are suspects. The crash is reported
         when the upstream's port then refuses a connection.
+
+        Args:
+            target: the target whose connection was lost.
+            exchange: the exchange that lost it.
+            done: called once, when the upstream is known to live, when the
+                notice of its crash has had time to spread, or when the probe
+                takes too long.
         """
         entry = self._entry(target)
         for item in entry.in_flight.values():
             if item not in entry.suspects:
                 entry.suspects.append(item)
+        entry.waiting.append(done)
         if entry.probing:
             return
         entry.probing = True
 
+        def pass_on(delay=0.0):
+            waiting, entry.waiting = entry.waiting, []
+            for item in waiting:
+                self._loop.call_later(delay, item)
+
+        overdue = self._loop.call_later(PROBE_WAIT_S, pass_on)
+
         def finish(crashed):
             suspects, entry.suspects = entry.suspects, []
             entry.probing = False
+            overdue.cancel()
             if crashed:
                 self.metrics.inc('upstream_crashes_total')
                 self._note_crash(entry.upstream, suspects)
+            pass_on(CRASH_SPREAD_S if crashed else 0.0)
 
         def opened(conn):
             conn.abort()
--- a/src/jasminehold/steering/picker.py
+++ b/src/jasminehold/steering/picker.py
@@ -220,8 +220,11 @@
         """Record a crash and tell the other instances."""
         now = self._loop.now()
         declared = self._tables.upstreams.get(upstream)
-        if declared is not None:
-            self._state(declared.service).health.lost(upstream, now)
+        if declared is None:
+            return
+        self._state(declared.service).health.lost(upstream, now)
+        prefix = declared.service.encode() + b'/'
+        fingerprints = [prefix + item for item in fingerprints]
         for notice in self.blame.crashed(upstream, fingerprints, now):
             self._spread(notice, now)
 
