--- a/src/jasminehold/standin/upstream.py
+++ b/src/jasminehold/standin/upstream.py
@@ -45,6 +45,8 @@
         cold_requests: requests until the factor has fallen to one.
         load_lag_s: age step of the load report.
         seed: seed of the service times.
+        count_file: file to which each execution is appended before it
+            starts, so that the counts outlive a killed process.
     """
 
     slots: int = 3
@@ -56,6 +58,7 @@
     cold_requests: int = 100
     load_lag_s: float = 1.0
     seed: int = 0
+    count_file: str = ''
 
 
 def answer_body(method, path, body, key, size):
@@ -225,6 +228,10 @@
         self._on_crash = on_crash
         self._conns = set()
         self._running = set()
+        self._count_fd = None
+        if options.count_file:
+            flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+            self._count_fd = os.open(options.count_file, flags, 0o600)
         self._waiting = collections.deque()
         self._listener = loop.listen(host, port, self._on_accept)
         self.host, self.port = self._listener.host, self._listener.port
@@ -307,6 +314,7 @@
         self._running.add(work)
         self.counts['executions'] += 1
         values = work.values
+        self._write_down(values)
         if b'idempotency-key' in values:
             self.by_key[values[b'idempotency-key'].decode()] += 1
         if b'x-request-id' in values:
@@ -319,6 +327,13 @@
             seconds += LATE_S
         work.timer = self._loop.call_later(seconds, self._complete, work)
 
+    def _write_down(self, values):
+        if self._count_fd is not None:
+            key = values.get(b'idempotency-key', b'')
+            ident = values.get(b'x-request-id', b'')
+            name = self.name.encode()
+            os.write(self._count_fd, b'%s %s %s\n' % (name, ident, key))
+
     def _crash(self):
         if self._on_crash is None:
             os._exit(CRASH_STATUS)
