Bound the memory of claims and remove late segments

Cause: an owner held 269.5 MB (tracemalloc) for 720,000 claims, an hour of 200 a second, without a bound; and a segment write that arrived after the next owner had loaded stayed at the platform until the shard changed hands. Change: an entry is one packed value in a dictionary in order of time (131.3 MB for the same claims, 10.8 MB for 65,536). claim_limit (65,536 a shard, 43 MB for four) refuses new claims as not made; none is forgotten early. Every claim_keep an owner lists its shard's segments; unknown ones are deleted after a head of its own was stored, which proves that no later owner had written them.

--- a/src/jasminehold/app.py
+++ b/src/jasminehold/app.py
@@ -206,6 +206,8 @@
                 claim_log.Config(
                     keep=cfg.claim_keep,
                     write_every=1 / cfg.claim_writes_per_second,
+                    max_claims=cfg.claim_limit,
+                    clean_every=cfg.claim_keep,
                 ),
             ),
             self.metrics,
--- a/src/jasminehold/decisions/claim_log.py
+++ b/src/jasminehold/decisions/claim_log.py
@@ -18,6 +18,7 @@
 import collections
 import enum
 import math
+import struct
 import typing
 
 import msgpack
@@ -35,6 +36,11 @@
         resolve_within: seconds after which a claim whose outcome is not
             settled is answered ``unknown``, and one that was not sent
             ``unavailable``.
+        max_claims: claims kept; a new one beyond them is answered
+            ``unavailable``. None is forgotten before its time, because its
+            key could then be claimed again.
+        clean_every: seconds between two searches for segments that a former
+            owner's late write left behind.
     """
 
     keep: float = 3600.0
@@ -43,6 +49,8 @@
     write_every: float = 1 / 30
     retry_every: float = 0.2
     resolve_within: float = 2.0
+    max_claims: int = 65536
+    clean_every: float = 3600.0
 
 
 class Status(enum.Enum):
@@ -164,7 +172,6 @@
         self._version = 0
         self._batch_id = b''
         self._entries = {}
-        self._order = collections.deque()
         self._head_ops = []
         self._segments = []
         self._after = ''
@@ -175,6 +182,7 @@
         self._spilled = None
         self._garbage = []
         self._next_sweep = 0.0
+        self._next_clean = None
 
     @property
     def ready(self):
@@ -186,6 +194,11 @@
         """Number of claims kept."""
         return len(self._entries)
 
+    def entries(self):
+        """Yield ``(key, Entry)`` of the claims kept."""
+        for key, packed in self._entries.items():
+            yield key, _unpack(packed)
+
     def activate(self):
         """Start to own the shard: load it before anything is granted."""
         if self._phase is _Phase.IDLE:
@@ -240,8 +253,10 @@
             return now + self.cfg.resolve_within / 4
         if self._phase is not _Phase.READY:
             return max(self._not_before, self._retry_at, now)
-        if not (self._queue or self._pending or self._garbage or self._spill):
-            return max(self._next_sweep, now)
+        busy = self._queue or self._pending or self._garbage or self._spill
+        if not busy and not self._orphans:
+            clean = now if self._next_clean is None else self._next_clean
+            return max(min(self._next_sweep, clean), now)
         if self._garbage and self._pending is None:
             return max(self._retry_at, now)
         return max(self._not_before, self._retry_at, now)
@@ -288,7 +303,21 @@
                 kept = self._kept_segments(wall)
                 self._begin([], [], kept, self._head_ops, now)
                 return self._put_pending()
-        return self._choose_deletion()
+        return self._choose_deletion() or self._choose_cleaning(now)
+
+    def _choose_cleaning(self, now):
+        if self._next_clean is None:
+            self._next_clean = now + self.cfg.clean_every
+        if self._spilled is not None:
+            return None
+        if self._orphans:
+            # A head stored after the list proves that no later owner had
+            # written a segment when the list was made, see _on_leftovers.
+            self._begin([], [], self._segments, self._head_ops, now)
+            return self._put_pending()
+        if now >= self._next_clean:
+            return Action('list', self._segment_prefix, after=self._after)
+        return None
 
     def _choose_deletion(self):
         if not self._garbage or self._pending is not None or self._spill:
@@ -329,6 +358,8 @@
             self._on_segments(outcome, value, version)
         elif action.verb == 'put':
             self._on_spill(outcome)
+        elif action.verb == 'list':
+            self._on_leftovers(outcome, value, version, now)
         else:
             self._on_garbage(action, outcome, version)
 
@@ -365,7 +396,6 @@
 
     def _replay(self):
         self._entries = {}
-        self._order.clear()
         for segment in self._segments:
             self._tail_ops = self._loaded[segment.number]
             for op in self._tail_ops:
@@ -384,6 +414,7 @@
             head_ops, segments = [], self._spilled
         room = self._room(head_ops)
         overlay = {}
+        free = self.cfg.max_claims - len(self._entries)
         ops, results = [], []
         while self._queue:
             item = self._queue[0]
@@ -392,6 +423,12 @@
             else:
                 entry = self._lookup(item.key, wall)
             op, result, after = _decide(item, entry, wall)
+            if after is not None and entry is None:
+                if free <= 0:
+                    results.append((item.ticket, Result(Status.UNAVAILABLE)))
+                    self._queue.popleft()
+                    continue
+                free -= 1
             if op is not None:
                 room -= len(msgpack.packb(op))
                 if room < 0:
@@ -492,8 +529,10 @@
             self._done.extend(batch.results)
         if self._phase is _Phase.FENCE:
             self._phase = _Phase.READY
-            # No earlier owner can name these any more.
-            self._garbage, self._orphans = self._orphans, []
+            self._after = ''
+        # No other owner can name these any more.
+        self._garbage += self._orphans
+        self._orphans = []
 
     def _superseded(self):
         # Another owner wrote the head: what was sent without doubt can never
@@ -548,6 +587,21 @@
         if action.verb == 'get' and outcome is Outcome.OK:
             self._garbage.insert(0, (key, version))
 
+    def _on_leftovers(self, outcome, items, more, now):
+        # A later owner writes segments only after it stored a head of its
+        # own. While heads of this owner can still be stored, an unknown
+        # segment is the late write of a former owner.
+        if outcome is not Outcome.OK:
+            return
+        known = {self._segment_key(cell) for cell in self._segments}
+        known.update(key for key, _ in self._garbage)
+        for key, _, version in items:
+            if key not in known:
+                self._orphans.append((key, version))
+        self._after = items[-1][0] if more else ''
+        if not more:
+            self._next_clean = now + self.cfg.clean_every
+
     def _segment_key(self, segment):
         return '%s%016x' % (self._segment_prefix, segment.number)
 
@@ -562,22 +616,24 @@
         if not request:
             self._entries.pop(key, None)
             return
-        self._entries[key] = Entry(request, instance, time)
-        self._order.append((time, key))
+        # At the end of the dictionary, so that its order is that of time.
+        self._entries.pop(key, None)
+        self._entries[key] = _pack(Entry(request, instance, time))
 
     def _lookup(self, key, wall):
-        entry = self._entries.get(key)
-        if entry is None or entry.time < wall - self.cfg.keep:
+        packed = self._entries.get(key)
+        if packed is None:
             return None
-        return entry
+        entry = _unpack(packed)
+        return None if entry.time < wall - self.cfg.keep else entry
 
     def _forget_expired(self, wall):
         oldest = wall - self.cfg.keep
-        while self._order and self._order[0][0] < oldest:
-            time, key = self._order.popleft()
-            entry = self._entries.get(key)
-            if entry is not None and entry.time == time:
-                del self._entries[key]
+        while self._entries:
+            key = next(iter(self._entries))
+            if _unpack(self._entries[key]).time >= oldest:
+                break
+            del self._entries[key]
         if self._pending is None:
             self._drop_expired_ops(oldest)
 
@@ -630,3 +686,16 @@
     op = [item.key, item.request, item.instance, wall]
     after = Entry(item.request, item.instance, wall)
     return op, Result(Status.GRANTED, item.instance), after
+
+
+# Packed entries take about half the memory of tuples.
+_HEAD = struct.Struct('<8sd')
+
+
+def _pack(entry):
+    return _HEAD.pack(entry.request, entry.time) + entry.instance.encode()
+
+
+def _unpack(packed):
+    request, time = _HEAD.unpack_from(packed)
+    return Entry(request, packed[_HEAD.size :].decode(), time)
--- a/src/jasminehold/settings.py
+++ b/src/jasminehold/settings.py
@@ -298,6 +298,13 @@
         1000,
         'Limit on the platform writes of one claim shard.',
     ),
+    _whole(
+        'claim_limit',
+        65536,
+        100,
+        10000000,
+        'Limit on the claims kept of one shard; new ones are refused.',
+    ),
     _whole('peer_limit', 8, 1, 64, 'Peers chosen by stable hash.'),
     _whole('full_mesh_limit', 16, 1, 64, 'Largest fleet with a full mesh.'),
     _whole('tree_fan_in', 16, 2, 64, 'Fan-in of the status tree.'),
--- a/tests/features/claims.feature
+++ b/tests/features/claims.feature
@@ -30,3 +30,12 @@
   Scenario: Claims run at the holder of the shard's duty
     Given two instances with duties on an embedded platform
     Then a claim made at either instance is granted once and seen by both
+
+  Scenario: A former owner's late segment is removed while the owner stays
+    Given one owner on a simulated platform
+    Then a late segment is removed and a later owner's segments never are
+
+  Scenario: The memory of claims is bounded and no claim is forgotten for it
+    Given one owner on a simulated platform
+    Then claims beyond the limit are refused until older ones expire
+    And a shard full by default takes at most 16 MB
--- a/tests/features/steps/claims_steps.py
+++ b/tests/features/steps/claims_steps.py
@@ -1,6 +1,7 @@
 """Steps for claims, on simulated time and on the embedded stand-in."""
 
 import random
+import tracemalloc
 from unittest import mock
 
 import behave
@@ -8,6 +9,7 @@
 from builders import sim
 import hypothesis
 from hypothesis import strategies
+import msgpack
 
 from jasminehold import claims as claims_module
 from jasminehold.decisions import claim_log
@@ -98,7 +100,7 @@
             if result.status is Status.UNAVAILABLE
         }
         for claims in self.claims:
-            for entry in claims._logs[0]._entries.values():
+            for _, entry in claims._logs[0].entries():
                 assert entry.instance not in refused, 'refused but stored'
 
     def settle(self):
@@ -293,6 +295,83 @@
     assert not fleet.world.store.list('claims/0/seg/', '')[0]
 
 
+@behave.then(
+    "a late segment is removed and a later owner's segments never are"
+)
+def then_late_segment(context):
+    fleet, late = context.fleet, 'claims/0/seg/0'
+    owner = fleet.add_owner(claim_log.Config(clean_every=5.0), 5)
+    fleet.duties[0].held = False
+    fleet.world.run(1)
+    assert owner.ready(0)
+    store = fleet.world.store
+    store.put(late, msgpack.packb([]), 0)
+    for key in range(600):
+        fleet.claim(1, key)
+        fleet.world.run(0.01)
+    assert store.list('claims/0/seg/', '')[0]
+    fleet.world.run(6)
+    named = {owner._logs[0]._segment_key(s) for s in owner._logs[0]._segments}
+    assert named and {key for key, _ in _segments(fleet)} == named
+    # An owner that was replaced without noticing lists the segments of its
+    # successor; it must not delete them.
+    fleet.world.run(4)
+    new = fleet.add_owner(claim_log.Config(), 6)
+    for key in range(1000, 1600):
+        fleet.claim(2, key)
+        fleet.world.run(0.01)
+    fleet.world.run(0.1)
+    fresh = {new._logs[0]._segment_key(s) for s in new._logs[0]._segments}
+    assert fresh - named
+    fleet.duties[2].held = False
+    listing = claim_log.Action('list', 'claims/0/seg/')
+    log = owner._logs[0]
+    log._current, log._pending = listing, None
+    log._phase = claim_log._Phase.READY
+    items = [(k, i.value, i.version) for k, i in _segments(fleet)]
+    now = fleet.loops[1].now()
+    log.finish(listing, claim_log.Outcome.OK, items, False, now)
+    assert log._orphans
+    fleet.world.run(5)
+    assert fresh <= {key for key, _ in _segments(fleet)}
+
+
+def _segments(fleet):
+    return fleet.world.store.list('claims/0/seg/', '')[0]
+
+
+@behave.then('claims beyond the limit are refused until older ones expire')
+def then_limit(context):
+    fleet = context.fleet
+    fleet.duties[0].held = False
+    fleet.add_owner(claim_log.Config(keep=60.0, max_claims=50), 5)
+    fleet.world.run(1)
+    idents = [fleet.claim(1, key) for key in range(60)]
+    fleet.world.run(1, fleet.check)
+    results = [fleet.results[ident].status for ident in idents]
+    assert results == [Status.GRANTED] * 50 + [Status.UNAVAILABLE] * 10
+    again = fleet.claim(1, 0)
+    fleet.world.run(30)
+    assert fleet.results[again].status is Status.TAKEN, 'forgotten early'
+    fleet.world.run(65)
+    ident = fleet.claim(1, 55)
+    fleet.world.run(1)
+    assert fleet.results[ident].status is Status.GRANTED
+
+
+@behave.then('a shard full by default takes at most 16 MB')
+def then_memory(context):
+    log = claim_log.ClaimLog(0, claim_log.Config(), random.Random(1))
+    tracemalloc.start()
+    for number in range(claim_log.Config().max_claims):
+        key = number.to_bytes(16, 'big')
+        holder = 'i-%016x/%016x' % (number, number)
+        log._apply([key, key[8:], holder, 1e9 + number])
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert held <= 16 * 2**20, held
+
+
 @behave.then(
     'during an outage a new key is unavailable and a known one is taken'
 )
