--- a/bench/control.py
+++ b/bench/control.py
@@ -112,7 +112,8 @@
     found['failed'] = sum(worker.failed for worker in load)
     found['rate'] = found['sent'] / len(fleet.instances) / (seconds + 2.0)
     found['mb'] = max(
-        measured_fleet.resident_mb(item.process.pid) for item in fleet.instances
+        measured_fleet.resident_mb(item.process.pid)
+        for item in fleet.instances
     )
     return found
 
--- a/src/jasminehold/app.py
+++ b/src/jasminehold/app.py
@@ -208,6 +208,8 @@
                 claim_log.Config(
                     keep=cfg.claim_keep,
                     write_every=1 / cfg.claim_writes_per_second,
+                    max_claims=cfg.claim_limit,
+                    clean_every=cfg.claim_keep,
                 ),
             ),
             self.metrics,
@@ -553,7 +555,7 @@
 
     def _is_gone(self, instance_id):
         member = self.agent.state.members.get(instance_id)
-        return member is None or member.state == membership.GONE
+        return None if member is None else member.state == membership.GONE
 
     def _on_duty_change(self, name, token):
         self.metrics.inc(
--- a/tests/features/steps/routing_steps.py
+++ b/tests/features/steps/routing_steps.py
@@ -218,3 +218,9 @@
             found = region_steps.in_force(plan, {'a', 'b'}, reports)
             assert found is expected, (acked, plan)
     assert not region_steps.in_force(later, {'a', 'b', 'c'}, reports)
+
+
+@behave.then('an upstream with free slots and no share of its own is chosen')
+def then_lent(context):
+    one = routing.Candidate('u', 1, 0, 1.0, False, None, 0.0)
+    assert routing.choose_upstream([one], random.Random(1)) is one
