--- a/src/jasminehold/app.py
+++ b/src/jasminehold/app.py
@@ -48,6 +48,7 @@
 
 LIST_EVERY_S = 5.0
 REBUILD_DELAY_S = 0.05
+PURGE_EVERY_S = 3600.0
 # Time after the look-up answers have run out in which callers that use the
 # last ones still reach the instance.
 LEAVE_MARGIN_S = 0.5
@@ -325,6 +326,7 @@
         self.agent.set_state(membership.LIVE)
         self._read_list()
         self.loop.call_later(reports.PERIOD_S, self._send_reports)
+        self.loop.call_later(PURGE_EVERY_S, self._purge)
         _log(
             'instance started',
             instance=self.cfg.id,
@@ -608,6 +610,21 @@
             elif planner is not None:
                 self.mesh.send(planner, report)
 
+    def _purge(self):
+        """Remove old tombstones from the platform, as a relay."""
+        self.loop.call_later(PURGE_EVERY_S, self._purge)
+        if self.relay.active:
+            store.purge_tombstones(
+                self.client,
+                self.config.snapshot(),
+                time.time(),
+                self.cfg.tombstone_keep,
+                self._on_purged,
+            )
+
+    def _on_purged(self, removed, exc):
+        self.metrics.inc('tombstones_purged_total', removed)
+
     def _on_report(self, sender, message, reply):
         self.planner.on_report(sender, message)
 
--- a/src/jasminehold/settings.py
+++ b/src/jasminehold/settings.py
@@ -5,8 +5,8 @@
 :func:`markdown` writes.
 
 Example:
-    >>> parse('{place: "sul-1", region: "sul"}').contact_timeout
-    3.0
+    >>> parse('{place: "sul-1", region: "sul"}').lookup_ttl
+    2.0
 """
 
 import ipaddress
@@ -259,20 +259,6 @@
         1048576,
         "Limit on the body of an operator's request.",
     ),
-    _whole(
-        'max_document_bytes',
-        524288,
-        1024,
-        524288,
-        'Limit on one stored resource.',
-    ),
-    _whole(
-        'max_frame_bytes',
-        1114112,
-        65536,
-        1114112,
-        'Limit on one frame between instances.',
-    ),
     _whole(
         'max_connections', 10000, 1, 100000, "Limit on callers' connections."
     ),
@@ -297,14 +283,6 @@
         1000000,
         'Changes kept for watches that resume.',
     ),
-    _whole(
-        'max_write_buffer',
-        1048576,
-        4096,
-        67108864,
-        'Bytes buffered for one connection before its source is paused.',
-    ),
-    _whole('lookup_batch', 1000, 1, 100000, 'Limit on queries in a look-up.'),
     _whole('claim_shards', 4, 1, 64, 'Shards of the idempotency claims.'),
     _whole(
         'claim_writes_per_second',
@@ -322,7 +300,6 @@
     ),
     _whole('peer_limit', 8, 1, 64, 'Peers chosen by stable hash.'),
     _whole('full_mesh_limit', 16, 1, 64, 'Largest fleet with a full mesh.'),
-    _whole('tree_fan_in', 16, 2, 64, 'Fan-in of the status tree.'),
     _seconds(
         'api_read_timeout',
         10.0,
@@ -338,38 +315,10 @@
         "Time for the headers of a caller's request to arrive.",
     ),
     _seconds('idle_timeout', 60.0, 1, 3600, 'Idle time of a kept connection.'),
-    _seconds('connect_timeout', 2.0, 0.05, 30, 'Time to open a connection.'),
     _seconds('platform_timeout', 2.0, 0.05, 30, 'Time for a platform call.'),
-    _seconds(
-        'default_deadline',
-        10.0,
-        0.05,
-        30,
-        'Deadline of a request that names none.',
-    ),
-    _seconds('max_deadline', 30.0, 0.05, 30, 'Longest deadline of a request.'),
     _seconds('watch_wait_max', 30.0, 0, 300, 'Longest wait of a watch.'),
     _seconds('drain_bound', 35.0, 0, 600, 'Longest drain at a planned stop.'),
     _seconds('gossip_period', 1.0, 0.05, 60, 'Time between two exchanges.'),
-    _seconds(
-        'status_period', 1.0, 0.05, 60, 'Time between two status summaries.'
-    ),
-    _seconds(
-        'contact_timeout',
-        3.0,
-        0.2,
-        30,
-        'Age of the last contact with witnesses after which shares rest.',
-    ),
-    _seconds('loan_max', 10.0, 0.5, 60, 'Longest loan.'),
-    _seconds(
-        'gone_after',
-        10.0,
-        0.5,
-        300,
-        "Time off the platform's list after which an instance is gone.",
-    ),
-    _seconds('stale_after', 5.0, 0.1, 60, 'Age of a stale measurement.'),
     _seconds('lease_ttl', 4.0, 0.5, 60, 'Time to live of a duty lease.'),
     _seconds('lease_renew', 1.0, 0.1, 30, 'Renewal period of a duty lease.'),
     _seconds('lookup_ttl', 2.0, 0.1, 60, 'Time callers may keep an answer.'),
--- a/tests/features/settings.feature
+++ b/tests/features/settings.feature
@@ -4,7 +4,7 @@
 
   Scenario: Comments, trailing commas and defaults
     When the settings are {place: "sul-1", /* zone */ region: "sul", peers: ["[::1]:7000",],}
-    Then the settings are accepted with contact_timeout 3.0 and a random id
+    Then the settings are accepted with lookup_ttl 2.0 and a random id
 
   Scenario Outline: A fault names the key and what is allowed
     When the settings are <text>
@@ -17,8 +17,8 @@
       | {place: 7, region: "b"} | place: allowed: lower-case letters |
       | {place: "a", region: "b", claim_shards: 0} | claim_shards: allowed: integer from 1 to 64 |
       | {place: "a", region: "b", claim_shards: true} | claim_shards: allowed: |
-      | {place: "a", region: "b", contact_timeout: "3"} | contact_timeout: allowed: seconds from |
-      | {place: "a", region: "b", contact_timeout: NaN} | contact_timeout: allowed: |
+      | {place: "a", region: "b", lookup_ttl: "3"} | lookup_ttl: allowed: seconds from |
+      | {place: "a", region: "b", lookup_ttl: NaN} | lookup_ttl: allowed: |
       | {place: "a", region: "b", api_listen: "host:1"} | api_listen: allowed: "IP:port" |
       | {place: "a", region: "b", platform: ["127.0.0.1:0"]} | platform: allowed: list |
       | {place: "a", region: "b", operators: {ana: "12"}} | operators: allowed: object |
--- a/tests/features/steps/settings_steps.py
+++ b/tests/features/steps/settings_steps.py
@@ -25,12 +25,11 @@
 
 
 @behave.then(
-    'the settings are accepted with contact_timeout {value:f} and a '
-    'random id'
+    'the settings are accepted with lookup_ttl {value:f} and a ' 'random id'
 )
 def then_accepted(context, value):
     assert context.refusal is None, context.refusal
-    assert context.cfg.contact_timeout == value
+    assert context.cfg.lookup_ttl == value
     assert context.cfg.peers == (settings.Address('::1', 7000),)
     other = settings.parse('{place: "a", region: "b"}')
     assert context.cfg.id != other.id
