--- a/src/jasminehold/settings.py
+++ b/src/jasminehold/settings.py
@@ -455,10 +455,6 @@
         raise errors.SettingsError(
             'lease_renew: allowed: at most half of lease_ttl'
         )
-    if cfg.default_deadline > cfg.max_deadline:
-        raise errors.SettingsError(
-            'default_deadline: allowed: at most max_deadline'
-        )
 
 
 def load(path):
