Add temporary drains that need no platform

A drain could only be declared by a write to the platform, so nothing could be drained during an outage. Temporary drains are notices with an end of at most an hour; api.feature covers start, show, end, expiry and refusals with the platform down.

--- a/src/jasminehold/api.py
+++ b/src/jasminehold/api.py
@@ -7,6 +7,9 @@
 ``DELETE /v1/resources/...``       delete; ``resource_version`` is optional
 ``GET /v1/watch``                  changes after ``from`` (long poll)
 ``GET /v1/audit``                  audit entries after ``after`` (long poll)
+``GET /v1/drains``                 temporary drains
+``PUT /v1/drains/<kind>/<name>``   start one for ``seconds``; needs no platform
+``DELETE /v1/drains/...``          end it
 ``GET /metrics /healthz /readyz``  without a token
 =================================  =========================================
 
@@ -55,12 +58,14 @@
         not_ready: returns the list of reasons why the instance is not ready.
         accepted: called with each accepted :class:`config.Entry` after it is
             in the config, so that it can be pushed to other instances.
+        drains: the :class:`temporary_drains.TemporaryDrains`.
     """
 
     writes: store.Port
     status_of: typing.Callable
     not_ready: typing.Callable
     accepted: typing.Callable
+    drains: object = None
 
 
 class _Watch:
@@ -183,6 +188,8 @@
         elif parts == ['v1', 'audit']:
             _only_get(req)
             self._audit(req, res)
+        elif parts[:2] == ['v1', 'drains'] and len(parts) in (2, 4):
+            self._drains(req, res, parts[2:])
         else:
             raise errors.RequestError(errors.Kind.NOT_FOUND, 'No such path.')
 
@@ -264,6 +271,22 @@
 
         return done
 
+    def _drains(self, req, res, target):
+        drains = self._port.drains
+        query = _query(req, {'seconds'})
+        if target and req.method != 'GET':
+            if not all(fields.is_name(part) for part in target):
+                raise errors.RequestError(errors.Kind.BAD_REQUEST)
+            actor = self._guard.request_of(req.sock).actor
+            if req.method == 'PUT':
+                seconds = _whole(query, 'seconds', 600)
+                drains.start(*target, seconds, actor)
+            else:
+                drains.end(*target, actor)
+        elif target or req.method != 'GET':
+            raise errors.RequestError(errors.Kind.METHOD_NOT_ALLOWED)
+        self._answer(req, res, 200, {'drains': drains.documents()})
+
     def _watch(self, req, res):
         query = _query(req, {'from', 'kind', 'wait'})
         wait = self._wait(query)
--- a/src/jasminehold/app.py
+++ b/src/jasminehold/app.py
@@ -21,6 +21,7 @@
 from jasminehold.control import relay as relay_module
 from jasminehold.control import reports
 from jasminehold.control import statuses
+from jasminehold.control import temporary_drains
 from jasminehold.decisions import claim_log
 from jasminehold.decisions import duty
 from jasminehold.decisions import holder as holder_module
@@ -218,6 +219,9 @@
         )
         self.claiming.claims = self.claims
         self.mesh.handle('report', self._on_report)
+        self.drains = temporary_drains.TemporaryDrains(
+            self.loop, self.notify, self._rebuild_soon
+        )
 
     def _build_path(self):
         cfg = self.cfg
@@ -314,6 +318,7 @@
             status_of=self.statuses.status_of,
             not_ready=self.not_ready,
             accepted=self._on_accepted,
+            drains=self.drains,
         )
         self.api = api.Api(self.cfg, self.loop, port, self.rng).register(self)
 
@@ -435,6 +440,9 @@
         if key.startswith(planner_module.PROGRESS_PREFIX):
             self.statuses.on_notice(key, value, seconds_left)
             return
+        if key.startswith(temporary_drains.PREFIX):
+            self.drains.on_notice(key, value, seconds_left)
+            return
         self.picker.on_notice(key, value, seconds_left, self.loop.now())
         if key.startswith(picker_module.LEAVING_PREFIX):
             self._rebuild_soon()
@@ -483,7 +491,9 @@
         for plan in self.holder.plans.values():
             for part, values in plan.get('steps', {}).items():
                 steps[part].update(values)
-        self.tables.rebuild(self.effective, steps, self.picker.leaving)
+        self.tables.rebuild(
+            self.effective, steps, self.picker.leaving, self.drains.targets()
+        )
         declared = []
         for region in set(self.tables.place_region.values()):
             declared += limit_table.region_limits(
@@ -552,7 +562,10 @@
 
     def _drained(self):
         return tables_module.drained_targets(
-            self.effective, self.tables.place_region, self.picker.leaving
+            self.effective,
+            self.tables.place_region,
+            self.picker.leaving,
+            self.drains.targets(),
         )
 
     def _is_gone(self, instance_id):
--- a/src/jasminehold/cli.py
+++ b/src/jasminehold/cli.py
@@ -259,6 +259,54 @@
     return Command(run, output)
 
 
+def drain(kind, name, seconds='600', servers=None, token=None, output='table'):
+    """Take a target out for some seconds; works without the platform."""
+
+    def run():
+        client = _client(servers, token)
+        path = '/v1/drains/%s/%s' % (kind, name)
+        _show_drains(client.call('PUT', path, {'seconds': seconds}), output)
+
+    return Command(run, output)
+
+
+def undrain(kind, name, servers=None, token=None, output='table'):
+    """End a temporary drain before its time."""
+
+    def run():
+        client = _client(servers, token)
+        path = '/v1/drains/%s/%s' % (kind, name)
+        _show_drains(client.call('DELETE', path), output)
+
+    return Command(run, output)
+
+
+def drains(servers=None, token=None, output='table'):
+    """Show the temporary drains."""
+
+    def run():
+        page = _client(servers, token).call('GET', '/v1/drains')
+        _show_drains(page, output)
+
+    return Command(run, output)
+
+
+def _show_drains(page, output):
+    if output == 'json':
+        print(json.dumps(page))
+        return
+    rows = [
+        (
+            item['target_kind'],
+            item['target_name'],
+            str(item['seconds_left']),
+            item['actor'],
+        )
+        for item in page['drains']
+    ]
+    _table(('KIND', 'NAME', 'SECONDS LEFT', 'ACTOR'), rows)
+
+
 def audit(after='0', wait='0', servers=None, token=None, output='table'):
     """Show the audit trail after a version."""
 
@@ -437,6 +485,9 @@
         'watch': watch,
         'delete': delete,
         'audit': audit,
+        'drain': drain,
+        'undrain': undrain,
+        'drains': drains,
         'lookup': lookup,
     }
     # Without this, fire turns a resource named 7 or true into another type.
--- a/src/jasminehold/steering/tables.py
+++ b/src/jasminehold/steering/tables.py
@@ -72,7 +72,7 @@
         self._links = set()
         self._routes = {}
 
-    def rebuild(self, config, steps, leaving):
+    def rebuild(self, config, steps, leaving, temporary=()):
         """Build the tables anew, except for the client blocks.
 
         Args:
@@ -80,6 +80,7 @@
             steps: progress of movements and older shares from the plans, as
                 ``{"movements": {name: share}, "legacy": {service: share}}``.
             leaving: upstreams that reported that they leave.
+            temporary: ``(kind, name)`` of temporary drains.
         """
         self._routes = {}
         self._build_places(config)
@@ -90,7 +91,9 @@
             (doc['spec']['from_place'], doc['spec']['to_place'])
             for doc in config.all('link')
         }
-        self.drained = drained_targets(config, self.place_region, leaving)
+        self.drained = drained_targets(
+            config, self.place_region, leaving, temporary
+        )
 
     def set_blocks(self, name, doc):
         """Take one document of client blocks, None to remove it."""
@@ -240,7 +243,7 @@
         }
 
 
-def drained_targets(config, place_region, leaving):
+def drained_targets(config, place_region, leaving, temporary=()):
     """Return the :class:`drain.Drained` that the resources declare."""
 
     def places_of(region):
@@ -250,6 +253,7 @@
         (doc['spec']['target_kind'], doc['spec']['target_name'])
         for doc in config.all('drain')
     ]
+    drains += temporary
     return drain.targets(drains, places_of, leaving)
 
 
--- a/tests/builders/api_server.py
+++ b/tests/builders/api_server.py
@@ -12,6 +12,7 @@
 from builders import fake_platform
 from jasminehold import api
 from jasminehold import config
+from jasminehold.control import temporary_drains
 from jasminehold import loop as loop_module
 from jasminehold import metrics
 from jasminehold import settings
@@ -46,8 +47,15 @@
             self.config,
             self.metrics,
         )
+        self.drains = temporary_drains.TemporaryDrains(
+            self.loop, self.notify, lambda: None
+        )
         port = api.Port(
-            writes, lambda *_: STATUS, lambda: self.reasons, self.pushed.append
+            writes,
+            lambda *_: STATUS,
+            lambda: self.reasons,
+            self.pushed.append,
+            self.drains,
         )
         cfg = settings.from_dict(raw)
         self.api = api.Api(cfg, self.loop, port).register(self.root)
@@ -56,6 +64,10 @@
         self._thread = threading.Thread(target=self.root.run, daemon=True)
         self._thread.start()
 
+    def notify(self, key, value, ttl):
+        """Stand for the spreading of notices."""
+        self.drains.on_notice(key, value, ttl)
+
     def stop(self):
         """Stop the loop and wait for the thread."""
         self.loop.call_soon(self.root.stop)
--- a/tests/features/api.feature
+++ b/tests/features/api.feature
@@ -87,3 +87,7 @@
 
   Scenario: Health, readiness and a stop
     Then healthz is 200, readyz follows the reasons, and a stop ends waiting watches and refuses new connections
+
+  Scenario: A temporary drain works while the platform is down
+    Given an operators' API
+    Then a temporary drain starts, shows, ends and expires without the platform
--- a/tests/features/steps/api_steps.py
+++ b/tests/features/steps/api_steps.py
@@ -319,3 +319,24 @@
     held += (api._http._clients, api._server._buffers, api._server._clients)
     assert [len(each) for each in held] == [0] * 7, held
     assert exceptions.seen == 0
+
+
+@behave.then(
+    'a temporary drain starts, shows, ends and expires without the platform'
+)
+def then_temporary_drain(context):
+    context.api.platform.fault = 'down'
+    call, drains = context.api.call, context.api.drains
+    status, _, page = call('PUT', '/v1/drains/upstream/u1?seconds=60')
+    assert status == 200 and drains.targets() == [('upstream', 'u1')], page
+    assert page['drains'][0]['actor'] == 'ana', page
+    assert call('DELETE', '/v1/drains/upstream/u1')[0] == 200
+    assert drains.targets() == []
+    assert call('DELETE', '/v1/drains/upstream/u1')[0] == 404
+    assert call('PUT', '/v1/drains/upstream/u2?seconds=1')[0] == 200
+    assert call('GET', '/v1/drains')[2]['drains'][0]['target_name'] == 'u2'
+    time.sleep(1.2)
+    assert call('GET', '/v1/drains')[2]['drains'] == []
+    for path in ('service/u1', 'upstream/u1?seconds=4000', 'upstream/U1'):
+        assert call('PUT', '/v1/drains/' + path)[0] == 400, path
+    assert call('PUT', '/v1/drains/upstream/u1', token='no')[0] == 401
