--- a/src/jasminehold/app.py
+++ b/src/jasminehold/app.py
@@ -44,6 +44,7 @@
 from jasminehold.standin import registration
 from jasminehold.steering import lookups
 from jasminehold.steering import picker as picker_module
+from jasminehold.steering import probes
 from jasminehold.steering import tables as tables_module
 from jasminehold import store
 
@@ -235,6 +236,14 @@
             self.notify,
             self.lending.want,
         )
+        self.probes = probes.Probes(
+            self.loop,
+            self.tables,
+            self._upstreams_in_use,
+            self.picker.on_report,
+            self.rng,
+            self.metrics,
+        )
         hooks = hooks_module.Hooks(
             route=self.picker.route,
             pick=self.picker.pick,
@@ -560,6 +569,14 @@
             key=lambda name: (instances[name][0].region != own, name),
         )
 
+    def _upstreams_in_use(self):
+        now = self.loop.now()
+        return [
+            name
+            for name in self.tables.upstreams
+            if self.holder.free(limit_table.upstream_slots(name), now)[1]
+        ]
+
     def _drained(self):
         return tables_module.drained_targets(
             self.effective,
--- a/src/jasminehold/resources/service.py
+++ b/src/jasminehold/resources/service.py
@@ -20,6 +20,7 @@
     """Spec of a service.
 
     ``retry_budget`` is the share of requests that may be sent again.
+    ``probe_path`` is the path of the upstreams' load and health endpoint.
     """
 
     idempotent_methods: list[str]
@@ -28,6 +29,7 @@
     priority_paths: list[PriorityPath]
     retry_budget: float
     legacy: LegacyAddress
+    probe_path: str
 
 
 _PRIORITY = fields.struct(
@@ -61,5 +63,6 @@
         'priority_paths': fields.Field(fields.list_of(_PRIORITY, 100), []),
         'retry_budget': fields.Field(fields.number(0, 1), 0.1),
         'legacy': fields.Field(ADDRESS),
+        'probe_path': fields.Field(fields.url_prefix),
     },
 )
--- a/src/jasminehold/standin/upstream.py
+++ b/src/jasminehold/standin/upstream.py
@@ -419,7 +419,10 @@
     def _sample_load(self):
         if self.stopped:
             return
+        busy = len(self._running) + len(self._waiting)
         self._load = {
+            'load': busy / self.options.slots,
+            'healthy': True,
             'slots': self.options.slots,
             'in_flight': len(self._running),
             'queued': len(self._waiting),
--- a/src/jasminehold/steering/picker.py
+++ b/src/jasminehold/steering/picker.py
@@ -239,6 +239,19 @@
         elif key.startswith(LEAVING_PREFIX):
             self.leaving[key[len(LEAVING_PREFIX) :]] = now + LEAVING_TTL_S
 
+    def on_report(self, name, load, healthy, leaving):
+        """Take what an upstream's endpoint says; see ``probes``."""
+        now = self._loop.now()
+        upstream = self._tables.upstreams.get(name)
+        if upstream is None:
+            return
+        if leaving:
+            self._on_leaving(name, now)
+        health = self._state(upstream.service).health
+        health.report(name, load or 0.0, healthy, now)
+        if load is not None:
+            self._reported[name] = (load, now)
+
     def demand(self, region_of, now):
         """Return the demand for the limits of each region.
 
--- /dev/null
+++ b/src/jasminehold/steering/probes.py
@@ -0,0 +1,135 @@
+"""Asks upstreams' health and load endpoints.
+
+What they say may lag or mislead, so it only lowers an upstream's weight (see
+``decisions.health``). A bounded number of questions a second is asked in
+turn, so that the cost does not grow with the number of upstreams.
+"""
+
+import json
+
+from jasminehold.platform import http
+
+PERIOD_S = 0.5
+ASKED_PER_PERIOD = 2
+TIMEOUT_S = 1.0
+MAX_BODY_BYTES = 16 * 1024
+
+
+class Probes:
+    """Questions of one instance to the upstreams that it has slots at.
+
+    Args:
+        loop: the event loop.
+        tables: the :class:`tables.Tables`.
+        in_use: function that returns the names of upstreams with a share.
+        on_report: ``on_report(name, load, healthy, leaving)``; a value that
+            the endpoint does not give is None.
+        rng: random source of the jitter.
+        metrics: counters.
+    """
+
+    def __init__(self, loop, tables, in_use, on_report, rng, metrics):
+        self._loop = loop
+        self._tables = tables
+        self._in_use = in_use
+        self._on_report = on_report
+        self._rng = rng
+        self._metrics = metrics
+        self._clients = {}
+        self._turn = []
+        self._timer = loop.call_later(PERIOD_S, self._tick)
+
+    def close(self):
+        """Stop asking."""
+        self._timer.cancel()
+        for client in self._clients.values():
+            client.close()
+
+    def _tick(self):
+        delay = PERIOD_S * self._rng.uniform(0.9, 1.1)
+        self._timer = self._loop.call_later(delay, self._tick)
+        if not self._turn:
+            self._turn = self._probed()
+            self._forget()
+        for _ in range(min(ASKED_PER_PERIOD, len(self._turn))):
+            self._ask(self._turn.pop())
+
+    def _probed(self):
+        """Return the upstreams whose service declares an endpoint."""
+        names = []
+        for name in self._in_use():
+            upstream = self._tables.upstreams.get(name)
+            if upstream is not None:
+                service = self._tables.services.get(upstream.service)
+                if service is not None and service.probe_path:
+                    names.append(name)
+        self._rng.shuffle(names)
+        return names
+
+    def _forget(self):
+        addresses = {
+            (upstream.host, upstream.port)
+            for upstream in self._tables.upstreams.values()
+        }
+        for address in set(self._clients) - addresses:
+            self._clients.pop(address).close()
+
+    def _ask(self, name):
+        upstream = self._tables.upstreams.get(name)
+        if upstream is None:
+            return
+        address = (upstream.host, upstream.port)
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients[address] = http.Client(
+                self._loop,
+                *address,
+                self._rng,
+                max_conns=1,
+                max_body=MAX_BODY_BYTES,
+            )
+        path = self._tables.services[upstream.service].probe_path
+
+        def done(response, exc):
+            if exc is not None or response.status != 200:
+                # A connection that fails shows nothing that requests do not
+                # show better.
+                self._metrics.inc('upstream_probes_total', result='failed')
+                return
+            self._take(name, response.body)
+
+        client.request('GET', path, b'', TIMEOUT_S, done)
+
+    def _take(self, name, body):
+        try:
+            load, healthy, leaving = parse(body)
+        except ValueError:
+            self._metrics.inc('upstream_probes_total', result='malformed')
+            return
+        self._metrics.inc('upstream_probes_total', result='ok')
+        self._on_report(name, load, healthy, leaving)
+
+
+def parse(body):
+    """Return ``(load, healthy, leaving)`` of an endpoint's JSON answer.
+
+    Args:
+        body: an object with any of ``load`` (share of slots in use, 0 up),
+            ``healthy`` and ``leaving`` (booleans).
+
+    Raises:
+        ValueError: when it is malformed.
+    """
+    try:
+        doc = json.loads(body)
+    except RecursionError as exc:
+        raise ValueError('nested too deeply') from exc
+    if not isinstance(doc, dict):
+        raise ValueError('not an object')
+    load = doc.get('load')
+    if load is not None:
+        if isinstance(load, bool) or not isinstance(load, (int, float)):
+            raise ValueError('load is not a number')
+        if not 0 <= load <= 1e6:
+            raise ValueError('load is out of range')
+    return load, doc.get('healthy') is not False, doc.get('leaving') is True
--- a/src/jasminehold/steering/tables.py
+++ b/src/jasminehold/steering/tables.py
@@ -33,6 +33,7 @@
         classes: ``(prefix, priority)`` in declared order.
         retry_budget: retries for each first attempt, share 0 to 1.
         legacy: ``(share, host, port)`` of the older system, or None.
+        probe_path: path of the upstreams' load and health endpoint, or None.
     """
 
     name: str
@@ -42,6 +43,7 @@
     classes: tuple
     retry_budget: float
     legacy: tuple | None
+    probe_path: str | None
 
 
 class Tables:
@@ -277,4 +279,5 @@
         classes,
         spec['retry_budget'],
         older,
+        spec.get('probe_path'),
     )
