--- a/src/jasminehold/decisions/retry.py
+++ b/src/jasminehold/decisions/retry.py
@@ -37,6 +37,7 @@
             it is the caller's first.
         deadline: seconds, monotonic.
         service_time_s: time that an attempt usually takes, seconds.
+        crashed: whether the upstream crashed while it ran the attempt.
     """
 
     number: int
@@ -45,6 +46,7 @@
     caller_attempt: int
     deadline: float
     service_time_s: float
+    crashed: bool = False
 
 
 class RetryBudget:
@@ -111,4 +113,8 @@
     delay = backoff(attempt.number, rng, cfg)
     if now + delay + attempt.service_time_s > attempt.deadline:
         return None
+    # What shared a crashed upstream is at most its slots, and a second crash
+    # condemns the cause, so this cannot multiply the load.
+    if attempt.crashed and attempt.number == 1:
+        return delay
     return delay if budget.spend() else None
--- a/src/jasminehold/proxy/exchange.py
+++ b/src/jasminehold/proxy/exchange.py
@@ -61,7 +61,7 @@
     """What ``may_retry`` learns about the last attempt.
 
     Attributes:
-        result: ``refused``, ``loss`` or ``connect``.
+        result: ``refused``, ``loss``, ``crash`` or ``connect``.
         tried: ids of the upstreams tried so far.
         deadline: monotonic time at which the request ends.
     """
@@ -296,7 +296,9 @@
             isinstance(found, hooks_module.Refusal)
             and found.kind is Kind.OVERLOADED
         )
-        if overloaded and not self._tried:
+        # Requests that shared a crashed upstream are kept apart from each
+        # other, so that they may have to wait for one of their own.
+        if overloaded and (not self._tried or self._result == 'crash'):
             self._hooks.wait_for_target(
                 self._req, self._deadline, self._on_target
             )
@@ -532,7 +534,9 @@
             self.on_event(Event.LOSS)
             return
 
-        def judged():
+        def judged(crashed):
+            if crashed:
+                self._result = 'crash'
             self.on_event(Event.LOSS)
 
         # Whether the upstream crashed has to be known, here and at the other
--- a/src/jasminehold/proxy/upstream.py
+++ b/src/jasminehold/proxy/upstream.py
@@ -279,9 +279,9 @@
         Args:
             target: the target whose connection was lost.
             exchange: the exchange that lost it.
-            done: called once, when the upstream is known to live, when the
-                notice of its crash has had time to spread, or when the probe
-                takes too long.
+            done: called once with whether the upstream crashed: when it is
+                known to live, when the notice of its crash has had time to
+                spread, or when the probe takes too long.
         """
         entry = self._entry(target)
         for item in entry.in_flight.values():
@@ -292,10 +292,11 @@
             return
         entry.probing = True
 
-        def pass_on(delay=0.0):
+        def pass_on(crashed=False):
             waiting, entry.waiting = entry.waiting, []
+            delay = CRASH_SPREAD_S if crashed else 0.0
             for item in waiting:
-                self._loop.call_later(delay, item)
+                self._loop.call_later(delay, item, crashed)
 
         overdue = self._loop.call_later(PROBE_WAIT_S, pass_on)
 
@@ -306,7 +307,7 @@
             if crashed:
                 self.metrics.inc('upstream_crashes_total')
                 self._note_crash(entry.upstream, suspects)
-            pass_on(CRASH_SPREAD_S if crashed else 0.0)
+            pass_on(crashed)
 
         def opened(conn):
             conn.abort()
--- a/src/jasminehold/steering/picker.py
+++ b/src/jasminehold/steering/picker.py
@@ -120,7 +120,9 @@
         """Return the plan for a request, or the kind of its refusal."""
         service = self._tables.services.get(req.service)
         if service is None:
-            return Kind.UNKNOWN_SERVICE
+            # A new instance may be asked before it has the configuration.
+            known = self._tables.services
+            return Kind.UNKNOWN_SERVICE if known else Kind.NOT_RUN
         path = req.path
         idempotent = req.method in service.methods or any(
             path.startswith(prefix) for prefix in service.paths
@@ -187,6 +189,7 @@
             caller_attempt=req.attempt,
             deadline=attempt.deadline,
             service_time_s=state.admission.service_time_s,
+            crashed=attempt.result == 'crash',
         )
         return retry.decide(
             described, state.budget, now, self._rng, state.retry_cfg
--- /dev/null
+++ b/tests/features/steps/orders_steps.py
@@ -0,0 +1,75 @@
+"""Steps for orders and crashing requests over real processes."""
+
+import behave
+
+from bench import crashers
+from bench import order_fleet
+from bench import orders
+
+BROKEN = 'builders.broken_orders'
+
+
+@behave.when('callers send {count:d} requests under faults, seed {seed:d}')
+def when_orders(context, count, seed):
+    context.found, context.figures = orders.run(count, seed)
+
+
+@behave.when(
+    'callers send {count:d} requests under faults to instances with {fault}'
+)
+def when_broken(context, count, fault):
+    context.found, _ = orders.run(count, 1, (BROKEN, fault))
+
+
+@behave.then('no check of the orders fails')
+def then_no_violation(context):
+    assert not context.found, context.found[:10]
+    assert context.figures['keys that ran'] > 100, context.figures
+
+
+@behave.then('a check of the orders fails with "{text}"')
+def then_violation(context, text):
+    assert any(text in item for item in context.found), context.found[:10]
+
+
+def _crash(method, copies, prelude=None):
+    with order_fleet.Fleet(1, prelude) as fleet:
+        fleet.start()
+        return crashers.crash(fleet, method, copies)
+
+
+@behave.when(
+    'a {method} that crashes upstreams is sent {count:d} times among others'
+)
+def when_crash(context, method, count):
+    context.figures = _crash(method, count)
+
+
+@behave.when('a POST that crashes upstreams is sent to instances with {fault}')
+def when_crash_broken(context, fault):
+    context.figures = _crash('POST', 8, (BROKEN, fault))
+
+
+@behave.then(
+    'at most 2 upstreams are lost and each later copy is refused at once'
+)
+def then_two(context):
+    figures = context.figures
+    assert figures['upstreams lost'] <= 2, figures
+    answers = figures['answers']
+    later = answers[answers.index('poison') :]
+    assert set(later) == {'poison'} and len(later) > 10, figures
+    # A first attempt takes 20 ms of service among others.
+    assert figures['slowest refusal in ms'] < 500, figures
+
+
+@behave.then('requests that shared the upstreams are answered')
+def then_answered(context):
+    others = context.figures['others']
+    assert set(others) <= {'answer', 'overloaded'}, context.figures
+    assert others['answer'] > 10 * others.get('overloaded', 0), others
+
+
+@behave.then('more than 2 upstreams are lost')
+def then_more(context):
+    assert context.figures['upstreams lost'] > 2, context.figures
