Limit the claims of an instance instead of those of a shard

Cause: 65,536 claims a shard refuse 200 claims a second after 22 minutes even when the shards are spread over several owners. Change: claim_limit (340,000) counts the claims of all shards that an instance owns, so that two owners keep an hour of 180 claims a second.

--- a/src/jasminehold/claims.py
+++ b/src/jasminehold/claims.py
@@ -242,6 +242,8 @@
             else:
                 log.deactivate()
         if holds:
+            others = sum(other.size for other in self._logs) - log.size
+            log.room = log.cfg.max_claims - others
             action = log.next_action(self._loop.now(), self._wall())
             if action is not None:
                 self._perform(shard, action)
--- a/src/jasminehold/decisions/claim_log.py
+++ b/src/jasminehold/decisions/claim_log.py
@@ -36,7 +36,8 @@
         resolve_within: seconds after which a claim whose outcome is not
             settled is answered ``unknown``, and one that was not sent
             ``unavailable``.
-        max_claims: claims kept; a new one beyond them is answered
+        max_claims: claims kept by one instance; a new one beyond them is
+            answered
             ``unavailable``. None is forgotten before its time, because its
             key could then be claimed again.
         clean_every: seconds between two searches for segments that a former
@@ -49,7 +50,7 @@
     write_every: float = 1 / 30
     retry_every: float = 0.2
     resolve_within: float = 2.0
-    max_claims: int = 65536
+    max_claims: int = 340000
     clean_every: float = 3600.0
 
 
@@ -149,10 +150,15 @@
         shard: shard number.
         cfg: :class:`Config`.
         rng: random source of batch ids and segment numbers.
+
+    Attributes:
+        room: claims that this shard may keep, less than ``max_claims`` while
+            the instance owns other shards.
     """
 
     def __init__(self, shard, cfg, rng):
         self.cfg = cfg
+        self.room = cfg.max_claims
         self._head_key = 'claims/%d/head' % shard
         self._segment_prefix = 'claims/%d/seg/' % shard
         self._rng = rng
@@ -414,7 +420,7 @@
             head_ops, segments = [], self._spilled
         room = self._room(head_ops)
         overlay = {}
-        free = self.cfg.max_claims - len(self._entries)
+        free = self.room - len(self._entries)
         ops, results = [], []
         while self._queue:
             item = self._queue[0]
--- a/src/jasminehold/settings.py
+++ b/src/jasminehold/settings.py
@@ -300,10 +300,10 @@
     ),
     _whole(
         'claim_limit',
-        65536,
+        340000,
         100,
         10000000,
-        'Limit on the claims kept of one shard; new ones are refused.',
+        'Limit on the claims an instance keeps; new ones are refused.',
     ),
     _whole('peer_limit', 8, 1, 64, 'Peers chosen by stable hash.'),
     _whole('full_mesh_limit', 16, 1, 64, 'Largest fleet with a full mesh.'),
