Retry after a crash without budget, spread over 0.3 s

Cause: idempotent requests that had shared a crashed upstream ended as upstream_failed (1 to 4 of about 1,000) for want of retry budget or because they met the culprit at a second upstream, and others as not_run when the connection to a dead upstream was refused. Change: retries after a crash or a refused connection need no budget; those after a crash wait up to 0.3 s.

--- a/bench/orders.py
+++ b/bench/orders.py
@@ -34,6 +34,8 @@
 KINDS -= {'internal', 'unauthenticated', 'not_found', 'invalid_resource'}
 KINDS -= {'conflict', 'gone', 'bad_request', 'key_reused'}
 KINDS -= {'unknown_service', 'method_not_allowed', 'poison'}
+# Instances close a connection that was idle for 60 s.
+REUSE_S = 30.0
 AGAIN = ('not_run', 'overloaded', 'unavailable', 'in_progress', 'leaving')
 
 
@@ -50,6 +52,7 @@
         left: whether the caller left without waiting.
         late: whether no answer came in time.
         body: the answer's body that is correct.
+        idle: seconds for which its connection was unused before.
     """
 
     ident: str
@@ -61,6 +64,7 @@
     left: bool
     late: bool
     body: bytes
+    idle: float
 
 
 class Callers:
@@ -220,7 +224,12 @@
         )
         begin = time.monotonic()
         reply, late = None, False
-        client = self._conns.pop(port, None) if reuse else None
+        client, used = None, begin
+        if reuse and port in self._conns:
+            client, used = self._conns.pop(port)
+            if begin - used > REUSE_S:
+                client.close()
+                client, used = None, begin
         try:
             if client is None:
                 client = caller.Client(port, ANSWER_WITHIN_S)
@@ -238,7 +247,7 @@
             client = None
         if client is not None and not leave:
             if reply and reply.whole and reuse:
-                self._conns[port] = client
+                self._conns[port] = client, time.monotonic()
             else:
                 client.close()
         if reply is None or reply is caller.NO_REPLY:
@@ -253,6 +262,7 @@
             leave,
             late,
             right,
+            begin - used,
         )
         self._callers.add(copy)
         return copy
@@ -307,7 +317,7 @@
     if outcome in ('lost', 'not connected'):
         gone = fleet.gone.get(copy.port)
         if gone is None or gone.ended_at > copy.end + 0.1:
-            return 'connection lost to a living instance'
+            return 'lost to a living instance, idle %.1f s' % copy.idle
     elif outcome in ('cut', 'answer'):
         if not copy.body.startswith(reply.body):
             return 'wrong body'
--- a/src/jasminehold/decisions/retry.py
+++ b/src/jasminehold/decisions/retry.py
@@ -16,6 +16,9 @@
         base_s: upper bound of the first back-off in seconds.
         cap_s: largest back-off in seconds.
         max_attempts: attempts in all, the first included.
+        crash_s: upper bound of the back-off after a crash in seconds. The
+            suspects of one crash come from several instances, and one that
+            meets the culprit at a second upstream is condemned with it.
     """
 
     share: float = 0.1
@@ -23,6 +26,7 @@
     base_s: float = 0.01
     cap_s: float = 1.0
     max_attempts: int = 3
+    crash_s: float = 0.3
 
 
 class Attempt(typing.NamedTuple):
@@ -38,6 +42,7 @@
         deadline: seconds, monotonic.
         service_time_s: time that an attempt usually takes, seconds.
         crashed: whether the upstream crashed while it ran the attempt.
+        sent: whether anything was sent to the upstream.
     """
 
     number: int
@@ -47,6 +52,7 @@
     deadline: float
     service_time_s: float
     crashed: bool = False
+    sent: bool = True
 
 
 class RetryBudget:
@@ -111,10 +117,12 @@
     if attempt.number >= cfg.max_attempts:
         return None
     delay = backoff(attempt.number, rng, cfg)
+    if attempt.crashed:
+        delay = rng.uniform(0, cfg.crash_s)
     if now + delay + attempt.service_time_s > attempt.deadline:
         return None
-    # What shared a crashed upstream is at most its slots, and a second crash
-    # condemns the cause, so this cannot multiply the load.
-    if attempt.crashed and attempt.number == 1:
+    # Neither can multiply the load: an attempt that was not sent is no load,
+    # and what shared a crashed upstream is at most its slots.
+    if attempt.crashed or not attempt.sent:
         return delay
     return delay if budget.spend() else None
--- a/src/jasminehold/steering/picker.py
+++ b/src/jasminehold/steering/picker.py
@@ -190,6 +190,7 @@
             deadline=attempt.deadline,
             service_time_s=state.admission.service_time_s,
             crashed=attempt.result == 'crash',
+            sent=attempt.result != 'connect',
         )
         return retry.decide(
             described, state.budget, now, self._rng, state.retry_cfg
