--- a/tests/builders/broken_orders.py
+++ b/tests/builders/broken_orders.py
@@ -4,6 +4,7 @@
 from jasminehold.decisions import claim_log
 from jasminehold.decisions import request
 from jasminehold import errors
+from jasminehold.proxy import upstream
 from jasminehold.steering import picker
 
 Kind = errors.Kind
@@ -35,10 +36,21 @@
     picker.Picker._fingerprint = lambda self, req: req.fingerprint
 
 
+def _pass_losses_on():
+    def suspect(self, target, exchange, done):
+        known = _suspect(self, target, exchange, lambda crashed: None)
+        self._loop.call_soon(done, False)
+        return known
+
+    _suspect = upstream.Pool.suspect
+    upstream.Pool.suspect = suspect
+
+
 VARIANTS = {
     'claims granted unstored': _grant_unstored,
     'losses repeated': _repeat_losses,
     'losses called not run': _deny_losses,
+    'losses passed on at once': _pass_losses_on,
     'blame under other names': _blame_without_service,
 }
 
