Run one release of a claim at a time

Cause: each copy that met a claim given back started another series of repeated releases during an outage. Change: a claim given back remembers whether a release is under way. Result: claiming.feature passes (7 scenarios).

--- a/src/jasminehold/control/claiming.py
+++ b/src/jasminehold/control/claiming.py
@@ -60,6 +60,7 @@
         self._answers = hooks_module.AnswerStore(keep_s=answer_keep)
         self._asked = set()
         self._running = {}
+        # Claims given back, and whether a release of each is under way.
         self._not_run = {}
         self._unknown = {}
         mesh.handle('claim', self._on_claim)
@@ -171,6 +172,8 @@
             # the claim itself after NOT_HELD, may still be on its way.
             if result.status not in (Status.RELEASED, Status.NOT_HELD):
                 self._loop.call_later(delay, again)
+            elif holder in self._not_run:
+                self._not_run[holder] = False
 
         def again():
             if holder in self._not_run:
@@ -233,8 +236,9 @@
                 }
             )
             return
-        if state == 'not_run':
+        if state == 'not_run' and not self._not_run[holder]:
             # The caller may come again once the claim is given back.
+            self._not_run[holder] = True
             self._send_release(key, holder, RELEASE_RETRY_S)
         reply({'type': 'answer', 'state': state})
 
