--- a/tests/features/orders.feature
+++ b/tests/features/orders.feature
@@ -14,5 +14,6 @@
     Examples:
       | fault                   | text           |
       | claims granted unstored | ran 2 times    |
+      | losses repeated         | ran 2 times    |
       | losses called not run   | but it ran     |
 
