Rank a region's duties among the region's instances

Only instances of a region try for its planner and relays, but their rank counted all live instances. The delay of the fourth and later ones grows with the rank, so a region could have no prompt candidate: with six instances in three regions a relay duty stayed free for 4.4 s after its holder's lease had ended, until the frozen holder came back for it. In larger fleets the wait grows with the number of instances.

Candidates of planner and relay duties are now the region's live instances, or all when it has none. tests/features/duties.feature covers it; duties and claims features pass.

--- a/src/jasminehold/app.py
+++ b/src/jasminehold/app.py
@@ -500,7 +500,9 @@
         if self.leaving:
             instances.pop(self.cfg.id, None)
         self._view = (self._view[0] + 1, instances)
-        self.duties.set_candidates(instances)
+        self.duties.set_candidates(
+            {name: item[0].region for name, item in instances.items()}
+        )
 
     def _duty_names(self):
         names = ['claims/%d' % n for n in range(self.cfg.claim_shards)]
--- a/src/jasminehold/decisions/duty.py
+++ b/src/jasminehold/decisions/duty.py
@@ -17,6 +17,8 @@
 PREFIX = 'duty/'
 # The best candidates try at once when a duty has no holder (design, 4).
 PROMPT_CANDIDATES = 3
+# Duties that belong to the region named after the slash.
+REGION_KINDS = ('planner', 'relay')
 
 
 class LeaseConfig(typing.NamedTuple):
@@ -48,6 +50,26 @@
     return int.from_bytes(digest, 'big')
 
 
+def candidates(name, regions):
+    """Return the ids of the instances that try for a duty.
+
+    A region's duties are held in the region as long as it has instances.
+    Ranking those among the whole fleet would leave a duty without a prompt
+    candidate.
+
+    Args:
+        name: duty.
+        regions: region of each live instance by id.
+    """
+    kind, _, rest = name.partition('/')
+    if kind in REGION_KINDS:
+        region = rest.partition('/')[0]
+        own = [ident for ident in regions if regions[ident] == region]
+        if own:
+            return own
+    return list(regions)
+
+
 def rank(name, ident, weights):
     """Return the position of a candidate for a duty, 0 for the first.
 
--- a/src/jasminehold/duties.py
+++ b/src/jasminehold/duties.py
@@ -53,6 +53,7 @@
         self._lease = duty.Lease(cfg.lease)
         self._names = tuple(cfg.names)
         self._weights = {cfg.instance_id: duty.weight(cfg.instance_id)}
+        self._regions = {cfg.instance_id: None}
         self._ranks = {}
         self._holders = {}
         self._won_at = {}
@@ -68,11 +69,17 @@
         self._due = dict.fromkeys(self._names, now)
         self._timer = loop.call_later(TICK_S, self._tick)
 
-    def set_candidates(self, idents):
-        """Set the ids of the live instances that may hold duties."""
-        idents = set(idents) | {self._cfg.instance_id}
+    def set_candidates(self, regions):
+        """Set the live instances that may hold duties.
+
+        Args:
+            regions: region of each by id.
+        """
+        idents = set(regions) | {self._cfg.instance_id}
+        self._regions.update(regions)
         if idents == self._weights.keys():
             return
+        self._regions = {ident: self._regions.get(ident) for ident in idents}
         known = self._weights
         self._weights = {
             ident: known[ident] if ident in known else duty.weight(ident)
@@ -132,15 +139,18 @@
         # A frequent membership change must not put off the next look.
         before = self._due
         self._due = {}
-        self._ranks = {
-            name: duty.rank(name, self._cfg.instance_id, self._weights)
-            for name in self._names
-        }
+        self._ranks = {name: self._rank(name) for name in self._names}
         for name in self._names:
             self._schedule(name)
             if name in before:
                 self._due[name] = min(self._due[name], before[name])
 
+    def _rank(self, name):
+        own = self._cfg.instance_id
+        idents = {own, *duty.candidates(name, self._regions)}
+        weights = {ident: self._weights[ident] for ident in idents}
+        return duty.rank(name, own, weights)
+
     def _schedule(self, name):
         delay = duty.check_delay(self._ranks[name], self._cfg.lease, self._rng)
         self._due[name] = self._loop.now() + delay
--- a/tests/features/duties.feature
+++ b/tests/features/duties.feature
@@ -15,3 +15,6 @@
 
   Scenario: Later candidates look less often
     Then the looks of 5800 candidates sum to under 20 a second
+
+  Scenario: The duties of each region have prompt candidates in it
+    Then in a fleet of 400 each region's duties have three prompt candidates
--- a/tests/features/steps/claims_steps.py
+++ b/tests/features/steps/claims_steps.py
@@ -333,7 +333,7 @@
                 ident
             ].on_duty_change(name, token),
         )
-        duties.set_candidates(['a', 'b'])
+        duties.set_candidates({'a': 'r', 'b': 'r'})
         context.claims[ident] = claims_module.Claims(
             world.loop,
             client,
--- a/tests/features/steps/duties_steps.py
+++ b/tests/features/steps/duties_steps.py
@@ -48,7 +48,7 @@
                 random.Random(ident),
                 lambda *change: self.changes.append(change),
             )
-            duties.set_candidates(IDS)
+            duties.set_candidates(dict.fromkeys(IDS))
             self.loops.append(loop)
             self.duties.append(duties)
 
@@ -157,3 +157,20 @@
     weights = {str(i): duty.weight(str(i)) for i in range(100)}
     ranks = sorted(duty.rank(NAME, i, weights) for i in weights)
     assert ranks == list(range(100))
+
+
+@behave.then(
+    "in a fleet of 400 each region's duties have three prompt candidates"
+)
+def then_prompt(context):
+    regions = {'i%d' % n: 'r%d' % (n % 8) for n in range(400)}
+    for region in set(regions.values()):
+        for name in ('planner/' + region, 'relay/%s/1' % region):
+            found = duty.candidates(name, regions)
+            assert {regions[ident] for ident in found} == {region}
+            weights = {ident: duty.weight(ident) for ident in found}
+            ranks = [duty.rank(name, ident, weights) for ident in found]
+            prompt = [r for r in ranks if r < duty.PROMPT_CANDIDATES]
+            assert len(prompt) == duty.PROMPT_CANDIDATES
+    assert len(duty.candidates('claims/0', regions)) == 400
+    assert len(duty.candidates('planner/empty', regions)) == 400
