--- a/bench/demo.py
+++ b/bench/demo.py
@@ -184,6 +184,8 @@
 
 def main(argv):
     """Run the demo and return the exit status."""
+    # Ends the processes as well; the default action would leave them.
+    signal.signal(signal.SIGTERM, lambda signo, frame: sys.exit(1))
     seed = int(argv[0]) if argv else 1
     begin = time.monotonic()
     with concurrent.futures.ThreadPoolExecutor(len(DEPLOYMENTS)) as pool:
