Show how late the load of the deployment emulator was sent

Cause: on a busy machine late load looks like slow answers. Change: each record carries its lateness and the report prints p50 and p99.

--- a/bench/deployment_load.py
+++ b/bench/deployment_load.py
@@ -152,6 +152,7 @@
         kind = 'order' if order else 'look-up'
         outcome = 'not-sent'
         info = {}
+        late = time.monotonic() - due
         if self.outstanding < OUTSTANDING_MAX:
             self.outstanding += 1
             try:
@@ -165,7 +166,7 @@
         self.records.append(
             [due, phase, kind, service, block['region'], outcome]
             + [time.monotonic() - due, info.get('retry_after')]
-            + [info.get('upstream'), info.get('kind')]
+            + [info.get('upstream'), info.get('kind'), late]
         )
 
     async def _send(self, service, block, order, direct):
--- a/bench/deployment_report.py
+++ b/bench/deployment_report.py
@@ -171,12 +171,26 @@
     for section in sections:
         if len(section) > 2:
             print('\n'.join(section) + '\n')
+    print('load sent late, p50 and p99 by phase, ms: ' + _lateness(records))
     print(
         'orders run: %d, keys run more than once: %d' % duplicates, flush=True
     )
     _plot(run, label, phases, records, samples)
 
 
+def _lateness(records):
+    """Return how late the load was sent, which shows a busy machine."""
+    found = collections.defaultdict(list)
+    for record in records:
+        found[record[1]].append(1000 * record[10])
+    parts = []
+    for phase, values in found.items():
+        values.sort()
+        middle, high = len(values) // 2, int(len(values) * 0.99)
+        parts.append('%s %.1f %.1f' % (phase, values[middle], values[high]))
+    return ', '.join(parts)
+
+
 def _latency(run, phases, cells):
     lines = [
         '| phase | kind | offered/s | ok/s | refused % | failed % | not sent '
--- a/bench/deployment_servers.py
+++ b/bench/deployment_servers.py
@@ -2,12 +2,13 @@
 
 Usage: ``python bench/deployment_servers.py SPEC_FILE GROUP``, GROUP a place
 or ``solo``, the one server that has a process of its own so that it can be
-stopped alone. Each server listens on its own port. Requests that name an instance in
-``Jasminehold-Request`` travel for the latency between the instance's place
-and this one, in each direction, while the instance holds its slot. A new
-connection costs its fixed cost and one round trip of that latency. Requests
-of a client block are slow while the block is new to the place (cold cache).
-One line of counts is appended to a file every ``SAMPLE_S``.
+stopped alone. Each server listens on its own port. Requests that name an
+instance in ``Jasminehold-Request`` travel for the latency between the
+instance's place and this one, in each direction, while the instance holds its
+slot. A new connection costs its fixed cost and one round trip of that
+latency. Requests of a client block are slow while the block is new to the
+place (cold cache). One line of counts is appended to a file every
+``SAMPLE_S``.
 """
 
 import collections
