Name an instance elsewhere in look-up answers, bound a look-up's wait

Cause: a look-up answer listed four instances of the caller's region, also when all of them were suspect, so callers of a lost region reached nobody for 15 s. Accepted requests counted on slots of ejected upstreams and waited until their deadline of 5 s when these were lost. Change: the last listed instance is in another region, suspect instances come last; a look-up waits at most 1 s, and slots of ejected upstreams do not count for the expected wait.

--- a/src/jasminehold/app.py
+++ b/src/jasminehold/app.py
@@ -489,7 +489,10 @@
             if member.state in (membership.LIVE, membership.SUSPECT):
                 if member.caller_port:
                     entry = lookup_order.Entry(
-                        member.id, member.place, member.region
+                        member.id,
+                        member.place,
+                        member.region,
+                        member.state == membership.SUSPECT,
                     )
                     instances[member.id] = (
                         entry,
--- a/src/jasminehold/decisions/admission.py
+++ b/src/jasminehold/decisions/admission.py
@@ -19,12 +19,15 @@
         max_queue: most requests waiting.
         max_wait_s: longest expected wait in seconds that is accepted for a
             look-up; orders may wait until their deadline allows no more.
+        hold_max_s: longest time in seconds that a look-up waits; slots that
+            were expected when it was accepted may be lost meanwhile.
         first_service_s: service time assumed before any was measured.
         smoothing: weight of a new service time in the average.
     """
 
     max_queue: int = 200
     max_wait_s: float = 0.25
+    hold_max_s: float = 1.0
     first_service_s: float = 0.05
     smoothing: float = 0.05
 
@@ -165,11 +168,18 @@
         queue.move_to_end(waiting.ident, last=False)
 
     def hopeless(self, now):
-        """Remove and return all that can no longer finish in time."""
+        """Remove and return all that are given up on.
+
+        These can no longer finish in time, or are look-ups that have waited
+        for ``hold_max_s``.
+        """
         found = []
-        for queue in self._queues.values():
+        for priority, queue in self._queues.items():
             for ident, waiting in list(queue.items()):
-                if now + self._service_s > waiting.deadline:
+                late = now + self._service_s > waiting.deadline
+                if priority == Priority.NORMAL:
+                    late = late or now - waiting.since > self._cfg.hold_max_s
+                if late:
                     del queue[ident]
                     found.append(waiting)
         return found
--- a/src/jasminehold/decisions/lookup_order.py
+++ b/src/jasminehold/decisions/lookup_order.py
@@ -17,19 +17,23 @@
         ident: the instance.
         place: its place.
         region: its region.
+        suspect: whether its peers have not heard from it lately.
     """
 
     ident: str
     place: str
     region: str
+    suspect: bool = False
 
 
 def order(entries, service, block, region, latencies, count=DEFAULT_COUNT):
     """Return instances for a caller, best first.
 
     Instances of the caller's region come first, spread over callers by a
-    stable hash. The second one is in another place where there is one, so
-    that a failed place leaves the caller an alternative.
+    stable hash. The second one is in another place and the last one in
+    another region where there is one, so that a failed place or region leaves
+    the caller an alternative. Suspect instances come last: a whole region
+    that failed is suspect 5 s after its end but listed for 15 s.
 
     Args:
         entries: live instances as :class:`Entry`; leaving ones are left out.
@@ -47,13 +51,20 @@
         distance = 0.0
         if region is not None and entry.region != region:
             distance = latencies.get((region, entry.region), float('inf'))
-        return (distance, hashing.number(service, block, entry.ident))
+        point = hashing.number(service, block, entry.ident)
+        return (entry.suspect, distance, point)
 
     ranked = sorted(entries, key=rank)
     if len(ranked) > 2:
         first = ranked[0]
         for index, entry in enumerate(ranked[1:], 1):
-            if entry.place != first.place:
+            if entry.place != first.place and not entry.suspect:
                 ranked.insert(1, ranked.pop(index))
                 break
-    return tuple(ranked[:count])
+    chosen = ranked[:count]
+    if len({entry.region for entry in chosen}) == 1 and count > 2:
+        for entry in ranked[count:]:
+            if entry.region != chosen[0].region:
+                chosen[-1] = entry
+                break
+    return tuple(chosen)
--- a/src/jasminehold/steering/picker.py
+++ b/src/jasminehold/steering/picker.py
@@ -385,8 +385,12 @@
 
     def _slots(self, service, now):
         total = 0
+        health = self._state(service).health
         for upstream in self._tables.upstreams.values():
-            if upstream.service == service:
+            # The slots of an ejected upstream serve nobody in the queue.
+            if upstream.service == service and health.weight(
+                upstream.name, now
+            ):
                 total += self._holder.free(
                     limit_table.upstream_slots(upstream.name), now
                 )[1]
--- a/tests/features/routing.feature
+++ b/tests/features/routing.feature
@@ -32,3 +32,12 @@
 
   Scenario: A silent instance keeps a drain from being empty
     Then a drain with a missing report is not empty
+
+  Scenario: Callers of a lost region are given an instance elsewhere
+    Then a look-up answer names an instance of another region
+    And suspect instances come after those of another region
+
+  Scenario: A look-up is not held until near its deadline
+    Given a look-up that waits for a slot with a deadline in 10 seconds
+    When no slot becomes free for 1.1 seconds
+    Then the look-up is given up on and a waiting order is not
--- a/tests/features/steps/routing_steps.py
+++ b/tests/features/steps/routing_steps.py
@@ -7,9 +7,11 @@
 import hypothesis
 from hypothesis import strategies as st
 
+from jasminehold.decisions import admission
 from jasminehold.decisions import blocks
 from jasminehold.decisions import drain
 from jasminehold.decisions import legacy
+from jasminehold.decisions import lookup_order
 from jasminehold.decisions import movement
 from jasminehold.decisions import routing
 
@@ -197,3 +199,56 @@
     assert state.phase is drain.Phase.NO_NEW_WORK
     state = drain.advance(state, True, 0, 0, None, 9.0)
     assert (state.phase, state.drain_s) == (drain.Phase.EMPTY, 9.0)
+
+
+def _listed(suspects=()):
+    entries = [
+        lookup_order.Entry(
+            '%s-%d' % (region, n), '%s-%d' % (region, n % 2), region
+        )
+        for region in ('near', 'mid', 'far')
+        for n in range(4)
+    ]
+    entries = [
+        entry._replace(suspect=entry.region in suspects) for entry in entries
+    ]
+    latencies = {('near', 'mid'): 0.02, ('near', 'far'): 0.1}
+    return [
+        lookup_order.order(entries, 's', '10.0.%d.0' % n, 'near', latencies)
+        for n in range(50)
+    ]
+
+
+@behave.then('a look-up answer names an instance of another region')
+def then_other_region(context):
+    for found in _listed():
+        assert [e.region for e in found] == ['near'] * 3 + ['mid'], found
+        assert found[0].place != found[1].place, found
+
+
+@behave.then('suspect instances come after those of another region')
+def then_suspects_last(context):
+    for found in _listed({'near'}):
+        assert all(e.region == 'mid' for e in found[:3]), found
+        assert found[3].region == 'far', found
+
+
+@behave.given('a look-up that waits for a slot with a deadline in 10 seconds')
+def given_waiting(context):
+    context.admission = admission.Admission()
+    for ident, priority in enumerate(admission.Priority):
+        offer = context.admission.offer(ident, priority, 10.0, 3, 0.0)
+        assert offer.accepted
+
+
+@behave.when('no slot becomes free for {seconds:g} seconds')
+def when_no_slot(context, seconds):
+    assert not context.admission.hopeless(0.9)
+    context.found = context.admission.hopeless(seconds)
+
+
+@behave.then('the look-up is given up on and a waiting order is not')
+def then_given_up(context):
+    priorities = [waiting.priority for waiting in context.found]
+    assert priorities == [admission.Priority.NORMAL], priorities
+    assert len(context.admission) == 1
