--- a/src/jasminehold/decisions/admission.py
+++ b/src/jasminehold/decisions/admission.py
@@ -17,15 +17,19 @@
 
     Attributes:
         max_queue: most requests waiting.
-        max_wait_s: longest wait of a look-up in seconds, expected or real.
-        max_order_wait_s: the same for an order.
+        max_wait_s: longest expected wait of a look-up in seconds.
+        hold_max_s: longest time in seconds that a look-up waits; slots that
+            were expected when it was accepted may be lost meanwhile.
+        order_hold_max_s: longest wait of an order in seconds, expected or
+            real.
         first_service_s: service time assumed before any was measured.
         smoothing: weight of a new service time in the average.
     """
 
     max_queue: int = 200
     max_wait_s: float = 0.25
-    max_order_wait_s: float = 2.0
+    hold_max_s: float = 1.0
+    order_hold_max_s: float = 2.0
     first_service_s: float = 0.05
     smoothing: float = 0.05
 
@@ -119,7 +123,7 @@
         retry_after = max(self.expected_wait(total, slots), self._service_s)
         if slots <= 0 or now + wait + self._service_s > deadline:
             return Offer(False, retry_after, ())
-        if wait > self._longest_wait(priority):
+        if wait > self._longest_expected(priority):
             return Offer(False, retry_after, ())
         evicted = ()
         if total >= self._cfg.max_queue:
@@ -174,7 +178,9 @@
         """
         found = []
         for priority, queue in self._queues.items():
-            longest = self._longest_wait(priority)
+            longest = self._cfg.hold_max_s
+            if priority == Priority.ORDER:
+                longest = self._cfg.order_hold_max_s
             for ident, waiting in list(queue.items()):
                 late = now + self._service_s > waiting.deadline
                 if late or now - waiting.since > longest:
@@ -182,9 +188,9 @@
                     found.append(waiting)
         return found
 
-    def _longest_wait(self, priority):
+    def _longest_expected(self, priority):
         if priority == Priority.ORDER:
-            return self._cfg.max_order_wait_s
+            return self._cfg.order_hold_max_s
         return self._cfg.max_wait_s
 
     def _evict_newest_normal(self):
--- a/src/jasminehold/decisions/region_steps.py
+++ b/src/jasminehold/decisions/region_steps.py
@@ -74,7 +74,8 @@
 
     Shares change with the demand, as often as twice a second, so an
     acknowledgement of the newest plan would rarely be complete. A limit whose
-    use does not yet fit a lowered share does not concern the steps.
+    use does not yet fit a lowered share concerns the steps only when it is
+    the cap of a movement.
 
     Args:
         plan: the stored plan.
@@ -83,7 +84,11 @@
     """
     version = plan.get('steps_version', plan['version'])
     return all(
-        name in reports and reports[name]['acked'][0] >= version
+        name in reports
+        and reports[name]['acked'][0] >= version
+        and not any(
+            key.startswith('move:') for key in reports[name]['acked'][1]
+        )
         for name in names
     )
 
--- a/src/jasminehold/steering/picker.py
+++ b/src/jasminehold/steering/picker.py
@@ -143,16 +143,25 @@
 
     def pick(self, req, tried, now):
         """Return a target with all its limits taken, or a refusal."""
+        return self._pick(req, tried, now, True)
+
+    def _pick(self, req, tried, now, first):
         state = self._state(req.service)
         verdict = self.blame.verdict(self._fingerprint(req), now)
         if verdict is blame.Verdict.CONDEMNED:
             self._metrics.inc('requests_condemned_total', service=req.service)
             return hooks_module.Refusal(Kind.POISON)
         isolate = verdict is blame.Verdict.ISOLATE
-        for option in self._options(req):
-            self._count_demand(option.limits, now)
+        for index, option in enumerate(self._options(req)):
+            # A request counts once where it belongs, and where it overflows
+            # to. Counting each try of a waiting request showed a place with
+            # 125 requests a second as using 563 of 250.
+            if first and index == 0:
+                self._count_demand(option.limits, now)
             target = self._try(req, option, tried, isolate, now)
             if target is not None:
+                if index:
+                    self._count_demand(option.limits, now)
                 return target
         state.refused.add(now)
         return hooks_module.Refusal(
@@ -409,14 +418,18 @@
     def _slots(self, service, now):
         """Return the slots that serve a service's queue, at least 1.
 
-        Without a share of its own an instance can still hope for a loan, but
-        without contact it can use neither and 0 is returned.
+        The slots of an ejected upstream serve nobody in the queue. Without a
+        share of its own an instance can still hope for a loan, but without
+        contact it can use neither and 0 is returned.
         """
         total, usable = 0, False
+        health = self._state(service).health
         for upstream in self._tables.upstreams.values():
-            if upstream.service == service:
-                limit_id = limit_table.upstream_slots(upstream.name)
-                usable = usable or self._holder.usable(limit_id, now)
+            if upstream.service != service:
+                continue
+            limit_id = limit_table.upstream_slots(upstream.name)
+            usable = usable or self._holder.usable(limit_id, now)
+            if health.weight(upstream.name, now):
                 total += self._holder.free(limit_id, now)[1]
         return max(total, 1) if usable else 0
 
@@ -458,7 +471,7 @@
             if waiting is None:
                 return
             req, done = state.waiting[waiting.ident]
-            found = self.pick(req, (), now)
+            found = self._pick(req, (), now, False)
             if _overloaded(found):
                 state.admission.restore(waiting)
                 self._borrow(service, now)
--- a/tests/features/routing.feature
+++ b/tests/features/routing.feature
@@ -38,3 +38,20 @@
 
   Scenario: Loans beyond a share that was cut do not stop the choice
     Then an upstream with free slots and no share of its own is chosen
+
+  Scenario: Callers of a lost region are given an instance elsewhere
+    Then a look-up answer names an instance of another region
+    And suspect instances come after those of another region
+
+  Scenario: A look-up is not held until near its deadline
+    Given a look-up that waits for a slot with a deadline in 10 seconds
+    When no slot becomes free for 1.1 seconds
+    Then the look-up is given up on and a waiting order is not
+
+  Scenario: A movement does not wait for plans that only change shares
+    Then a step is in force once every instance applies its plan or a later one
+
+  Scenario: A waiting request counts once in the demand for its place
+    Given an instance without free slots
+    When one request waits for 20 dispatch periods
+    Then the demand for its place is that of one request
--- a/tests/features/steps/overload_steps.py
+++ b/tests/features/steps/overload_steps.py
@@ -169,9 +169,9 @@
     for ident, priority in enumerate(admission.Priority):
         offer = rule.offer(ident, priority, 10.0, 4, 0.0)
         assert offer.accepted
-    assert not rule.hopeless(cfg.max_wait_s)
-    refused = rule.hopeless(cfg.max_wait_s + 0.01)
+    assert not rule.hopeless(cfg.hold_max_s)
+    refused = rule.hopeless(cfg.hold_max_s + 0.01)
     assert [item.priority for item in refused] == [admission.Priority.NORMAL]
-    refused = rule.hopeless(cfg.max_order_wait_s + 0.01)
+    refused = rule.hopeless(cfg.order_hold_max_s + 0.01)
     assert [item.priority for item in refused] == [admission.Priority.ORDER]
     assert not rule.offer(9, admission.Priority.ORDER, 10.0, 0, 0.0).accepted
--- a/tests/features/steps/routing_steps.py
+++ b/tests/features/steps/routing_steps.py
@@ -1,18 +1,26 @@
 """Steps for the routing decisions."""
 
 import random
+import types
 
 import behave
 from builders import routing as build
 import hypothesis
 from hypothesis import strategies as st
 
+from jasminehold.decisions import admission
 from jasminehold.decisions import blocks
+from jasminehold.decisions import demand
 from jasminehold.decisions import drain
+from jasminehold.decisions import holder
 from jasminehold.decisions import legacy
+from jasminehold.decisions import lookup_order
 from jasminehold.decisions import movement
 from jasminehold.decisions import region_steps
 from jasminehold.decisions import routing
+from jasminehold import metrics
+from jasminehold.steering import picker
+from jasminehold.steering import tables
 
 SETTINGS = hypothesis.settings(
     database=None, derandomize=True, deadline=None, max_examples=200
@@ -224,3 +232,125 @@
 def then_lent(context):
     one = routing.Candidate('u', 1, 0, 1.0, False, None, 0.0)
     assert routing.choose_upstream([one], random.Random(1)) is one
+
+
+def _listed(suspects=()):
+    entries = [
+        lookup_order.Entry(
+            '%s-%d' % (region, n), '%s-%d' % (region, n % 2), region
+        )
+        for region in ('near', 'mid', 'far')
+        for n in range(4)
+    ]
+    entries = [
+        entry._replace(suspect=entry.region in suspects) for entry in entries
+    ]
+    latencies = {('near', 'mid'): 0.02, ('near', 'far'): 0.1}
+    return [
+        lookup_order.order(entries, 's', '10.0.%d.0' % n, 'near', latencies)
+        for n in range(50)
+    ]
+
+
+@behave.then('a look-up answer names an instance of another region')
+def then_other_region(context):
+    for found in _listed():
+        assert [e.region for e in found] == ['near'] * 3 + ['mid'], found
+        assert found[0].place != found[1].place, found
+
+
+@behave.then('suspect instances come after those of another region')
+def then_suspects_last(context):
+    for found in _listed({'near'}):
+        assert all(e.region == 'mid' for e in found[:3]), found
+        assert found[3].region == 'far', found
+
+
+@behave.given('a look-up that waits for a slot with a deadline in 10 seconds')
+def given_waiting(context):
+    context.admission = admission.Admission()
+    for ident, priority in enumerate(admission.Priority):
+        offer = context.admission.offer(ident, priority, 10.0, 3, 0.0)
+        assert offer.accepted
+
+
+@behave.when('no slot becomes free for {seconds:g} seconds')
+def when_no_slot(context, seconds):
+    assert not context.admission.hopeless(0.9)
+    context.found = context.admission.hopeless(seconds)
+
+
+@behave.then('the look-up is given up on and a waiting order is not')
+def then_given_up(context):
+    priorities = [waiting.priority for waiting in context.found]
+    assert priorities == [admission.Priority.NORMAL], priorities
+    assert len(context.admission) == 1
+
+
+@behave.then(
+    'a step is in force once every instance applies its plan or a later one'
+)
+def then_in_force(context):
+    def check(names, **acked):
+        reports = {name: {'acked': value} for name, value in acked.items()}
+        plan = {'version': 9, 'steps_version': 7}
+        return region_steps.in_force(plan, set(names), reports)
+
+    # Newer plans and limits of slots that lag do not matter.
+    assert check('ab', a=[7, {}], b=[9, {'slots:x': 6}])
+    assert not check('ab', a=[7, {}], b=[6, {}])
+    assert not check('ab', a=[7, {}], b=[9, {'move:m': 6}])
+    assert not check('abc', a=[7, {}], b=[9, {}])
+
+
+@behave.given('an instance without free slots')
+def given_no_slots(context):
+    context.now, context.timers = 0.0, []
+    loop = types.SimpleNamespace(
+        now=lambda: context.now,
+        call_later=lambda delay, func, *args: context.timers.append(func),
+    )
+    known = tables.Tables()
+    known.services['s'] = tables.Service(
+        's', frozenset((b'GET',)), (), 5.0, (), 0.1, None
+    )
+    known.upstreams['u'] = tables.Upstream('u', 's', 'p', '10.0.0.1', 80)
+    known.by_place['s', 'p'] = [known.upstreams['u']]
+    known.place_region['p'] = 'r'
+    context.picker = picker.Picker(
+        loop,
+        types.SimpleNamespace(place='p', region='r'),
+        known,
+        holder.Holder('one'),
+        metrics.Metrics(),
+        random.Random(1),
+        lambda *args: None,
+        lambda *args: None,
+    )
+
+
+@behave.when('one request waits for {count:d} dispatch periods')
+def when_waits(context, count):
+    req = types.SimpleNamespace(
+        service='s',
+        method=b'GET',
+        path=b'/',
+        peer='10.1.0.1',
+        fingerprint=b'f',
+    )
+    req.plan = context.picker.route(req)
+    context.picker.pick(req, (), context.now)
+    context.picker.wait_for_target(req, 5.0, lambda found: None)
+    for _ in range(count):
+        context.now += 0.02
+        due, context.timers = context.timers, []
+        for func in due:
+            func()
+
+
+@behave.then('the demand for its place is that of one request')
+def then_one_demand(context):
+    one = demand.Rate()
+    one.add(0.0)
+    found = context.picker.demand(lambda _: 'r', context.now)['r']
+    assert abs(found['rate:place/p'] - one.value(context.now)) < 0.01, found
