--- a/src/jasminehold/steering/tables.py
+++ b/src/jasminehold/steering/tables.py
@@ -43,7 +43,7 @@
     classes: tuple
     retry_budget: float
     legacy: tuple | None
-    probe_path: str | None
+    probe_path: str | None = None
 
 
 class Tables:
--- a/tests/features/steps/routing_steps.py
+++ b/tests/features/steps/routing_steps.py
@@ -317,11 +317,17 @@
     known.upstreams['u'] = tables.Upstream('u', 's', 'p', '10.0.0.1', 80)
     known.by_place['s', 'p'] = [known.upstreams['u']]
     known.place_region['p'] = 'r'
+    # In contact and with rates, so that the request waits for a slot only.
+    owner = holder.Holder('one')
+    shares = {'slots:u': {}, 'rate:place/p': {'one': 9}}
+    shares['rate:region/r'] = {'one': 9}
+    plan = {'region': 'r', 'version': 1, 'witnesses': ['one']}
+    owner.apply({**plan, 'shares': shares}, context.now)
     context.picker = picker.Picker(
         loop,
         types.SimpleNamespace(place='p', region='r'),
         known,
-        holder.Holder('one'),
+        owner,
         metrics.Metrics(),
         random.Random(1),
         lambda *args: None,
