Drop sends to ended API connections; hold movements without a declared source

circuits' server keeps a buffer for a write or close event that is handled after the connection ended; a loaded run of api.feature found one left over. Such events are now dropped. A movement without a traffic split took its target share of the whole client region; it now holds with a reason, and a scenario covers it.

--- a/src/jasminehold/api.py
+++ b/src/jasminehold/api.py
@@ -153,6 +153,13 @@
         # True tells circuits.web that the answer is sent separately.
         return True
 
+    @circuits.handler('write', 'close', priority=10.0)
+    def _on_send(self, event, sock=None, *args):
+        # The server would keep a buffer for a connection that has ended
+        # while the event waited in the queue, and never drop it.
+        if sock is not None and sock not in self._server._clients:
+            event.stop()
+
     @circuits.handler('disconnect')
     def _on_disconnect(self, sock):
         self._open.pop(sock, None)
--- a/src/jasminehold/decisions/movement.py
+++ b/src/jasminehold/decisions/movement.py
@@ -34,6 +34,7 @@
     SLOW = 'target is slow'
     NO_CAPACITY = 'target has too little capacity left'
     LINK_FULL = 'link has too little capacity left'
+    NO_SPLIT = 'no traffic split declares the share of the source'
     CAP = 'the cap of the movement is reached'
     WAITING = 'waiting for the next step'
 
--- a/src/jasminehold/decisions/region_steps.py
+++ b/src/jasminehold/decisions/region_steps.py
@@ -163,11 +163,17 @@
     def _move(self, name, spec, splits, reports, in_force, room, now):
         service, region = spec['service'], spec.get('client_region', '*')
         split = splits.get((service, region)) or splits.get((service, '*'))
-        source = split['shares'].get(spec['from_place'], 0.0) if split else 1.0
+        state = self.movements.get(name, movement.MovementState())
+        if split is None:
+            # The target share is a part of the source's share, which nothing
+            # declares.
+            hold = movement.Hold.NO_SPLIT
+            self.movements[name] = state._replace(hold=hold)
+            return
+        source = split['shares'].get(spec['from_place'], 0.0)
         measured = merge_stats(reports, service, spec['to_place'])
         total = client_rps(reports, service, region)
         age = measured.age_s
-        state = self.movements.get(name, movement.MovementState())
         if state.share == 0.0 and reports:
             # A target without traffic cannot be measured; the first small
             # step is what makes it measurable.
--- a/tests/features/routing.feature
+++ b/tests/features/routing.feature
@@ -55,3 +55,6 @@
     Given an instance without free slots
     When one request waits for 20 dispatch periods
     Then the demand for its place is that of one request
+
+  Scenario: A movement needs the share of its source
+    Then a movement without a traffic split holds and says so
--- a/tests/features/steps/routing_steps.py
+++ b/tests/features/steps/routing_steps.py
@@ -360,3 +360,18 @@
     one.add(0.0)
     found = context.picker.demand(lambda _: 'r', context.now)['r']
     assert abs(found['rate:place/p'] - one.value(context.now)) < 0.01, found
+
+
+@behave.then('a movement without a traffic split holds and says so')
+def then_needs_split(context):
+    # Its target share once counted against the whole client region.
+    spec = {'service': 's', 'from_place': 'p', 'to_place': 'q'}
+    docs = {
+        'movement': [{'metadata': {'name': 'm'}, 'spec': spec}],
+        'place': [{'metadata': {'name': 'q'}, 'spec': {'region': 'r'}}],
+    }
+    config = types.SimpleNamespace(all=lambda kind: docs.get(kind, []))
+    steps = region_steps.RegionSteps('r', {}, {}, 0.0)
+    steps.advance(config, [], True, lambda kind, key: 100.0, 60.0, False)
+    state = steps.movements['m']
+    assert state.hold is movement.Hold.NO_SPLIT and state.share == 0.0
