Register with the stand-in only where the settings ask; tidy the picker

An instance sent its entry to the platform once a second although a real platform lists its machines itself. The picker guessed whether an upstream has an idle connection from its last answer; it now asks the pool.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -211,6 +211,7 @@
                 'peers': [first + ':7200'] if one['host'] != first else [],
                 'peer_keys': {'k1': '5a' * 32},
                 'peer_key_id': 'k1',
+                'register': True,
                 'operators': {
                     'bench': hashlib.sha256(TOKEN.encode()).hexdigest()
                 },
--- a/bench/measured_fleet.py
+++ b/bench/measured_fleet.py
@@ -219,6 +219,7 @@
             'peers': ['%s:%d' % (HOST, self.instances[0].peer)],
             'peer_keys': {'k1': '11' * 32},
             'peer_key_id': 'k1',
+            'register': True,
             'operators': {'bench': digest},
         }
         path = os.path.join(self._dir, item.id + '.json')
--- a/bench/order_fleet.py
+++ b/bench/order_fleet.py
@@ -118,6 +118,7 @@
             'platform': ['127.0.0.1:%d' % self.platform_port],
             'peer_keys': {'k1': self._key},
             'peer_key_id': 'k1',
+            'register': True,
             'operators': {'bench': hashlib.sha256(TOKEN.encode()).hexdigest()},
         }
         path = self.path / (name + '.json')
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -213,6 +213,7 @@
             'peers': self.peer_addresses(),
             'peer_keys': KEYS,
             'peer_key_id': 'k1',
+            'register': True,
             'operators': {
                 name: hashlib.sha256(name.encode()).hexdigest()
                 for name in self.operators
--- a/bench/roles.py
+++ b/bench/roles.py
@@ -168,6 +168,7 @@
             'platform': ['127.0.0.1:9'],
             'peer_keys': {'k1': '11' * 32},
             'peer_key_id': 'k1',
+            'register': True,
         }
     )
     application = app.Application(cfg, rng)
--- a/src/jasminehold/app.py
+++ b/src/jasminehold/app.py
@@ -267,6 +267,7 @@
         self.proxy = proxy_server.ProxyServer(
             self.loop, hooks, self.metrics, answer, limits, cfg.id
         )
+        self.picker.has_idle = self.proxy.pool.has_idle
         listener = self.proxy.listen(*cfg.caller_listen)
         self.caller_port = listener.port
         told = cfg.peer_advertise or (cfg.peer_listen.host, self._peer_port)
@@ -311,6 +312,7 @@
                 self.loop, tuple(address), entry, self.rng
             )
             for address in cfg.platform[:1]
+            if cfg.register
         ]
 
     def _build_api(self):
--- a/src/jasminehold/proxy/upstream.py
+++ b/src/jasminehold/proxy/upstream.py
@@ -203,6 +203,11 @@
             if key[0] == upstream
         )
 
+    def has_idle(self, upstream, host, port):
+        """Return whether an open connection to an upstream is idle."""
+        entry = self._entries.get((upstream, host, port))
+        return entry is not None and bool(entry.idle)
+
     def acquire(self, target, fresh, on_ready, on_error):
         """Get a connection.
 
--- a/src/jasminehold/settings.py
+++ b/src/jasminehold/settings.py
@@ -125,6 +125,12 @@
     return check
 
 
+def _flag(value):
+    if not isinstance(value, bool):
+        raise ValueError
+    return value
+
+
 def _id(value):
     if value is None:
         return 'i-' + os.urandom(8).hex()
@@ -199,6 +205,15 @@
         "Addresses of the platform's service, tried in turn.",
         tuple[Address, ...],
     ),
+    Key(
+        'register',
+        bool,
+        _flag,
+        'true or false',
+        False,
+        "Enter this instance in the stand-in's list of instances; a real "
+        'platform lists its machines itself.',
+    ),
     _text(
         'peers',
         _addresses,
--- a/src/jasminehold/steering/picker.py
+++ b/src/jasminehold/steering/picker.py
@@ -15,6 +15,7 @@
 from jasminehold.decisions import routing
 from jasminehold import errors
 from jasminehold.proxy import hooks as hooks_module
+from jasminehold.steering import place_stats
 
 Kind = errors.Kind
 
@@ -39,25 +40,6 @@
         self.refused = demand.Rate()
 
 
-class PlaceStats:
-    """What this instance saw of one service at one place."""
-
-    def __init__(self):
-        self.sent = demand.Rate()
-        self.shed = demand.Rate()
-        self.latency_s = 0.0
-        self.at = None
-
-    def note(self, result, latency_s, now):
-        """Record the end of an attempt."""
-        self.sent.add(now)
-        self.at = now
-        if result in ('refused', 'leaving'):
-            self.shed.add(now)
-        elif result == 'ok':
-            self.latency_s += 0.1 * (latency_s - self.latency_s)
-
-
 class Picker:
     """Chooses targets for the requests of one instance.
 
@@ -70,6 +52,10 @@
         rng: random source.
         notify: ``notify(key, value, ttl)`` spreads a notice.
         want_loan: ``want_loan(group, limit ids, count)`` when short.
+
+    Attributes:
+        has_idle: ``has_idle(name, host, port)`` tells whether an open
+            connection to an upstream is idle.
     """
 
     def __init__(
@@ -86,8 +72,7 @@
         self._states = {}
         self._numbers = 0
         self._reported = {}
-        self._served_at = {}
-        self._idle = {}
+        self.has_idle = lambda name, host, port: False
         self.blame = blame.Blame()
         self.leaving = {}
         self.in_flight = collections.Counter()
@@ -301,7 +286,7 @@
     def _stats(self, service, place):
         key = (service, place)
         if key not in self.place_stats:
-            self.place_stats[key] = PlaceStats()
+            self.place_stats[key] = place_stats.PlaceStats()
         return self.place_stats[key]
 
     def _fingerprint(self, req):
@@ -379,7 +364,7 @@
         weight = self._state(upstream.service).health.weight(
             upstream.name, now
         )
-        idle = self._idle.get(upstream.name, 0) > 0
+        idle = self.has_idle(upstream.name, upstream.host, upstream.port)
         return routing.Candidate(
             upstream.name, free, share, weight, idle, reported, now - at
         )
@@ -401,7 +386,6 @@
             if isolate:
                 self.blame.suspect_ended(name)
             if result == 'ok':
-                self._idle[name] = 1
                 notice = self.blame.succeeded(fingerprint, now, ended)
                 if notice is not None:
                     self._spread(notice, ended)
--- a/tests/features/steps/view_steps.py
+++ b/tests/features/steps/view_steps.py
@@ -23,6 +23,7 @@
             'platform': ['127.0.0.1:9'],
             'peer_keys': {'k1': KEY},
             'peer_key_id': 'k1',
+            'register': True,
         }
     )
     context.app = app_module.Application(cfg, random.Random(1))
