Share the follow-up of a digest and the list of malformed-message errors

The same twelve lines stood in gossip and membership, and the same list of exceptions in the agent and the mesh. The peers' three features pass (42).

--- a/src/jasminehold/decisions/digest.py
+++ b/src/jasminehold/decisions/digest.py
@@ -46,3 +46,30 @@
         if len(sums) != PARTS:
             raise ValueError('digest has %d parts' % len(sums))
         return [part for part in range(PARTS) if sums[part] != self.sums[part]]
+
+    def follow_up(self, sums, parts, limit, render, rng):
+        """Return the next part of an exchange after the other side's sums.
+
+        Args:
+            sums: the other table's sums.
+            parts: keys of this table by part.
+            limit: entries of one message, exceeded only by a single part.
+            render: function from a part's keys to what is sent of them.
+            rng: ``random.Random``; a table with many differences is not
+                always compared from the same end.
+
+        Returns:
+            ``{"sum", "parts"}``, or None when nothing differs.
+        """
+        differing = self.differing(sums)
+        if not differing:
+            return None
+        rng.shuffle(differing)
+        found, left = {}, limit
+        for index in differing:
+            keys = parts[index]
+            if found and len(keys) > left:
+                break
+            left -= len(keys)
+            found[str(index)] = render(keys)
+        return {'sum': self.total, 'parts': found}
--- a/src/jasminehold/decisions/gossip.py
+++ b/src/jasminehold/decisions/gossip.py
@@ -213,18 +213,13 @@
         self.offer(peer, part.get('have', {}))
         if 'sums' not in part:
             return None
-        differing = self._digest.differing(part['sums'])
-        if not differing:
-            return None
-        self._rng.shuffle(differing)
-        parts, left = {}, MAX_KEYS
-        for index in differing:
-            keys = self._parts[index]
-            if parts and len(keys) > left:
-                break
-            left -= len(keys)
-            parts[str(index)] = {key: self._docs[key][0] for key in keys}
-        return {'sum': self._digest.total, 'parts': parts}
+        return self._digest.follow_up(
+            part['sums'],
+            self._parts,
+            MAX_KEYS,
+            lambda keys: {key: self._docs[key][0] for key in keys},
+            self._rng,
+        )
 
     def _compare(self, index, versions):
         if len(versions) > 8 * MAX_KEYS:
--- a/src/jasminehold/decisions/membership.py
+++ b/src/jasminehold/decisions/membership.py
@@ -396,18 +396,13 @@
         self._merge_all(part.get('changes', ()), now)
         if 'sums' not in part:
             return None
-        differing = self._digest.differing(part['sums'])
-        if not differing:
-            return None
-        self._rng.shuffle(differing)
-        parts, left = {}, MAX_ENTRIES
-        for index in differing:
-            keys = self._parts[index]
-            if parts and len(keys) > left:
-                break
-            left -= len(keys)
-            parts[str(index)] = [list(self._members[key]) for key in keys]
-        return {'sum': self._digest.total, 'parts': parts}
+        return self._digest.follow_up(
+            part['sums'],
+            self._parts,
+            MAX_ENTRIES,
+            lambda keys: [list(self._members[key]) for key in keys],
+            self._rng,
+        )
 
     def _merge_all(self, entries, now):
         if len(entries) > 4 * MAX_ENTRIES:
--- a/src/jasminehold/errors.py
+++ b/src/jasminehold/errors.py
@@ -251,6 +251,10 @@
     """
 
 
+# What reading a message of another shape than expected raises.
+MALFORMED = (LookupError, TypeError, ValueError, AttributeError, PeerError)
+
+
 def answer_for(kind):
     """Return the answer for an error kind.
 
--- a/src/jasminehold/peers/agent.py
+++ b/src/jasminehold/peers/agent.py
@@ -221,13 +221,7 @@
                 return
             try:
                 outs = self.state.on_reply(peer, message, reply, asked_at, now)
-            except (
-                LookupError,
-                TypeError,
-                ValueError,
-                AttributeError,
-                errors.PeerError,
-            ) as exc:
+            except errors.MALFORMED as exc:
                 self._metrics.inc('peer_messages_faulty')
                 _log(
                     'reply failed', level='error', peer=peer, reason=repr(exc)
--- a/src/jasminehold/peers/mesh.py
+++ b/src/jasminehold/peers/mesh.py
@@ -381,13 +381,7 @@
             return
         try:
             handler(sender, message, reply)
-        except (
-            LookupError,
-            TypeError,
-            ValueError,
-            AttributeError,
-            errors.PeerError,
-        ) as exc:
+        except errors.MALFORMED as exc:
             # The message had another shape than the handler expects. It is
             # dropped; the other messages of the link are unaffected.
             self._metrics.inc('peer_messages_faulty')
