--- a/src/jasminehold/decisions/blocks.py
+++ b/src/jasminehold/decisions/blocks.py
@@ -16,7 +16,7 @@
 
 import array
 import bisect
-import socket
+import ipaddress
 
 # Buckets are the values of the first 13 bits of an IPv4 address: with 16 bits
 # the per-bucket overhead alone took 40 MB at 520,000 blocks. An IPv6
@@ -28,6 +28,7 @@
 V6_BUCKET_BITS = 32
 NO_SITE = 0xFFFF
 MAX_SITES = 0xFFFF
+_OCTETS = {str(value): value for value in range(256)}
 
 
 class _Document:
@@ -136,14 +137,14 @@
 
 def _parse(text):
     """Return ``(number, bits)`` of an address, IPv6 cut to its first half."""
+    if ':' in text:
+        return int(ipaddress.IPv6Address(text)) >> V6_BITS, V6_BITS
+    # Four times as fast as ``ipaddress``, which decides about odd forms only.
     try:
-        if ':' in text:
-            raw = socket.inet_pton(socket.AF_INET6, text)
-            return int.from_bytes(raw[:8], 'big'), V6_BITS
-        raw = socket.inet_pton(socket.AF_INET, text)
-    except OSError as exc:
-        raise ValueError('not an IP address: %s' % text) from exc
-    return int.from_bytes(raw, 'big'), V4_BITS
+        a, b, c, d = map(_OCTETS.__getitem__, text.split('.'))
+    except (KeyError, ValueError):
+        return int(ipaddress.IPv4Address(text)), V4_BITS
+    return a << 24 | b << 16 | c << 8 | d, V4_BITS
 
 
 def _flatten(entries, bits, high, typecode):
