--- a/src/jasminehold/cli.py
+++ b/src/jasminehold/cli.py
@@ -25,6 +25,7 @@
 
 SERVERS_ENV = 'JASMINEHOLD_SERVERS'
 LOOKUP_SERVERS_ENV = 'JASMINEHOLD_LOOKUP_SERVERS'
+FRONT_SETTINGS_ENV = 'JASMINEHOLD_NODE_FILE'
 TOKEN_ENV = 'JASMINEHOLD_TOKEN'
 
 EXIT_REFUSED = 1
@@ -475,9 +476,28 @@
     return Command(lambda: _serve(settings))
 
 
+def front(settings=None):
+    """Run an instance in front of upstreams on the users' platform.
+
+    SETTINGS is its settings file; by default the one that the environment
+    variable JASMINEHOLD_NODE_FILE names.
+    """
+
+    def run():
+        path = settings or os.environ.get(FRONT_SETTINGS_ENV)
+        if not path:
+            raise errors.SettingsError(
+                '%s: must name a settings file' % FRONT_SETTINGS_ENV
+            )
+        importlib.import_module('jasminehold.front.app').run(path)
+
+    return Command(run)
+
+
 def _commands():
     table = {
         'serve': serve,
+        'front': front,
         'check-settings': check_settings,
         'apply': apply,
         'get': get,
--- /dev/null
+++ b/src/jasminehold/decisions/cold_gate.py
@@ -0,0 +1,48 @@
+"""How many requests a cold upstream gets from the whole fleet."""
+
+import collections
+
+from jasminehold.decisions import hashing
+
+WINDOW_S = 1.0
+# Instances that send to one cold upstream. Few are enough to warm it, and
+# each gets a whole number of requests of a small bound.
+SENDERS = 2
+# Part of the bound that is used; the rest covers a sender whose view of the
+# fleet differs for a moment.
+USED = 0.65
+
+
+def senders(upstream_id, instances):
+    """Return the instances that may send to a cold upstream.
+
+    Args:
+        upstream_id: id of the upstream.
+        instances: ids of the live instances.
+    """
+    return sorted(
+        instances, key=lambda name: hashing.number('cold', upstream_id, name)
+    )[:SENDERS]
+
+
+class ColdGate:
+    """Bounds what one instance sends to one cold upstream."""
+
+    def __init__(self):
+        self._sent = collections.deque()
+
+    def admits(self, bound, now):
+        """Return whether one more request keeps this sender's part.
+
+        Args:
+            bound: requests a second that the whole fleet may send.
+            now: monotonic seconds.
+        """
+        while self._sent and self._sent[0] <= now - WINDOW_S:
+            self._sent.popleft()
+        part = max(int(bound * USED / SENDERS), 1)
+        return len(self._sent) < part
+
+    def on_sent(self, now):
+        """Count a request."""
+        self._sent.append(now)
--- /dev/null
+++ b/src/jasminehold/front/__init__.py
@@ -0,0 +1,1 @@
+"""One instance in front of the upstreams on the users' platform."""
--- /dev/null
+++ b/src/jasminehold/front/app.py
@@ -0,0 +1,222 @@
+"""The application of an instance in front of the upstreams.
+
+Example:
+    >>> run('instance.json')  # doctest: +SKIP
+"""
+
+import random
+import signal
+
+import circuits
+
+from jasminehold.decisions import route_table
+from jasminehold import errors
+from jasminehold.front import caller
+from jasminehold.front import cfg as cfg_module
+from jasminehold.front import directory
+from jasminehold.front import exchange
+from jasminehold.front import presence
+from jasminehold.front import reader
+from jasminehold.front import steering as steering_module
+from jasminehold.front import upstream_conn
+from jasminehold import logs
+from jasminehold import loop as loop_module
+from jasminehold import metrics as metrics_module
+from jasminehold.platform import kv
+from jasminehold.platform import wire
+
+# Parts of the descriptors that callers and upstreams may use.
+CALLERS_PART = 0.6
+UPSTREAMS_PART = 0.3
+# Descriptors that the process needs for itself.
+FILES_RESERVED = 200
+# After SIGTERM new connections are taken for a while: callers use an old
+# answer of the directory for up to three times its validity.
+ACCEPT_PART = 0.5
+# The process ends this long before the platform kills it, seconds.
+STOP_MARGIN_S = 0.4
+CHECK_EVERY_S = 0.05
+
+_log = logs.get('front')
+
+
+class FrontApplication(circuits.BaseComponent):
+    """One instance: starts, serves, drains and stops.
+
+    Args:
+        cfg: the :class:`~jasminehold.front.cfg.Cfg`.
+        path: settings file, read again on SIGHUP; None to never read it.
+        rng: random source, for tests.
+    """
+
+    channel = 'front'
+
+    def __init__(self, cfg, path=None, rng=None):
+        super().__init__(channel=self.channel)
+        self.cfg = cfg
+        self.leaving = False
+        self.rng = rng or random.SystemRandom()
+        self.loop = loop_module.Loop().register(self)
+        self.metrics = metrics_module.Metrics()
+        self.steering = steering_module.Steering(cfg, self.rng, _log)
+        self._path = path
+        self._members = {}
+        self._stop_at = None
+        self._own = {
+            'callers': '%s:%d' % cfg.caller_listen,
+            'place': cfg.place,
+            'region': cfg.places[cfg.place],
+            'peers': '%s:%d' % (cfg.caller_listen.host, cfg.internal_ports[0]),
+        }
+        self._build_store()
+        self._build_path()
+
+    def _build_store(self):
+        self.store = kv.Store(
+            self.loop, *self.cfg.store, self.rng, self.metrics
+        )
+        self._presence = presence.Presence(
+            self.loop, self.store, self.cfg.id, self._own, self.rng, _log
+        )
+        self._operator = reader.PrefixReader(
+            self.loop,
+            self.store,
+            wire.OPERATOR_PREFIX,
+            self._on_operator,
+            self.rng,
+            _log,
+        )
+        self._member_reader = reader.PrefixReader(
+            self.loop,
+            self.store,
+            wire.MEMBER_PREFIX,
+            self._on_members,
+            self.rng,
+            _log,
+        )
+        self._upstreams = reader.UpstreamReader(
+            self.loop, self.store, self.steering, self.rng, _log, self.metrics
+        )
+
+    def _build_path(self):
+        files = max(self.cfg.max_files - FILES_RESERVED, FILES_RESERVED)
+        pool = upstream_conn.UpstreamPool(
+            self.loop, self.metrics, int(files * UPSTREAMS_PART)
+        )
+        self.exchanges = exchange.Port(
+            self.loop, self.steering, pool, self.metrics, self.rng, _log
+        )
+        answers = directory.Directory(
+            lambda: self._members,
+            self._own,
+            lambda: not self.leaving,
+            self.cfg.lookup_ttl,
+        )
+        callers = int(files * CALLERS_PART)
+        self.callers = self._port(self.exchanges.on_request, callers)
+        self._ready = self._port(answers.on_request, FILES_RESERVED)
+        self._directory = self._port(answers.on_request, FILES_RESERVED)
+
+    def _port(self, on_request, conns):
+        return caller.CallerPort(
+            self.loop, self.metrics, self._caller_limits, on_request, conns
+        )
+
+    def _caller_limits(self):
+        table = self.steering.table
+        return table.limits if table else route_table.CallerLimits()
+
+    # Life cycle.
+
+    def start(self):
+        """Listen and begin to read the store."""
+        cfg = self.cfg
+        self.callers.listen(*cfg.caller_listen)
+        self._ready.listen(*cfg.ready_listen)
+        self._directory.listen(*cfg.directory_listen)
+        self._operator.start()
+        self._upstreams.start()
+        self._member_reader.start()
+        self._presence.start()
+        _log('instance started', instance=cfg.id, place=cfg.place)
+
+    @circuits.handler('signal', channel='*')
+    def _on_signal(self, event, signo, stack):
+        if signo in (signal.SIGTERM, signal.SIGINT):
+            self.leave()
+
+    @circuits.handler('exception', channel='*')
+    def _on_exception(self, etype, value, trace, handler=None, fevent=None):
+        self.metrics.inc('internal_errors_total', type=etype.__name__)
+        _log(
+            'internal error',
+            level='error',
+            error=repr(value),
+            trace=''.join(trace)[-2000:],
+        )
+
+    def reload(self):
+        """Read the settings again; the addresses stay as they are."""
+        if self._path is None:
+            return
+        try:
+            cfg = cfg_module.load(self._path)
+        except errors.SettingsError as exc:
+            _log('settings not reloaded', level='error', error=exc)
+            return
+        self.steering.on_settings(cfg)
+        _log('settings reloaded', instance=cfg.id)
+
+    def leave(self):
+        """Stop gracefully: be no longer named, finish what runs, end."""
+        if self.leaving:
+            return
+        self.leaving = True
+        self.callers.leaving = True
+        self._presence.leave()
+        grace = self.cfg.stop_grace
+        self._stop_at = self.loop.now() + grace - STOP_MARGIN_S
+        _log('instance leaving', instance=self.cfg.id, grace_s=grace)
+        self.loop.call_later(grace * ACCEPT_PART, self._stop_accepting)
+
+    def _stop_accepting(self):
+        self.callers.stop_accepting()
+        idle = not self.exchanges.exchanges and not self.callers.busy
+        if not idle and self.loop.now() < self._stop_at:
+            self.loop.call_later(CHECK_EVERY_S, self._stop_accepting)
+            return
+        _log(
+            'instance stopped',
+            instance=self.cfg.id,
+            in_flight=len(self.exchanges.exchanges),
+        )
+        self.stop()
+
+    # What the store says.
+
+    def _on_operator(self, items):
+        table, places = reader.decode_operator(items, _log)
+        if table is not None:
+            self.steering.on_config(table)
+        self.steering.on_evacuated(places)
+
+    def _on_members(self, items):
+        members = reader.decode_members(items, _log)
+        if set(members) != set(self._members):
+            _log('members changed', members=sorted(members))
+        self._members = members
+        self.steering.on_members(members)
+        self._presence.on_members(items)
+
+
+def run(path):
+    """Serve until told to stop.
+
+    Args:
+        path: settings file.
+    """
+    logs.configure_bounded()
+    app = FrontApplication(cfg_module.load(path), path)
+    signal.signal(signal.SIGHUP, lambda *args: app.loop.call_soon(app.reload))
+    app.start()
+    app.run()
--- /dev/null
+++ b/src/jasminehold/front/caller.py
@@ -0,0 +1,385 @@
+"""Callers' connections: requests in, answers out in the same order.
+
+Pipelined requests are worked on at the same time. Each request has an HTTP
+parser of its own, which also frames its answer; bytes behind a request go to
+the parser of the next one.
+"""
+
+import math
+
+import h11
+
+from jasminehold import errors
+from jasminehold.proxy import server as proxy_server
+
+Kind = errors.Kind
+
+# Requests of one connection that are worked on at the same time.
+PIPELINE_MAX = 32
+# Bodies are kept in memory until they are sent, so that a request that did
+# not run can be sent elsewhere.
+BODY_MAX_BYTES = 16 * 1024 * 1024
+# Time and bytes for input that is thrown away behind a refused request.
+LINGER_S = proxy_server.LINGER_S
+LINGER_MAX_BYTES = proxy_server.LINGER_MAX_BYTES
+
+_STATUS_OF_HINT = {431: Kind.HEADERS_TOO_LARGE}
+
+
+class Inbound:
+    """One request of a caller and the place for its answer.
+
+    Attributes:
+        method: method, bytes.
+        target: path and query, bytes.
+        headers: list of ``(lower-case name, value)``, bytes.
+        body: whole body, bytes.
+        arrived_at: monotonic seconds at which the request was whole.
+        on_gone: called when the caller left before the answer.
+    """
+
+    def __init__(self, conn, http, event, now):
+        self.method = bytes(event.method)
+        self.target = bytes(event.target)
+        self.headers = list(event.headers)
+        self.body = b''
+        self.arrived_at = now
+        self.on_gone = None
+        self.answered = False
+        self._conn = conn
+        self._http = http
+        self._chunks = []
+        self._size = 0
+        self.ready_answer = None
+
+    def add(self, data):
+        """Take bytes of the body; returns whether they are within bounds."""
+        self._size += len(data)
+        self._chunks.append(data)
+        return self._size <= self._conn.body_max
+
+    def complete(self, now):
+        """Take the end of the body."""
+        self.body = b''.join(self._chunks)
+        self._chunks = []
+        self.arrived_at = now
+
+    def answer(self, status, headers, body, close=False):
+        """Give the whole answer; it is sent when its turn comes.
+
+        Args:
+            status: HTTP status.
+            headers: list of ``(name, value)``, bytes, without framing.
+            body: bytes.
+            close: whether the connection ends behind it.
+        """
+        if self.answered:
+            return
+        self.answered = True
+        self.on_gone = None
+        self.ready_answer = (status, headers, body, close)
+        self._conn.flush()
+
+    def fail(self, kind, retry_after_s=None, close=False):
+        """Answer with an error of the closed list."""
+        answer = errors.answer_for(kind)
+        headers = [
+            (b'content-type', b'application/json'),
+            (b'jasminehold-error', kind.value.encode()),
+        ]
+        if answer.retry_after:
+            headers.append((b'retry-after', b'%.2f' % (retry_after_s or 1.0)))
+        body = proxy_server.error_body(kind)
+        self.answer(answer.status, headers, body, close)
+
+    def serialize(self, leaving):
+        """Return ``(bytes, whether the connection ends)``."""
+        status, headers, body, close = self.ready_answer
+        headers = list(headers)
+        bodiless = status in (204, 304) or status < 200
+        if not bodiless:
+            headers.append((b'content-length', b'%d' % len(body)))
+        if close or leaving:
+            headers.append((b'connection', b'close'))
+        http = self._http
+        out = http.send(
+            h11.Response(status_code=status, headers=headers, reason=b'')
+        )
+        if body and not bodiless and self.method != b'HEAD':
+            out += http.send(h11.Data(data=body))
+        out += http.send(h11.EndOfMessage())
+        return out, http.our_state is not h11.DONE
+
+
+class CallerConn:
+    """One caller's connection.
+
+    Args:
+        port: the :class:`CallerPort`.
+        conn: the :class:`~jasminehold.loop.Conn`.
+    """
+
+    def __init__(self, port, conn):
+        self._port = port
+        self._conn = conn
+        self._queue = []
+        self._current = None
+        self._closing = False
+        self._half_read = False
+        self._discarded = None
+        self._reading = True
+        self._parsing = False
+        self._http = self._parser()
+        self.body_max = min(port.limits().body_bytes, BODY_MAX_BYTES)
+        self.due = port.loop.now() + port.limits().head_s
+        conn.on_data = self._on_data
+        conn.on_close = self._on_close
+
+    @property
+    def idle(self):
+        """Whether no request is being received or answered."""
+        return not self._queue and not self._half_read
+
+    def _parser(self):
+        return h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=self._port.limits().head_bytes,
+        )
+
+    def _on_data(self, data):
+        if self._closing:
+            self._discarded = (self._discarded or 0) + len(data)
+            if self._discarded > LINGER_MAX_BYTES:
+                self._conn.abort()
+            return
+        if not self._half_read:
+            self._half_read = True
+            self.due = self._port.loop.now() + self._port.limits().head_s
+        try:
+            self._http.receive_data(data)
+            self._parse()
+        except h11.RemoteProtocolError as exc:
+            self._malformed(exc)
+
+    def _parse(self):
+        if self._parsing:
+            return
+        self._parsing = True
+        try:
+            while not self._closing and not self._conn.closed:
+                if len(self._queue) >= PIPELINE_MAX:
+                    self._set_reading(False)
+                    return
+                event = self._http.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                if isinstance(event, h11.Request):
+                    self._on_request(event)
+                elif isinstance(event, h11.Data):
+                    if not self._current.add(bytes(event.data)):
+                        self._reject(Kind.BODY_TOO_LARGE)
+                elif isinstance(event, h11.EndOfMessage):
+                    self._on_request_end()
+        finally:
+            self._parsing = False
+
+    def _on_request(self, event):
+        inbound = Inbound(self, self._http, event, self._port.loop.now())
+        self._current = inbound
+        self._queue.append(inbound)
+        limits = self._port.limits()
+        lengths = [
+            value
+            for name, value in event.headers
+            if name in (b'content-length', b'transfer-encoding')
+        ]
+        size = sum(len(n) + len(v) + 4 for n, v in event.headers)
+        if size + len(event.target) > limits.head_bytes:
+            self._reject(Kind.HEADERS_TOO_LARGE)
+        elif len(lengths) > 1 or event.http_version != b'1.1':
+            # Two lengths let two parsers disagree about the request's end.
+            self._reject(Kind.BAD_REQUEST)
+        elif lengths and lengths[0].isdigit():
+            if int(lengths[0]) > self.body_max:
+                self._reject(Kind.BODY_TOO_LARGE)
+        if self._http.they_are_waiting_for_100_continue:
+            if not self._closing and len(self._queue) == 1:
+                self._conn.write(
+                    self._http.send(
+                        h11.InformationalResponse(status_code=100, headers=[])
+                    )
+                )
+
+    def _on_request_end(self):
+        inbound, self._current = self._current, None
+        inbound.complete(self._port.loop.now())
+        self._half_read = False
+        self.due = math.inf
+        last = self._http.their_state is h11.MUST_CLOSE
+        rest = bytes(self._http.trailing_data[0])
+        self._port.on_request(inbound)
+        if last or self._conn.closed or self._closing:
+            return
+        self._http = self._parser()
+        if rest:
+            self._half_read = True
+            self.due = self._port.loop.now() + self._port.limits().head_s
+            self._http.receive_data(rest)
+
+    def _reject(self, kind):
+        self._closing = True
+        self._current.fail(kind, close=True)
+
+    def _malformed(self, exc):
+        kind = _STATUS_OF_HINT.get(exc.error_status_hint, Kind.BAD_REQUEST)
+        self._port.metrics.inc('callers_malformed_total')
+        if self._current is None:
+            self._closing = True
+            if self._queue:
+                # The answers in front of the malformed bytes come first.
+                return
+            http = h11.Connection(h11.SERVER)
+            event = h11.Request(
+                method='GET', target='/', headers=[('Host', '-')]
+            )
+            http.receive_data(b'GET / HTTP/1.1\r\nhost: -\r\n\r\n')
+            http.next_event()
+            http.next_event()
+            now = self._port.loop.now()
+            self._current = Inbound(self, http, event, now)
+            self._queue.append(self._current)
+        self._reject(kind)
+
+    def flush(self):
+        """Send the answers whose turn has come."""
+        while self._queue and self._queue[0].answered:
+            inbound = self._queue.pop(0)
+            if self._conn.closed:
+                continue
+            data, last = inbound.serialize(self._port.leaving)
+            self._conn.write(data)
+            if last:
+                self._end()
+                return
+        if self._conn.closed:
+            return
+        if not self._queue and self._closing:
+            self._end()
+            return
+        if not self._queue and not self._half_read:
+            self.due = self._port.loop.now() + self._port.limits().idle_s
+        if len(self._queue) < PIPELINE_MAX and not self._reading:
+            self._set_reading(True)
+            try:
+                self._parse()
+            except h11.RemoteProtocolError as exc:
+                self._malformed(exc)
+
+    def _end(self):
+        # Requests behind the closing answer count as not read; none of them
+        # may run from here on.
+        self._closing = True
+        for inbound in self._queue:
+            if inbound.on_gone is not None:
+                inbound.on_gone()
+        self._queue = []
+        if self._half_read:
+            # Closing with unread input resets the connection, which can
+            # destroy the answer before the caller reads it.
+            self.due = self._port.loop.now() + LINGER_S
+        else:
+            self._conn.close()
+
+    def _set_reading(self, reading):
+        self._reading = reading
+        (self._conn.resume if reading else self._conn.pause)()
+
+    def expire(self):
+        """Take the time-out of the caller's input."""
+        self.due = math.inf
+        if self._closing or not self._half_read:
+            self._conn.close()
+            return
+        self._port.metrics.inc('callers_slow_total')
+        if self._current is not None:
+            self._reject(Kind.BAD_REQUEST)
+        else:
+            self._conn.close()
+
+    def close_idle(self):
+        """Close the connection when no request is on it."""
+        if self.idle:
+            self._conn.close()
+
+    def abort(self):
+        """Close at once."""
+        self._conn.abort()
+
+    def _on_close(self, exc):
+        self._port.forget(self)
+        queue, self._queue = self._queue, []
+        for inbound in queue:
+            inbound.answered = True
+            if inbound.on_gone is not None:
+                inbound.on_gone()
+
+
+class CallerPort:
+    """Accepts callers.
+
+    Args:
+        loop: the :class:`~jasminehold.loop.Loop`.
+        metrics: counters.
+        limits: ``() -> CallerLimits`` now in force.
+        on_request: called with each whole :class:`Inbound`.
+        max_conns: open connections at most.
+
+    Attributes:
+        leaving: whether answers ask the callers to connect elsewhere.
+    """
+
+    SWEEP_S = 0.25
+
+    def __init__(self, loop, metrics, limits, on_request, max_conns):
+        self.loop = loop
+        self.metrics = metrics
+        self.limits = limits
+        self.on_request = on_request
+        self.leaving = False
+        self._max_conns = max_conns
+        self._conns = set()
+        self._listener = None
+
+    def listen(self, host, port):
+        """Start to accept connections."""
+        self._listener = self.loop.listen(host, port, self._on_accept)
+        self.loop.call_later(self.SWEEP_S, self._sweep)
+
+    def _on_accept(self, conn):
+        if len(self._conns) >= self._max_conns:
+            self.metrics.inc('callers_refused_total')
+            conn.abort()
+            return
+        self._conns.add(CallerConn(self, conn))
+
+    def _sweep(self):
+        now = self.loop.now()
+        for caller in [item for item in self._conns if item.due <= now]:
+            caller.expire()
+        self.loop.call_later(self.SWEEP_S, self._sweep)
+
+    def forget(self, caller):
+        """Drop a closed connection."""
+        self._conns.discard(caller)
+
+    def stop_accepting(self):
+        """Close the listener and the idle connections."""
+        if self._listener is not None:
+            self._listener.close()
+        for caller in list(self._conns):
+            caller.close_idle()
+
+    @property
+    def busy(self):
+        """Whether a request is being received or answered."""
+        return any(not caller.idle for caller in self._conns)
--- /dev/null
+++ b/src/jasminehold/front/cfg.py
@@ -0,0 +1,119 @@
+"""Settings of an instance in front of the upstreams.
+
+The file is JSON with comments. On the platform it is filled in from
+``deploy/instance.json``.
+"""
+
+import typing
+
+from jasminehold import errors
+from jasminehold import settings
+
+
+def _places(value):
+    if not isinstance(value, dict) or not value:
+        raise ValueError
+    return {
+        settings.check_name(place): settings.check_name(region)
+        for place, region in value.items()
+    }
+
+
+def _ports(value):
+    if not isinstance(value, list) or len(value) != 2:
+        raise ValueError
+    check = settings.number(1, 65535, True)
+    return check(value[0]), check(value[1])
+
+
+def _number(name, default, low, high, doc):
+    allowed = 'number from %g to %g' % (low, high)
+    check = settings.number(low, high)
+    return settings.Key(name, float, check, allowed, default, doc)
+
+
+def _listen(name, doc):
+    return settings.Key(
+        name,
+        settings.Address,
+        settings.address,
+        '"IP:port", the port from 0 to 65535',
+        settings.REQUIRED,
+        doc,
+    )
+
+
+_NAME_TEXT = 'lower-case letters, digits and hyphens, at most 63'
+
+KEYS = (
+    settings.text_key(
+        'id', settings.check_id, _NAME_TEXT, None, 'Id of the instance.'
+    ),
+    settings.text_key(
+        'place',
+        settings.check_name,
+        _NAME_TEXT,
+        settings.REQUIRED,
+        'Availability zone of the instance.',
+    ),
+    settings.Key(
+        'places',
+        dict,
+        _places,
+        'object from place to region',
+        settings.REQUIRED,
+        'All availability zones and their regions.',
+    ),
+    _listen('caller_listen', 'Address for callers.'),
+    _listen('ready_listen', 'Address for checks of readiness.'),
+    _listen('directory_listen', 'Address for questions where to connect.'),
+    settings.Key(
+        'internal_ports',
+        tuple,
+        _ports,
+        'list of the first and the last port',
+        settings.REQUIRED,
+        'Ports free for streams between instances.',
+    ),
+    _listen('store', "Address of the platform's key-value store."),
+    settings.whole(
+        'max_files', 4096, 256, 1_000_000, 'Descriptors of the process.'
+    ),
+    _number('link_mbps', 1000, 0.1, 1e6, "The instance's own link, Mbit/s."),
+    settings.seconds(
+        'stop_grace', 6, 1, 600, 'From SIGTERM to the end of the process.'
+    ),
+    settings.seconds(
+        'lookup_ttl', 2, 0.5, 60, 'Validity of an answer of the directory.'
+    ),
+    _number('retry_ratio', 0.1, 0, 1, 'Repeats allowed, as share.'),
+    settings.whole(
+        'retry_burst', 10, 0, 100_000, 'Repeats allowed on top, of the fleet.'
+    ),
+    settings.seconds(
+        'retry_window', 10, 1, 600, 'Window in which repeats are counted.'
+    ),
+    _number('cold_over', 1, 0.1, 100, 'Factor on the rate of the cold.'),
+    _number('cold_slack', 0, 0, 10_000, 'Requests a second on top of it.'),
+)
+
+Cfg = typing.NamedTuple('Cfg', [(key.name, key.type) for key in KEYS])
+Cfg.__doc__ = 'Checked settings; one field for each of :data:`KEYS`.'
+
+
+def load(path):
+    """Read and check a settings file.
+
+    Raises:
+        SettingsError: naming the key at fault and what is allowed.
+    """
+    return parse(settings.read_file(path), path)
+
+
+def parse(text, what='settings'):
+    """Check the text of a settings file and fill in defaults."""
+    raw = settings.parse_json5(text, what)
+    cfg = Cfg(**settings.check_table(raw, KEYS))
+    if cfg.place not in cfg.places:
+        raise errors.SettingsError('place: allowed: a key of places')
+    return cfg
--- /dev/null
+++ b/src/jasminehold/front/exchange.py
@@ -0,0 +1,335 @@
+"""One request of a caller, from its route to its answer."""
+
+import h11
+
+from jasminehold import errors
+from jasminehold.front import steering as steering_module
+from jasminehold.platform import wire
+from jasminehold.proxy import exchange as proxy_exchange
+
+Kind = errors.Kind
+
+# A last send needs at least this part of the route's aim; below it the
+# answer could not come in time.
+LAST_SEND_PART = 0.1
+# Upstreams that one request may crash before it is no longer sent.
+CRASHES_MAX = 2
+_MAX_DEADLINE_MS = 24 * 3600 * 1000
+
+_DROPPED = proxy_exchange.HOP_BY_HOP | {
+    b'expect',
+    b'content-length',
+    wire.DEADLINE_MS,
+    wire.EXPECT_INSTANCE,
+}
+_ANSWER_DROPPED = proxy_exchange.HOP_BY_HOP | {b'content-length'}
+
+
+class Exchange:
+    """Carries one request to upstreams and its answer back.
+
+    Args:
+        port: the :class:`Port` to the rest of the instance.
+        inbound: the caller's :class:`~jasminehold.front.caller.Inbound`.
+    """
+
+    def __init__(self, port, inbound):
+        self._port = port
+        self._loop = port.loop
+        self._steering = port.steering
+        self._inbound = inbound
+        self._values = dict(inbound.headers)
+        self._id = self._values.get(wire.REQUEST_ID)
+        self._route = None
+        self._service = None
+        self._key = ''
+        self._deadline = 0.0
+        self._timer = None
+        self._choice = None
+        self._conn = None
+        self._sent_at = None
+        self._sends = 0
+        self._may_have_run = False
+        self._crashes = 0
+        self._tried = []
+        self._attempts = []
+        self._ended = False
+        self._last_failure = None
+
+    def start(self):
+        """Find the route and send, or answer at once."""
+        inbound = self._inbound
+        host = self._values.get(b'host', b'').decode('latin-1')
+        host = host.partition(':')[0]
+        route = self._steering.route(host, inbound.target.decode('latin-1'))
+        if isinstance(route, Kind):
+            self._fail(route)
+            return
+        self._route = route
+        now = inbound.arrived_at
+        left = route.timeout_s
+        told = self._values.get(wire.DEADLINE_MS, b'')
+        if told.isdigit():
+            left = min(left, min(int(told), _MAX_DEADLINE_MS) / 1000)
+        self._deadline = now + left
+        self._service = self._steering.service(route, now)
+        self._key = wire.object_key(inbound.headers)
+        self._timer = self._loop.call_later(left, self._on_deadline)
+        inbound.on_gone = self._on_caller_gone
+        self._port.exchanges.add(self)
+        self._try()
+
+    def _try(self):
+        now = self._loop.now()
+        left = self._deadline - now
+        found = self._steering.pick(
+            self._route,
+            self._service,
+            self._key or str(self._id),
+            self._tried,
+            left,
+            now,
+        )
+        if isinstance(found, steering_module.Refusal):
+            if self._last_failure is not None:
+                self._end_failed(found.reason)
+            else:
+                self._fail(found.kind, found.retry_after_s, found.reason)
+            return
+        self._choice = found
+        entry = found.upstream.entry
+        self._tried.append(entry.id)
+        self._steering.on_sent(found, now)
+
+        def ready(conn, reused):
+            if self._choice is found:
+                self._send(conn, reused)
+            else:
+                self._port.pool.put_back(conn)
+
+        def failed(exc):
+            if self._choice is found:
+                self._on_connect_failed(exc)
+
+        self._port.pool.acquire(
+            (entry.host, entry.port),
+            not self._route.idempotent,
+            ready,
+            failed,
+        )
+
+    def _send(self, conn, reused):
+        now = self._loop.now()
+        self._conn = conn
+        self._sent_at = now
+        self._sends += 1
+        self._may_have_run = True
+        left_ms = max(int((self._deadline - now) * 1000), 1)
+        headers = proxy_exchange.without(self._inbound.headers, _DROPPED)
+        headers.append((wire.DEADLINE_MS, b'%d' % left_ms))
+        expected = self._choice.upstream.entry.id.encode()
+        headers.append((wire.EXPECT_INSTANCE, expected))
+        body = self._inbound.body
+        if body or b'content-length' in self._values:
+            headers.append((b'content-length', b'%d' % len(body)))
+        elif b'transfer-encoding' in self._values:
+            headers.append((b'content-length', b'0'))
+        request = h11.Request(
+            method=self._inbound.method,
+            target=self._inbound.target,
+            headers=headers,
+        )
+        conn.send(request, body, self._id, self._on_answer)
+
+    def _release(self, outcome):
+        choice, self._choice = self._choice, None
+        self._conn = None
+        choice.load.on_end()
+        self._attempts.append(
+            dict(choice.why, upstream=choice.upstream.entry.id, end=outcome)
+        )
+        return choice
+
+    def _on_connect_failed(self, exc):
+        choice = self._release('connect: %s' % exc)
+        now = self._loop.now()
+        self._steering.on_failed(choice, 'connect', now)
+        self._last_failure = None
+        if len(self._tried) > 3 * self._route.max_attempts:
+            self._fail(Kind.NOT_RUN, None, 'no upstream could be reached')
+            return
+        self._try()
+
+    def _on_answer(self, answer, exc):
+        now = self._loop.now()
+        if exc is not None:
+            self._on_loss(exc, now)
+            return
+        load = answer.get(wire.LOAD)
+        report = wire.decode_load(load) if load else None
+        if report is not None:
+            self._choice.load.on_report(report[0], report[1], now)
+        if answer.status == 421 or answer.get(wire.NOT_RUN) is not None:
+            self._on_not_run(answer, report, now)
+            return
+        sealed = answer.get(wire.SEAL) is not None
+        whole = answer.get(b'content-encoding') is None
+        if not sealed or not whole:
+            self._on_loss(ValueError('not the answer of the upstream'), now)
+            return
+        seconds = now - self._sent_at
+        choice = self._release('%d' % answer.status)
+        if answer.status >= 500:
+            self._steering.on_failed(choice, 'error', now)
+            if self._route.idempotent and self._may_repeat(now):
+                self._last_failure = answer
+                self._try()
+                return
+        else:
+            self._steering.on_ran(
+                self._route, self._service, self._key, choice, seconds, now
+            )
+        self._deliver(answer)
+
+    def _on_not_run(self, answer, report, now):
+        reason = 'misdirected' if answer.status == 421 else 'shed'
+        if reason == 'shed' and report is None:
+            self._choice.load.on_full(now)
+        choice = self._release(reason)
+        self._may_have_run = self._crashes > 0
+        self._steering.on_failed(choice, reason, now)
+        if self._may_repeat(now):
+            self._try()
+        elif self._last_failure is not None:
+            self._end_failed(reason)
+        else:
+            self._fail(Kind.NOT_RUN, self._pause(), reason)
+
+    def _on_loss(self, exc, now):
+        conn = self._conn
+        choice = self._release('lost: %s' % exc)
+        if conn is not None:
+            conn.abort()
+        self._steering.on_failed(choice, 'loss', now)
+        self._crashes += 1
+        self._last_failure = exc
+        if (
+            self._route.idempotent
+            and self._crashes < CRASHES_MAX
+            and self._may_repeat(now)
+        ):
+            self._try()
+        else:
+            self._end_failed('lost')
+
+    def _may_repeat(self, now):
+        left = self._deadline - now
+        return (
+            self._sends < self._route.max_attempts
+            and left > LAST_SEND_PART * self._route.aim_s
+            and self._steering.may_repeat(self._service, now)
+        )
+
+    def _pause(self):
+        return steering_module.PAUSE_S * (0.75 + 0.5 * self._port.rng.random())
+
+    def _end_failed(self, reason):
+        # Ends a request that was sent and may have run.
+        if hasattr(self._last_failure, 'status'):
+            self._deliver(self._last_failure)
+        elif self._route.idempotent:
+            self._fail(Kind.UPSTREAM_FAILED, self._pause(), reason)
+        else:
+            self._fail(Kind.OUTCOME_UNKNOWN, None, reason)
+
+    def _deliver(self, answer):
+        status = answer.status
+        if status in (408, 429, 503) and not self._route.idempotent:
+            # These would promise that the request has not run.
+            self._fail(Kind.OUTCOME_UNKNOWN, None, 'status %d' % status)
+            return
+        headers = proxy_exchange.without(answer.headers, _ANSWER_DROPPED)
+        self._finish('%d' % status)
+        self._inbound.answer(status, headers, answer.body)
+
+    def _on_deadline(self):
+        if self._ended:
+            return
+        if self._choice is None or self._conn is None and not self._crashes:
+            # Nothing that could run was sent.
+            kind = Kind.NOT_RUN
+            self._cancel('deadline')
+        else:
+            kind = Kind.DEADLINE_UNKNOWN
+            self._cancel('deadline')
+        self._fail(kind, self._pause(), 'deadline')
+
+    def _on_caller_gone(self):
+        if self._ended:
+            return
+        if self._conn is not None and not self._route.idempotent:
+            # It may be at work; the upstream finishes it.
+            self._finish('caller gone')
+            self._conn = None
+            return
+        self._cancel('caller gone')
+        self._finish('caller gone')
+
+    def _cancel(self, reason):
+        if self._choice is None:
+            return
+        conn = self._conn
+        self._release(reason)
+        if conn is not None:
+            conn.abort()
+
+    def _fail(self, kind, retry_after_s=None, reason=''):
+        self._finish(kind.value, reason)
+        self._inbound.fail(kind, retry_after_s)
+
+    def _finish(self, outcome, reason=''):
+        self._ended = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._port.exchanges.discard(self)
+        now = self._loop.now()
+        seconds = now - self._inbound.arrived_at
+        route = self._route.name if self._route else ''
+        metrics = self._port.metrics
+        metrics.inc('requests_total', route=route, outcome=outcome)
+        metrics.observe('request_seconds', seconds, route=route)
+        table = self._steering.table
+        self._port.log(
+            'request ended',
+            id=(self._id or b'').decode('latin-1'),
+            route=route,
+            service=self._service,
+            config=table.version if table else None,
+            object=self._key,
+            outcome=outcome,
+            reason=reason,
+            seconds=round(seconds, 4),
+            left_s=round(self._deadline - now, 3),
+            sends=self._attempts,
+        )
+
+
+class Port:
+    """What an exchange uses of its instance.
+
+    Attributes:
+        exchanges: exchanges in flight.
+    """
+
+    def __init__(self, loop, steering, pool, metrics, rng, log):
+        self.loop = loop
+        self.steering = steering
+        self.pool = pool
+        self.metrics = metrics
+        self.rng = rng
+        self.log = log
+        self.exchanges = set()
+
+    def on_request(self, inbound):
+        """Start the exchange of a caller's whole request."""
+        Exchange(self, inbound).start()
--- /dev/null
+++ b/src/jasminehold/front/steering.py
@@ -0,0 +1,373 @@
+"""What one instance believes of routes and upstreams, and its choices."""
+
+import typing
+
+from jasminehold.decisions import cold_gate
+from jasminehold.decisions import placement
+from jasminehold.decisions import retry_share
+from jasminehold.decisions import run_times
+from jasminehold.decisions import selection
+from jasminehold.decisions import split
+from jasminehold.decisions import upstream_load
+from jasminehold.decisions import upstream_view
+from jasminehold import errors
+
+Kind = errors.Kind
+
+# Entries that lapsed in an outage of the store come back within two seconds
+# of its return (the users' letter); the rest is the period of reading.
+ENTRY_RETURN_S = 3.2
+# Queue that an upstream is given beyond its slots, in multiples of them.
+QUEUE_FACTOR = 2.0
+# Share of the fleet's capacity that demand is taken to use; what a region
+# needs beyond its own part is placed in the others.
+PLANNED_USE = 0.7
+# Seconds a request takes to another region and back.
+CROSS_REGION_S = 0.08
+# Least time a rejected caller is asked to wait, seconds.
+PAUSE_S = 0.3
+# Fleet size assumed until members are known; too large only means caution.
+FLEET_UNKNOWN = 32
+OWNERS_CACHE_MAX = 20_000
+
+
+class Choice(typing.NamedTuple):
+    """An upstream that was picked.
+
+    Attributes:
+        upstream: the :class:`~decisions.upstream_view.Upstream`.
+        load: its :class:`~decisions.upstream_load.UpstreamLoad`.
+        known: whether it should know the object.
+        waits: whether the request has to wait for a slot there.
+        finish_s: estimated seconds to the answer.
+        why: inputs of the decision, for the log.
+    """
+
+    upstream: object
+    load: object
+    known: bool
+    waits: bool
+    finish_s: float
+    why: dict
+
+
+class Refusal(typing.NamedTuple):
+    """Why no upstream was picked."""
+
+    kind: errors.Kind
+    retry_after_s: float
+    reason: str
+
+
+class Steering:
+    """Routes, upstreams and the budgets of one instance.
+
+    Args:
+        cfg: the :class:`~jasminehold.front.cfg.Cfg`.
+        rng: random source.
+        log: structured log.
+    """
+
+    def __init__(self, cfg, rng, log):
+        self.table = None
+        self.view = upstream_view.UpstreamView(ENTRY_RETURN_S)
+        self.evacuated = frozenset()
+        self.instances = ()
+        self._cfg = cfg
+        self._rng = rng
+        self._log = log
+        self._turns = split.WeightedTurns()
+        self._loads = {}
+        self._gates = {}
+        self._misdirected = {}
+        self._retries = {}
+        self._times = {}
+        self._owners = {}
+        self._weights = {}
+
+    # What is learnt.
+
+    def on_config(self, table):
+        """Put a newer configuration in force; older ones are ignored."""
+        if self.table is not None and table.version <= self.table.version:
+            return False
+        self.table = table
+        self._log('configuration in force', version=table.version)
+        return True
+
+    def on_evacuated(self, places):
+        """Take the set of evacuated places."""
+        if places != self.evacuated:
+            self._log('evacuated places changed', places=sorted(places))
+            self.evacuated = places
+            self._forget_owners()
+
+    def on_entries(self, entries, now):
+        """Take a whole list of upstream entries."""
+        before = self._usable_ids()
+        joined, left = self.view.on_list(entries, now)
+        for upstream in left:
+            key = upstream.entry.id
+            self._loads.pop(key, None)
+            self._gates.pop(key, None)
+            self._misdirected.pop(key, None)
+            for times in self._times.values():
+                times.forget(key)
+            self._log('upstream left', upstream=key, age_s=0)
+        for upstream in joined:
+            entry = upstream.entry
+            self._log(
+                'upstream joined',
+                upstream=entry.id,
+                service=entry.service,
+                place=entry.place,
+                born=entry.born_ms,
+                cold_s=entry.cold_s,
+            )
+        if joined or left or self._usable_ids() != before:
+            self._forget_owners()
+
+    def _usable_ids(self):
+        return {
+            key
+            for key, item in self.view.upstreams.items()
+            if not item.draining
+        }
+
+    def _forget_owners(self):
+        self._owners.clear()
+        self._weights.clear()
+
+    def on_members(self, ids):
+        """Take the ids of the live instances."""
+        self.instances = tuple(sorted(ids))
+
+    def on_settings(self, cfg):
+        """Take new settings."""
+        self._cfg = cfg
+        self._retries.clear()
+        self._forget_owners()
+
+    # Requests.
+
+    def route(self, host, path):
+        """Return the request's route or a :class:`~errors.Kind`."""
+        if self.table is None:
+            return Kind.UNAVAILABLE
+        return self.table.match(host, path) or Kind.UNKNOWN_SERVICE
+
+    def service(self, route, now):
+        """Return the service that this request of a route goes to."""
+        name = self._turns.pick(route.name, route.targets)
+        self._retry_share(name).on_request(now)
+        return name
+
+    def may_repeat(self, service, now):
+        """Take one repeat out of the budget; returns whether it is there."""
+        fleet = len(self.instances) or FLEET_UNKNOWN
+        return self._retry_share(service).take(fleet, now)
+
+    def _retry_share(self, service):
+        if service not in self._retries:
+            self._retries[service] = retry_share.RetryShare(
+                self._cfg.retry_ratio,
+                self._cfg.retry_burst,
+                self._cfg.retry_window,
+            )
+        return self._retries[service]
+
+    def pick(self, route, service, key, tried, left_s, now):
+        """Return a :class:`Choice` or a :class:`Refusal`.
+
+        Args:
+            route: the request's route.
+            service: the service it goes to.
+            key: the object's key, '' for none.
+            tried: ids of upstreams that it was sent to before.
+            left_s: seconds until the request's deadline.
+            now: monotonic seconds.
+        """
+        upstreams = self._usable(route, service, tried, now)
+        if not upstreams:
+            return Refusal(Kind.OVERLOADED, PAUSE_S, 'no usable upstream')
+        ranked = self._ranked(service, key, upstreams)
+        candidates, full = [], []
+        for rank, name in enumerate(ranked):
+            candidate, room = self._candidate(
+                route, service, key, upstreams[name], rank, now
+            )
+            (candidates if room else full).append(candidate)
+        best = selection.choose(candidates)
+        # The estimate of the work alone turns nothing away: it may be wrong.
+        late = best is not None and best.wait_s and best.finish_s >= left_s
+        if best is None or late:
+            pause = selection.retry_after_s(
+                candidates + full, PAUSE_S, self._rng
+            )
+            reason = 'queues full' if best is None else 'too late'
+            return Refusal(Kind.OVERLOADED, pause, reason)
+        upstream = upstreams[best.id]
+        load = self._load(upstream, route)
+        why = {
+            'rank': ranked.index(best.id),
+            'of': len(ranked),
+            'load': round(load.load(now), 1),
+            'finish_s': round(best.finish_s, 3),
+            'entry_age_s': round(now - upstream.changed_at, 2),
+        }
+        return Choice(
+            upstream,
+            load,
+            route.sticky and best.extra_s == 0.0,
+            best.wait_s > 0.0,
+            best.finish_s,
+            why,
+        )
+
+    def _usable(self, route, service, tried, now):
+        homes = route.home_regions
+        usable, held = {}, {}
+        for name, upstream in self.view.upstreams.items():
+            entry = upstream.entry
+            if (
+                entry.service != service
+                or upstream.draining
+                or name in tried
+                or entry.place in self.evacuated
+                or self._misdirected.get(name) == entry.seq
+                or (homes and self._region(entry.place) not in homes)
+                or not self._admits_cold(upstream, service, now)
+            ):
+                continue
+            load = self._loads.get(name)
+            ejected = load is not None and now < load.ejected_until
+            (held if ejected else usable)[name] = upstream
+        return usable or held
+
+    def _region(self, place):
+        return self._cfg.places.get(place, '')
+
+    def _admits_cold(self, upstream, service, now):
+        if now >= upstream.cold_until:
+            return True
+        name = upstream.entry.id
+        if self._cfg.id not in cold_gate.senders(name, self.instances):
+            return False
+        gate = self._gates.setdefault(name, cold_gate.ColdGate())
+        return gate.admits(self._cold_bound(service), now)
+
+    def _cold_bound(self, service):
+        declared = self.table.services.get(service)
+        rate = declared.cold_per_s if declared else 0.0
+        return rate * self._cfg.cold_over + self._cfg.cold_slack
+
+    def _load(self, upstream, route):
+        name = upstream.entry.id
+        load = self._loads.get(name)
+        if load is None:
+            load = self._loads[name] = upstream_load.UpstreamLoad(
+                upstream.entry.slots, run_times.KNOWN_PART * route.aim_s
+            )
+        return load
+
+    def _candidate(self, route, service, key, upstream, rank, now):
+        entry = upstream.entry
+        load = self._load(upstream, route)
+        times = self._times.setdefault(service, run_times.RunTimes())
+        known = route.sticky and (rank == 0 or times.knows(key, entry.id, now))
+        run = times.estimate(route, known)
+        extra = 0.0
+        if route.sticky and not known:
+            extra = max(run - times.estimate(route, True), 0.0)
+        own_region = self._cfg.places[self._cfg.place]
+        travel = 0.0
+        if self._region(entry.place) != own_region:
+            travel = CROSS_REGION_S
+        candidate = selection.Candidate(
+            entry.id, load.wait_s(now), run, travel, extra
+        )
+        room = load.load(now) + 1 <= load.slots * (1 + QUEUE_FACTOR)
+        return candidate, room
+
+    def _ranked(self, service, key, upstreams):
+        cache_key = (service, key)
+        order = self._owners.get(cache_key)
+        if order is None:
+            if len(self._owners) > OWNERS_CACHE_MAX:
+                self._owners.clear()
+            order = placement.owners(key, self._service_weights(service))
+            self._owners[cache_key] = order
+        return [name for name in order if name in upstreams]
+
+    def _service_weights(self, service):
+        if service in self._weights:
+            return self._weights[service]
+        slots, rooms = {}, {}
+        for name, upstream in self.view.upstreams.items():
+            entry = upstream.entry
+            if entry.service != service or upstream.draining:
+                continue
+            if entry.place in self.evacuated:
+                continue
+            region = self._region(entry.place)
+            slots[name] = (region, entry.slots)
+            rooms[region] = rooms.get(region, 0) + entry.slots
+        regions = set(self._cfg.places.values())
+        need = PLANNED_USE * sum(rooms.values()) / len(regions)
+        shares = placement.region_shares(
+            {region: need for region in regions}, rooms
+        )
+        own = shares[self._cfg.places[self._cfg.place]]
+        weights = {
+            name: own.get(region, 0.0) * count / rooms[region]
+            for name, (region, count) in slots.items()
+        }
+        self._weights[service] = weights
+        return weights
+
+    # What answers tell.
+
+    def on_sent(self, choice, now):
+        """Count a request sent to an upstream."""
+        choice.load.on_sent()
+        name = choice.upstream.entry.id
+        if now < choice.upstream.cold_until:
+            self._gates.setdefault(name, cold_gate.ColdGate()).on_sent(now)
+
+    def on_ran(self, route, service, key, choice, seconds, now):
+        """Take the time of a run that ended with an answer."""
+        if choice.waits:
+            seconds = None
+        choice.load.on_success(seconds)
+        if not route.sticky:
+            key = ''
+        self._times[service].on_run(
+            route,
+            key,
+            choice.upstream.entry.id,
+            seconds,
+            choice.known,
+            now,
+        )
+
+    def on_failed(self, choice, reason, now):
+        """Take a failure of an upstream.
+
+        Args:
+            choice: the :class:`Choice`.
+            reason: ``connect``, ``loss``, ``misdirected``, ``shed`` or
+                ``error``.
+            now: monotonic seconds.
+        """
+        entry = choice.upstream.entry
+        if reason == 'misdirected':
+            self._misdirected[entry.id] = entry.seq
+            self._log('address reused', upstream=entry.id, seq=entry.seq)
+            return
+        if choice.load.on_failure(now, at_once=reason == 'connect'):
+            self._log(
+                'upstream left out',
+                upstream=entry.id,
+                reason=reason,
+                for_s=round(choice.load.ejected_until - now, 2),
+            )
--- /dev/null
+++ b/src/jasminehold/front/upstream_conn.py
@@ -0,0 +1,303 @@
+"""Connections to upstreams: one request at a time, kept for reuse."""
+
+import re
+
+import h11
+
+from jasminehold import errors
+from jasminehold.platform import wire
+
+CONNECT_TIMEOUT_S = 1.0
+# Idle connections are kept this part of the time that the upstream states,
+# and this many seconds when it states none.
+KEEP_PART = 0.6
+KEEP_DEFAULT_S = 5.0
+KEEP_MAX_S = 30.0
+# An upstream may drop an idle connection without a sign. A request that must
+# not run twice cannot be sent again then, so it uses fresh ones only.
+FRESH_S = 2.0
+HEAD_MAX_BYTES = 64 * 1024
+ANSWER_MAX_BYTES = 16 * 1024 * 1024
+_TIMEOUT = re.compile(rb'timeout\s*=\s*(\d+)')
+
+
+class AnswerError(errors.JasmineholdError):
+    """Raised when an upstream's answer is no complete answer."""
+
+    kind = errors.Kind.UPSTREAM_FAILED
+
+
+class Answer:
+    """A whole answer of an upstream.
+
+    Attributes:
+        status: HTTP status.
+        headers: list of ``(lower-case name, value)``, bytes.
+        body: bytes.
+    """
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    def get(self, name):
+        """Return the first value of a header, or None."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+class UpstreamConn:
+    """One connection to one upstream.
+
+    Args:
+        pool: the :class:`UpstreamPool`.
+        key: ``(host, port)``.
+        conn: the :class:`~jasminehold.loop.Conn`.
+    """
+
+    def __init__(self, pool, key, conn):
+        self.key = key
+        self.idle_since = 0.0
+        self.keep_s = KEEP_DEFAULT_S
+        self._pool = pool
+        self._conn = conn
+        self._http = self._parser()
+        self._request = None
+        self._request_id = None
+        self._done = None
+        self._head = None
+        self._chunks = []
+        self._size = 0
+        self._ended = False
+        conn.on_data = self._on_data
+        conn.on_close = self._on_close
+        conn.on_eof = self._on_eof
+
+    @staticmethod
+    def _parser():
+        return h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=HEAD_MAX_BYTES
+        )
+
+    @property
+    def closed(self):
+        """Whether the connection is gone."""
+        return self._conn.closed
+
+    def send(self, request, body, request_id, done):
+        """Send a whole request.
+
+        Args:
+            request: ``h11.Request``.
+            body: bytes.
+            request_id: what the answer has to name, or None.
+            done: ``done(Answer or None, exc)``, called once.
+        """
+        self._request = request
+        self._request_id = request_id
+        self._done = done
+        out = self._http.send(request)
+        if body:
+            out += self._http.send(h11.Data(data=body))
+        out += self._http.send(h11.EndOfMessage())
+        self._conn.write(out)
+
+    def abort(self):
+        """Close at once, so that the upstream stops the work."""
+        self._done = None
+        self._conn.abort()
+
+    def _on_data(self, data):
+        if self._done is None:
+            self._pool.metrics.inc('upstream_stray_bytes_total')
+            self._conn.abort()
+            return
+        try:
+            self._http.receive_data(data)
+            self._pump()
+        except (h11.RemoteProtocolError, AnswerError) as exc:
+            self._lose(exc)
+
+    def _on_eof(self):
+        self._ended = True
+        if self._done is not None:
+            try:
+                self._http.receive_data(b'')
+                self._pump()
+            except (h11.RemoteProtocolError, AnswerError) as exc:
+                self._lose(exc)
+                return
+        self._conn.abort()
+
+    def _on_close(self, exc):
+        self._pool.forget(self)
+        if self._done is not None:
+            self._lose(exc or ConnectionError('closed by the upstream'))
+
+    def _lose(self, exc):
+        done, self._done = self._done, None
+        self._conn.abort()
+        if done is not None:
+            done(None, exc)
+
+    def _pump(self):
+        while self._done is not None:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Response):
+                self._head = event
+                self._chunks, self._size = [], 0
+            elif isinstance(event, h11.Data):
+                self._chunks.append(bytes(event.data))
+                self._size += len(event.data)
+                if self._size > ANSWER_MAX_BYTES:
+                    raise AnswerError('answer too large')
+            elif isinstance(event, h11.EndOfMessage):
+                self._on_answer()
+            elif isinstance(event, h11.ConnectionClosed):
+                raise AnswerError('closed before the answer')
+
+    def _on_answer(self):
+        head = self._head
+        answer = Answer(
+            head.status_code, list(head.headers), b''.join(self._chunks)
+        )
+        named = answer.get(wire.REQUEST_ID)
+        if named is not None and named != self._request_id:
+            self._skip()
+            return
+        done, self._done = self._done, None
+        http = self._http
+        reusable = (
+            http.our_state is h11.DONE
+            and http.their_state is h11.DONE
+            and not http.trailing_data[0]
+            and not self._ended
+            and not self._conn.buffered
+        )
+        if reusable:
+            http.start_next_cycle()
+            self._keep(answer)
+        else:
+            self._conn.abort()
+        done(answer, None)
+
+    def _skip(self):
+        # A second answer to an earlier request: the one that is waited for
+        # comes behind it.
+        self._pool.metrics.inc('upstream_foreign_answers_total')
+        if self._http.their_state is not h11.DONE:
+            raise AnswerError('answer to another request')
+        rest = bytes(self._http.trailing_data[0])
+        self._http = self._parser()
+        self._http.send(
+            h11.Request(
+                method=self._request.method,
+                target=self._request.target,
+                headers=[(b'host', b'-')],
+            )
+        )
+        self._http.send(h11.EndOfMessage())
+        if rest:
+            self._http.receive_data(rest)
+
+    def _keep(self, answer):
+        stated = answer.get(b'keep-alive')
+        match = _TIMEOUT.search(stated) if stated else None
+        if match:
+            self.keep_s = min(int(match.group(1)) * KEEP_PART, KEEP_MAX_S)
+        self.idle_since = self._pool.loop.now()
+        self._pool.put_back(self)
+
+
+class UpstreamPool:
+    """Connections by address.
+
+    Args:
+        loop: the :class:`~jasminehold.loop.Loop`.
+        metrics: counters.
+        max_conns: open connections to all upstreams at most.
+    """
+
+    SWEEP_S = 0.5
+
+    def __init__(self, loop, metrics, max_conns):
+        self.loop = loop
+        self.metrics = metrics
+        self._max_conns = max_conns
+        self._idle = {}
+        self._open = 0
+        loop.call_later(self.SWEEP_S, self._sweep)
+
+    def acquire(self, key, fresh, on_ready, on_error):
+        """Get a connection.
+
+        Args:
+            key: ``(host, port)``.
+            fresh: whether a connection idle for long is unsuitable.
+            on_ready: called with the :class:`UpstreamConn` and whether it
+                was used before.
+            on_error: called with the exception; nothing was sent.
+        """
+        now = self.loop.now()
+        idle = self._idle.get(key, [])
+        # The most recently used ones are at the end.
+        while idle:
+            conn = idle[-1]
+            limit = min(conn.keep_s, FRESH_S) if fresh else conn.keep_s
+            if now - conn.idle_since >= limit:
+                break
+            idle.pop()
+            if not conn.closed:
+                on_ready(conn, True)
+                return
+        if self._open >= self._max_conns:
+            self._drop_oldest()
+        if self._open >= self._max_conns:
+            self.metrics.inc('upstream_connections_refused_total')
+            exc = ConnectionError('connection bound reached')
+            self.loop.call_soon(on_error, exc)
+            return
+        self._open += 1
+        self.metrics.inc('upstream_connections_total')
+
+        def opened(conn):
+            on_ready(UpstreamConn(self, key, conn), False)
+
+        def failed(exc):
+            self._open -= 1
+            on_error(exc)
+
+        self.loop.connect(*key, opened, failed, CONNECT_TIMEOUT_S)
+
+    def put_back(self, conn):
+        """Keep a connection for reuse."""
+        self._idle.setdefault(conn.key, []).append(conn)
+
+    def forget(self, conn):
+        """Drop a closed connection."""
+        self._open -= 1
+        idle = self._idle.get(conn.key, [])
+        if conn in idle:
+            idle.remove(conn)
+
+    def close_address(self, key):
+        """Close the idle connections to an address."""
+        for conn in self._idle.pop(key, []):
+            conn.abort()
+
+    def _drop_oldest(self):
+        oldest = [conns[0] for conns in self._idle.values() if conns]
+        if oldest:
+            min(oldest, key=lambda conn: conn.idle_since).abort()
+
+    def _sweep(self):
+        now = self.loop.now()
+        for conns in list(self._idle.values()):
+            while conns and now - conns[0].idle_since >= conns[0].keep_s:
+                conns[0].abort()
+        self.loop.call_later(self.SWEEP_S, self._sweep)
--- a/src/jasminehold/platform/http.py
+++ b/src/jasminehold/platform/http.py
@@ -245,6 +245,8 @@
             ('Host', '%s:%d' % self.conn.peer),
             ('Content-Length', str(len(call.body))),
         ]
+        if call.body:
+            headers.append(('Content-Type', 'application/json'))
         request = h11.Request(
             method=call.method, target=call.target, headers=headers
         )
--- /dev/null
+++ b/src/jasminehold/platform/wire.py
@@ -0,0 +1,238 @@
+"""Names and formats of the users' platform, decoded into the product's types.
+
+Each body is decoded once, here. Nothing else in the package knows a header,
+field, path or key of the platform.
+"""
+
+import base64
+import json
+import math
+import typing
+
+from jasminehold.decisions import route_table
+from jasminehold.decisions import upstream_view
+from jasminehold import errors
+
+# Headers, lower case as h11 delivers them.
+REQUEST_ID = b'x-request-id'
+DEADLINE_MS = b'x-timeout-ms'
+EXPECT_INSTANCE = b'x-expect-instance'
+SEAL = b'x-server-seal'
+LOAD = b'x-server-load'
+NOT_RUN = b'x-not-executed'
+AFFINITY_COOKIE = 'X-Affinity-Key'
+
+READY_PATH = '/api/ready'
+RESOLVE_PATH = '/api/resolve'
+
+# Keys of the store.
+CONFIG_KEY = 'op/config'
+OPERATOR_PREFIX = 'op/'
+EVACUATE_PREFIX = 'op/evacuate/'
+UPSTREAM_PREFIX = 'servers/'
+MEMBER_PREFIX = 'jasminehold/members/'
+
+# The words of the platform for the state of an upstream.
+_STATES = {
+    'ready': upstream_view.READY,
+    'draining': upstream_view.DRAINING,
+}
+_SLOTS_MAX = 100_000
+
+
+class BadBody(errors.PlatformError):
+    """Raised when a body from the platform cannot be decoded."""
+
+
+class Item(typing.NamedTuple):
+    """A key of the store and its value; ``value`` is None when deleted."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+class Query(typing.NamedTuple):
+    """A caller's question where to connect."""
+
+    host: str
+    region: str
+    place: str
+
+
+def decode_items(items):
+    """Return :class:`Item` values from rows of the store."""
+    return [
+        Item(
+            row['Key'],
+            (
+                None
+                if row.get('Deleted')
+                else base64.b64decode(row.get('Value') or '')
+            ),
+            row['Revision'],
+        )
+        for row in items
+    ]
+
+
+def decode_config(value):
+    """Return the :class:`~decisions.route_table.RouteTable` of a value.
+
+    Raises:
+        BadBody: when the value is no configuration.
+    """
+    try:
+        doc = json.loads(value)
+        routes = [
+            _route(listener['Host'], rule)
+            for listener in doc['Listeners']
+            for rule in listener['Rules']
+        ]
+        services = [_service(item) for item in doc['Clusters']]
+        return route_table.RouteTable(
+            int(doc['Version'], 16),
+            routes,
+            services,
+            _limits(doc.get('Limits') or {}),
+        )
+    except (LookupError, TypeError, ValueError, AttributeError) as exc:
+        raise BadBody('configuration: %r' % exc) from exc
+
+
+def _route(host, rule):
+    action = rule['Action']
+    parts = action.get('Split')
+    if parts:
+        targets = tuple((p['Service'], p['Weight']) for p in parts)
+    else:
+        targets = ((action['Service'], 1),)
+    return route_table.Route(
+        name=rule['Name'],
+        host=host.lower(),
+        prefix=rule['Match']['Prefix'],
+        idempotent=rule['Kind'] == 'safe',
+        targets=targets,
+        timeout_s=action['TimeoutMs'] / 1000,
+        aim_s=(rule.get('LatencyTargetMs') or action['TimeoutMs']) / 1000,
+        max_attempts=action.get('MaxAttempts') or 1,
+        priority=rule.get('Priority') or 0,
+        home_regions=frozenset(action.get('HomeRegions') or ()),
+        sticky=bool(rule.get('Sticky')),
+    )
+
+
+def _service(item):
+    return route_table.Service(
+        name=item['Name'],
+        max_conns=item.get('MaxConns') or 100,
+        cold_per_s=item.get('ColdPerS') or 0.0,
+        cold_start_s=item.get('ColdStartS') or 0.0,
+    )
+
+
+def _limits(doc):
+    default = route_table.CallerLimits()
+    return route_table.CallerLimits(
+        head_bytes=doc.get('MaxHeaderBytes') or default.head_bytes,
+        body_bytes=doc.get('MaxBodyBytes') or default.body_bytes,
+        head_s=(doc.get('HeaderTimeoutMs') or default.head_s * 1000) / 1000,
+        idle_s=(doc.get('IdleTimeoutMs') or default.idle_s * 1000) / 1000,
+    )
+
+
+def decode_upstream(item):
+    """Return the :class:`~decisions.upstream_view.Entry` of an item.
+
+    Raises:
+        BadBody: when a field is missing, of another type or unknown.
+    """
+    try:
+        doc = json.loads(item.value)
+        host, _, port = doc['Addr'].rpartition(':')
+        entry = upstream_view.Entry(
+            id=item.key[len(UPSTREAM_PREFIX) :],
+            service=_typed(doc, 'Service', str),
+            host=host,
+            port=int(port),
+            place=_typed(doc, 'Zone', str),
+            slots=_typed(doc, 'Slots', int),
+            state=_STATES[doc['State']],
+            cold_s=_number(doc.get('ColdLeftMs', 0)) / 1000,
+            seq=_typed(doc, 'Seq', int),
+            born_ms=_whole(doc.get('born', 0)),
+        )
+    except (LookupError, TypeError, ValueError, AttributeError) as exc:
+        raise BadBody('%s: %r' % (item.key, exc)) from exc
+    address = host.split('.')
+    if (
+        not entry.id
+        or not 0 < entry.port < 65536
+        or not 0 < entry.slots <= _SLOTS_MAX
+        or len(address) != 4
+        or not all(part.isdigit() for part in address)
+    ):
+        raise BadBody('%s: value out of range' % item.key)
+    return entry
+
+
+def _typed(doc, name, kind):
+    value = doc[name]
+    if not isinstance(value, kind) or isinstance(value, bool):
+        raise TypeError('%s is no %s' % (name, kind.__name__))
+    return value
+
+
+def _number(value):
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise TypeError('not a number')
+    if not math.isfinite(value) or value < 0:
+        raise ValueError('out of range')
+    return value
+
+
+def _whole(value):
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError('not a whole number')
+    return value
+
+
+def evacuated_place(key):
+    """Return the place that a key evacuates, or None."""
+    if key.startswith(EVACUATE_PREFIX):
+        return key[len(EVACUATE_PREFIX) :]
+    return None
+
+
+def decode_load(value):
+    """Return ``(running, waiting, slots)`` of a load header, or None."""
+    parts = value.split(b',')
+    if len(parts) != 3 or not all(p.strip().isdigit() for p in parts):
+        return None
+    return tuple(int(part) for part in parts)
+
+
+def object_key(headers):
+    """Return the object's key from the ``Cookie`` header, or ''."""
+    for name, value in headers:
+        if name != b'cookie':
+            continue
+        for part in value.decode('latin-1').split(';'):
+            label, _, text = part.strip().partition('=')
+            if label == AFFINITY_COOKIE:
+                return text
+    return ''
+
+
+def decode_query(fields):
+    """Return the :class:`Query` of a resolve call's query fields."""
+    return Query(
+        fields.get('Name', ''),
+        fields.get('Region', ''),
+        fields.get('Zone', ''),
+    )
+
+
+def encode_addresses(addresses, ttl_s):
+    """Return the body of a resolve answer."""
+    return json.dumps({'Addrs': addresses, 'TtlS': ttl_s}).encode()
--- a/src/jasminehold/settings.py
+++ b/src/jasminehold/settings.py
@@ -28,7 +28,7 @@
 MAX_DEPTH = 16
 
 _NAME = re.compile(r'[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?')
-_REQUIRED = object()
+REQUIRED = object()
 
 
 class Address(typing.NamedTuple):
@@ -59,7 +59,9 @@
     doc: str
 
 
-def _number(low, high, whole=False):
+def number(low, high, whole=False):
+    """Return a check for a number within bounds; see :class:`Key`."""
+
     def check(value):
         if isinstance(value, bool) or not isinstance(value, (int, float)):
             raise ValueError
@@ -72,13 +74,15 @@
     return check
 
 
-def _name(value):
+def check_name(value):
+    """Check a name; see :class:`Key`."""
     if not isinstance(value, str) or not _NAME.fullmatch(value):
         raise ValueError
     return value
 
 
-def _address(value):
+def address(value):
+    """Check an :class:`Address`; see :class:`Key`."""
     if not isinstance(value, str):
         raise ValueError
     host, _, port = value.rpartition(':')
@@ -97,8 +101,8 @@
 def _addresses(value):
     if not isinstance(value, list) or len(value) > 64:
         raise ValueError
-    result = tuple(_address(item) for item in value)
-    if any(address.port == 0 for address in result):
+    result = tuple(address(item) for item in value)
+    if any(item.port == 0 for item in result):
         raise ValueError
     return result
 
@@ -108,7 +112,7 @@
         if not isinstance(value, dict) or len(value) > 1000:
             raise ValueError
         for name, text in value.items():
-            _name(name)
+            check_name(name)
             if not isinstance(text, str) or not re.fullmatch(pattern, text):
                 raise ValueError
         return {name: text.lower() for name, text in value.items()}
@@ -125,20 +129,22 @@
     return check
 
 
-def _flag(value):
+def flag(value):
+    """Check true or false; see :class:`Key`."""
     if not isinstance(value, bool):
         raise ValueError
     return value
 
 
-def _id(value):
+def check_id(value):
+    """Check an id, or draw one; see :class:`Key`."""
     if value is None:
         return 'i-' + os.urandom(8).hex()
-    return _name(value)
+    return check_name(value)
 
 
 def _key_id(value):
-    return value if value is None else _name(value)
+    return value if value is None else check_name(value)
 
 
 _NAME_TEXT = 'lower-case letters, digits and hyphens, at most 63'
@@ -146,49 +152,62 @@
 _ADDRESSES_TEXT = 'list of at most 64 "IP:port", the ports from 1 to 65535'
 
 
-def _text(name, check, allowed, default, doc, kind=str):
+def text_key(name, check, allowed, default, doc, kind=str):
+    """Return the :class:`Key` of a text or of another type ``kind``."""
     return Key(name, kind, check, allowed, default, doc)
 
 
-def _whole(name, default, low, high, doc):
+def whole(name, default, low, high, doc):
+    """Return the :class:`Key` of a whole number."""
     allowed = 'integer from %d to %d' % (low, high)
-    return Key(name, int, _number(low, high, True), allowed, default, doc)
+    return Key(name, int, number(low, high, True), allowed, default, doc)
 
 
-def _seconds(name, default, low, high, doc):
+def seconds(name, default, low, high, doc):
+    """Return the :class:`Key` of a number of seconds."""
     allowed = 'seconds from %g to %g' % (low, high)
-    return Key(name, float, _number(low, high), allowed, default, doc)
+    return Key(name, float, number(low, high), allowed, default, doc)
 
 
 KEYS = (
-    _text('id', _id, _NAME_TEXT, None, 'Id of the instance; random if unset.'),
-    _text('place', _name, _NAME_TEXT, _REQUIRED, 'Place of the instance.'),
-    _text('region', _name, _NAME_TEXT, _REQUIRED, 'Region of the place.'),
-    _text(
+    text_key(
+        'id',
+        check_id,
+        _NAME_TEXT,
+        None,
+        'Id of the instance; random if unset.',
+    ),
+    text_key(
+        'place', check_name, _NAME_TEXT, REQUIRED, 'Place of the instance.'
+    ),
+    text_key(
+        'region', check_name, _NAME_TEXT, REQUIRED, 'Region of the place.'
+    ),
+    text_key(
         'caller_listen',
-        _address,
+        address,
         _ADDRESS_TEXT,
         '127.0.0.1:0',
         'Address for callers.',
         Address,
     ),
-    _text(
+    text_key(
         'api_listen',
-        _address,
+        address,
         _ADDRESS_TEXT,
         '127.0.0.1:0',
         'Address for operators, metrics and health.',
         Address,
     ),
-    _text(
+    text_key(
         'peer_listen',
-        _address,
+        address,
         _ADDRESS_TEXT,
         '127.0.0.1:0',
         'Address for other instances.',
         Address,
     ),
-    _text(
+    text_key(
         'peer_advertise',
         _address_or_none,
         _ADDRESS_TEXT.replace('0 to', '1 to'),
@@ -197,7 +216,7 @@
         'peer_listen.',
         typing.Optional[Address],
     ),
-    _text(
+    text_key(
         'platform',
         _addresses,
         _ADDRESSES_TEXT,
@@ -208,13 +227,13 @@
     Key(
         'register',
         bool,
-        _flag,
+        flag,
         'true or false',
         False,
         "Enter this instance in the stand-in's list of instances; a real "
         'platform lists its machines itself.',
     ),
-    _text(
+    text_key(
         'peers',
         _addresses,
         _ADDRESSES_TEXT,
@@ -222,7 +241,7 @@
         'Instances to start from.',
         tuple[Address, ...],
     ),
-    _text(
+    text_key(
         'peer_keys',
         _hex_map(r'([0-9a-fA-F]{2}){16,64}'),
         'object from key id to a key of 16 to 64 bytes in hex',
@@ -230,7 +249,7 @@
         'Key ring for the streams between instances.',
         dict[str, str],
     ),
-    _text(
+    text_key(
         'peer_key_id',
         _key_id,
         'an id in peer_keys',
@@ -238,7 +257,7 @@
         'Key that this instance proves itself with.',
         typing.Optional[str],
     ),
-    _text(
+    text_key(
         'operators',
         _hex_map(r'[0-9a-fA-F]{64}'),
         "object from the operator's name to 64 hex digits (SHA-256)",
@@ -246,106 +265,106 @@
         "SHA-256 of each operator's bearer token.",
         dict[str, str],
     ),
-    _text(
+    text_key(
         'log_level',
         _choice('debug', 'info', 'warning', 'error'),
         '"debug", "info", "warning" or "error"',
         'info',
         'Lowest level of the log lines that are written.',
     ),
-    _whole(
+    whole(
         'max_header_bytes',
         16384,
         1024,
         1048576,
         'Limit on the headers of one request.',
     ),
-    _whole(
+    whole(
         'max_body_bytes',
         1048576,
         1024,
         67108864,
         "Limit on the body of a caller's request.",
     ),
-    _whole(
+    whole(
         'api_max_body_bytes',
         524288,
         1024,
         1048576,
         "Limit on the body of an operator's request.",
     ),
-    _whole(
+    whole(
         'max_connections', 10000, 1, 100000, "Limit on callers' connections."
     ),
-    _whole(
+    whole(
         'api_max_connections',
         256,
         1,
         10000,
         "Limit on operators' connections.",
     ),
-    _whole(
+    whole(
         'max_watches',
         128,
         1,
         10000,
         'Limit on long polls that wait at the same time.',
     ),
-    _whole(
+    whole(
         'watch_history',
         10000,
         1,
         1000000,
         'Changes kept for watches that resume.',
     ),
-    _whole('claim_shards', 4, 1, 64, 'Shards of the idempotency claims.'),
-    _whole(
+    whole('claim_shards', 4, 1, 64, 'Shards of the idempotency claims.'),
+    whole(
         'claim_writes_per_second',
         30,
         1,
         1000,
         'Limit on the platform writes of one claim shard.',
     ),
-    _whole(
+    whole(
         'claim_limit',
         340000,
         100,
         10000000,
         'Limit on the claims an instance keeps; new ones are refused.',
     ),
-    _whole('peer_limit', 8, 1, 64, 'Peers chosen by stable hash.'),
-    _whole('full_mesh_limit', 16, 1, 64, 'Largest fleet with a full mesh.'),
-    _seconds(
+    whole('peer_limit', 8, 1, 64, 'Peers chosen by stable hash.'),
+    whole('full_mesh_limit', 16, 1, 64, 'Largest fleet with a full mesh.'),
+    seconds(
         'api_read_timeout',
         10.0,
         0.1,
         120,
         "Time for an operator's request to arrive whole.",
     ),
-    _seconds(
+    seconds(
         'header_timeout',
         10.0,
         0.1,
         120,
         "Time for the headers of a caller's request to arrive.",
     ),
-    _seconds('idle_timeout', 60.0, 1, 3600, 'Idle time of a kept connection.'),
-    _seconds('platform_timeout', 2.0, 0.05, 30, 'Time for a platform call.'),
-    _seconds('watch_wait_max', 30.0, 0, 300, 'Longest wait of a watch.'),
-    _seconds('drain_bound', 35.0, 0, 600, 'Longest drain at a planned stop.'),
-    _seconds('gossip_period', 1.0, 0.05, 60, 'Time between two exchanges.'),
-    _seconds('lease_ttl', 4.0, 0.5, 60, 'Time to live of a duty lease.'),
-    _seconds('lease_renew', 1.0, 0.1, 30, 'Renewal period of a duty lease.'),
-    _seconds('lookup_ttl', 2.0, 0.1, 60, 'Time callers may keep an answer.'),
-    _seconds('claim_keep', 3600.0, 60, 86400, 'Time that claims are kept.'),
-    _seconds(
+    seconds('idle_timeout', 60.0, 1, 3600, 'Idle time of a kept connection.'),
+    seconds('platform_timeout', 2.0, 0.05, 30, 'Time for a platform call.'),
+    seconds('watch_wait_max', 30.0, 0, 300, 'Longest wait of a watch.'),
+    seconds('drain_bound', 35.0, 0, 600, 'Longest drain at a planned stop.'),
+    seconds('gossip_period', 1.0, 0.05, 60, 'Time between two exchanges.'),
+    seconds('lease_ttl', 4.0, 0.5, 60, 'Time to live of a duty lease.'),
+    seconds('lease_renew', 1.0, 0.1, 30, 'Renewal period of a duty lease.'),
+    seconds('lookup_ttl', 2.0, 0.1, 60, 'Time callers may keep an answer.'),
+    seconds('claim_keep', 3600.0, 60, 86400, 'Time that claims are kept.'),
+    seconds(
         'answer_keep',
         600.0,
         1,
         86400,
         'Time that answers of claimed requests are kept.',
     ),
-    _seconds(
+    seconds(
         'tombstone_keep',
         86400.0,
         60,
@@ -432,24 +451,39 @@
 
 def from_dict(raw):
     """Check a parsed settings object; see :func:`parse`."""
+    result = Settings(**check_table(raw, KEYS))
+    _check_together(result)
+    return result
+
+
+def check_table(raw, keys):
+    """Check an object against a table of keys and fill in defaults.
+
+    Args:
+        raw: the parsed object.
+        keys: sequence of :class:`Key`.
+
+    Returns:
+        ``{name: checked value}`` with one item for each key.
+
+    Raises:
+        SettingsError: for the first unknown, missing or unsuitable key.
+    """
     if not isinstance(raw, dict):
         raise errors.SettingsError('the settings must be an object')
-    known = {key.name for key in KEYS}
+    known = {key.name for key in keys}
     for name in raw:
         if name not in known:
             raise errors.SettingsError(
                 '%s: unknown key; allowed keys: %s'
                 % (name, ', '.join(sorted(known)))
             )
-    values = {key.name: _checked(key, raw) for key in KEYS}
-    result = Settings(**values)
-    _check_together(result)
-    return result
+    return {key.name: _checked(key, raw) for key in keys}
 
 
 def _checked(key, raw):
     value = raw.get(key.name, key.default)
-    if value is _REQUIRED:
+    if value is REQUIRED:
         raise errors.SettingsError(
             '%s: required; allowed: %s' % (key.name, key.allowed)
         )
@@ -457,7 +491,7 @@
         return key.check(value)
     except (ValueError, TypeError) as exc:
         raise errors.SettingsError(
-            '%s: allowed: %s' % (key.name, key.allowed)
+            '%s: is %.80r; allowed: %s' % (key.name, value, key.allowed)
         ) from exc
 
 
@@ -503,7 +537,7 @@
     ]
     for key in KEYS:
         default = 'required'
-        if key.default is not _REQUIRED:
+        if key.default is not REQUIRED:
             default = '`%s`' % json.dumps(key.default)
         cells = (key.name, key.allowed, default, key.doc)
         lines.append('| `%s` | %s | %s | %s |' % cells)
