Send an object to two owners only and keep queues short of collapse

Now: objects are routed by route and key, an object goes to its two owners only, extra work counts three times, reported load is remembered for 2 s. Also: keep-alive probes on connections to the store and the upstreams (CONFIG and DRAIN were broken after cuts), lapsed entries settle after 2.2 s.

--- a/src/jasminehold/decisions/selection.py
+++ b/src/jasminehold/decisions/selection.py
@@ -2,10 +2,10 @@
 
 import typing
 
-# Seconds that a run at an upstream without the object in memory has to win by
-# over waiting at its owner: such a run uses slot time that others could use.
-# Part of the difference between the two run times.
-SPILL_WEIGHT = 0.5
+# A run at an upstream without the object in memory uses slot time that others
+# could use: its extra work counts this many times. Compared on the heaviest
+# days in docs/MEASUREMENTS.md.
+SPILL_WEIGHT = 3.0
 
 
 class Candidate(typing.NamedTuple):
--- a/src/jasminehold/decisions/upstream_load.py
+++ b/src/jasminehold/decisions/upstream_load.py
@@ -1,7 +1,10 @@
 """How busy an upstream is and when it would finish one more request."""
 
-# Reports of load older than this say nothing of the present queue.
-REPORT_VALID_S = 0.5
+import math
+
+# Time in which a reported load loses its weight: queues build up and drain
+# within seconds.
+REPORT_MEMORY_S = 2.0
 # Weight of the newest sample in the moving averages.
 SMOOTHING = 0.2
 # First pause after a failure, and the longest one.
@@ -17,7 +20,8 @@
 
     Attributes:
         in_flight: requests of this instance at the upstream.
-        service_s: moving average of the time one request takes, seconds.
+        service_s: moving average of the time one request takes in a slot,
+            seconds.
     """
 
     def __init__(self, slots, service_s):
@@ -28,7 +32,7 @@
         self._failures = 0
         self._ejections = 0
         self._others = 0.0
-        self._told_at = -REPORT_VALID_S
+        self._told_at = 0.0
 
     def on_sent(self):
         """Count a request sent."""
@@ -50,17 +54,17 @@
         self._others = max(3 * self.slots - self.in_flight, 0)
         self._told_at = now
 
-    def on_success(self, seconds):
+    def on_success(self, seconds, ahead):
         """Take a good answer.
 
         Args:
-            seconds: time of the run, None when it waited for a slot.
+            seconds: time from send to answer.
+            ahead: requests that were taken to wait in front of it.
         """
         self._failures = 0
         self._ejections = 0
-        if seconds is None:
-            return
-        self.service_s += SMOOTHING * (seconds - self.service_s)
+        sample = seconds / (1.0 + ahead / self.slots)
+        self.service_s += SMOOTHING * (sample - self.service_s)
 
     def on_failure(self, now, at_once=False):
         """Count a failure; returns whether the upstream is now left out."""
@@ -76,11 +80,12 @@
     def load(self, now):
         """Return the estimated number of requests at the upstream."""
         age = now - self._told_at
-        if age >= REPORT_VALID_S:
-            return self.in_flight
-        return self.in_flight + self._others * (1.0 - age / REPORT_VALID_S)
+        return self.in_flight + self._others * math.exp(-age / REPORT_MEMORY_S)
+
+    def ahead(self, now):
+        """Return how many requests one more would wait for, and itself."""
+        return max(self.load(now) + 1 - self.slots, 0.0)
 
     def wait_s(self, now):
         """Return the estimated seconds until a slot is free."""
-        ahead = self.load(now) + 1 - self.slots
-        return max(ahead, 0.0) / self.slots * self.service_s
+        return self.ahead(now) / self.slots * self.service_s
--- a/src/jasminehold/decisions/upstream_view.py
+++ b/src/jasminehold/decisions/upstream_view.py
@@ -76,6 +76,15 @@
         """Note that the store could not be read."""
         self._failed = True
 
+    def settles_in(self, now):
+        """Return the seconds until lapsed entries are taken as gone.
+
+        None when no outage is being waited for.
+        """
+        if now >= self._trusted_at:
+            return None
+        return self._trusted_at - now
+
     def on_list(self, entries, now):
         """Take a whole list.
 
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -74,6 +74,9 @@
         self._deadline = now + left
         self._service = self._steering.service(route, now)
         self._key = wire.object_key(inbound.headers)
+        if self._key:
+            # Upstreams know an object by the kind of work done on it.
+            self._key = '%s/%s' % (route.name, self._key)
         self._timer = self._loop.call_later(left, self._on_deadline)
         inbound.on_gone = self._on_caller_gone
         self._port.exchanges.add(self)
@@ -85,7 +88,8 @@
         found = self._steering.pick(
             self._route,
             self._service,
-            self._key or str(self._id),
+            self._key if self._route.sticky else '',
+            str(self._id),
             self._tried,
             left,
             now,
--- a/src/jasminehold/front/reader.py
+++ b/src/jasminehold/front/reader.py
@@ -123,8 +123,13 @@
             entry = self._decode(item)
             if entry is not None:
                 entries.append(entry)
-        self._steering.on_entries(entries, self._loop.now())
-        self._loop.call_later(UPSTREAMS_EVERY_S, self.start)
+        now = self._loop.now()
+        self._steering.on_entries(entries, now)
+        settles_in = self._steering.view.settles_in(now)
+        delay = UPSTREAMS_EVERY_S
+        if settles_in is not None:
+            delay = min(delay, settles_in)
+        self._loop.call_later(delay, self.start)
 
     def _decode(self, item):
         try:
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -15,8 +15,11 @@
 Kind = errors.Kind
 
 # Entries that lapsed in an outage of the store come back within two seconds
-# of its return (the users' letter); the rest is the period of reading.
-ENTRY_RETURN_S = 3.2
+# of its return (the users' letter).
+ENTRY_RETURN_S = 2.2
+# Upstreams that an object is sent to: more would each have to learn it, and
+# forget others.
+OWNERS = 2
 # Queue that an upstream is given beyond its slots, in multiples of them.
 QUEUE_FACTOR = 2.0
 # Share of the fleet's capacity that demand is taken to use; what a region
@@ -38,7 +41,7 @@
         upstream: the :class:`~decisions.upstream_view.Upstream`.
         load: its :class:`~decisions.upstream_load.UpstreamLoad`.
         known: whether it should know the object.
-        waits: whether the request has to wait for a slot there.
+        ahead: requests that it has to wait for there, about.
         finish_s: estimated seconds to the answer.
         why: inputs of the decision, for the log.
     """
@@ -46,7 +49,7 @@
     upstream: object
     load: object
     known: bool
-    waits: bool
+    ahead: float
     finish_s: float
     why: dict
 
@@ -176,13 +179,14 @@
             )
         return self._retries[service]
 
-    def pick(self, route, service, key, tried, left_s, now):
+    def pick(self, route, service, key, request_id, tried, left_s, now):
         """Return a :class:`Choice` or a :class:`Refusal`.
 
         Args:
             route: the request's route.
             service: the service it goes to.
             key: the object's key, '' for none.
+            request_id: the request's own id, text.
             tried: ids of upstreams that it was sent to before.
             left_s: seconds until the request's deadline.
             now: monotonic seconds.
@@ -190,9 +194,9 @@
         upstreams = self._usable(route, service, tried, now)
         if not upstreams:
             return Refusal(Kind.OVERLOADED, PAUSE_S, 'no usable upstream')
-        ranked = self._ranked(service, key, upstreams)
+        ranked = self._ranked(service, key or request_id, upstreams)
         candidates, full = [], []
-        for rank, name in enumerate(ranked):
+        for rank, name in enumerate(ranked[: OWNERS if key else None]):
             candidate, room = self._candidate(
                 route, service, key, upstreams[name], rank, now
             )
@@ -218,8 +222,8 @@
         return Choice(
             upstream,
             load,
-            route.sticky and best.extra_s == 0.0,
-            best.wait_s > 0.0,
+            best.extra_s == 0.0,
+            load.ahead(now),
             best.finish_s,
             why,
         )
@@ -277,7 +281,7 @@
         known = route.sticky and (rank == 0 or times.knows(key, entry.id, now))
         run = times.estimate(route, known)
         extra = 0.0
-        if route.sticky and not known:
+        if not known:
             extra = max(run - times.estimate(route, True), 0.0)
         own_region = self._cfg.places[self._cfg.place]
         travel = 0.0
@@ -336,9 +340,10 @@
 
     def on_ran(self, route, service, key, choice, seconds, now):
         """Take the time of a run that ended with an answer."""
-        if choice.waits:
+        choice.load.on_success(seconds, choice.ahead)
+        if choice.ahead:
+            # The time of the run alone is not known.
             seconds = None
-        choice.load.on_success(seconds)
         if not route.sticky:
             key = ''
         self._times[service].on_run(
--- a/src/jasminehold/front/upstream_conn.py
+++ b/src/jasminehold/front/upstream_conn.py
@@ -5,6 +5,7 @@
 import h11
 
 from jasminehold import errors
+from jasminehold import loop as loop_module
 from jasminehold.platform import wire
 
 CONNECT_TIMEOUT_S = 1.0
@@ -16,6 +17,11 @@
 # An upstream may drop an idle connection without a sign. A request that must
 # not run twice cannot be sent again then, so it uses fresh ones only.
 FRESH_S = 2.0
+# A cut path to an upstream ends the request there; a busy upstream answers
+# probes, however long it works.
+KEEPALIVE = loop_module.KeepAlive(
+    idle_s=2, interval_s=1, probes=3, unacked_ms=4000
+)
 HEAD_MAX_BYTES = 64 * 1024
 ANSWER_MAX_BYTES = 16 * 1024 * 1024
 _TIMEOUT = re.compile(rb'timeout\s*=\s*(\d+)')
@@ -272,7 +278,7 @@
             self._open -= 1
             on_error(exc)
 
-        self.loop.connect(*key, opened, failed, CONNECT_TIMEOUT_S)
+        self.loop.connect(*key, opened, failed, CONNECT_TIMEOUT_S, KEEPALIVE)
 
     def put_back(self, conn):
         """Keep a connection for reuse."""
--- a/src/jasminehold/loop.py
+++ b/src/jasminehold/loop.py
@@ -35,6 +35,22 @@
 _WOULD_BLOCK = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
 
 
+class KeepAlive(typing.NamedTuple):
+    """How soon a silent connection is given up.
+
+    Attributes:
+        idle_s: whole seconds without traffic until the first probe.
+        interval_s: whole seconds between probes.
+        probes: probes without reply that end the connection.
+        unacked_ms: time for which sent bytes may stay unacknowledged.
+    """
+
+    idle_s: int
+    interval_s: int
+    probes: int
+    unacked_ms: int
+
+
 class EPoll(pollers.EPoll):
     """Epoll poller with constant-time registration changes.
 
@@ -354,7 +370,9 @@
         sock.listen(BACKLOG)
         return Listener(self, sock, on_accept)
 
-    def connect(self, host, port, on_open, on_error, timeout=5.0):
+    def connect(
+        self, host, port, on_open, on_error, timeout=5.0, keepalive=None
+    ):
         """Open a TCP connection.
 
         Exactly one of the callbacks is called, never before this returns.
@@ -365,9 +383,12 @@
             on_open: called with the :class:`Conn`.
             on_error: called with the ``OSError``.
             timeout: seconds.
+            keepalive: :class:`KeepAlive`, None for the system's defaults.
         """
         sock = socket.socket(_family(host), socket.SOCK_STREAM)
         _prepare(sock)
+        if keepalive is not None:
+            _keep_alive(sock, keepalive)
         fileno = sock.fileno()
 
         def fail(exc):
@@ -432,3 +453,12 @@
 def _prepare(sock):
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def _keep_alive(sock, keepalive):
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, keepalive.idle_s)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, keepalive.interval_s)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, keepalive.probes)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, keepalive.unacked_ms)
--- a/src/jasminehold/platform/http.py
+++ b/src/jasminehold/platform/http.py
@@ -49,6 +49,8 @@
         rng: random source of the jitter.
         max_conns: connections at most.
         max_body: bytes of an answer at most.
+        keepalive: :class:`~jasminehold.loop.KeepAlive` of its connections.
+        backoff_max_s: longest pause after a failed attempt, seconds.
     """
 
     def __init__(
@@ -59,6 +61,8 @@
         rng,
         max_conns=MAX_CONNS,
         max_body=MAX_BODY_BYTES,
+        keepalive=None,
+        backoff_max_s=BACKOFF_MAX_S,
     ):
         self.connects = 0
         self._loop = loop
@@ -67,6 +71,8 @@
         self._rng = rng
         self._max_conns = max_conns
         self.max_body = max_body
+        self._keepalive = keepalive
+        self._backoff_max_s = backoff_max_s
         self._idle = []
         self._conns = set()
         self._opening = 0
@@ -148,6 +154,7 @@
             self._on_open,
             self._on_error,
             CONNECT_TIMEOUT_S,
+            self._keepalive,
         )
 
     def _on_open(self, conn):
@@ -165,7 +172,8 @@
         self._opening -= 1
         self._failures += 1
         ceiling = min(
-            BACKOFF_MAX_S, BACKOFF_FIRST_S * 2 ** min(self._failures - 1, 10)
+            self._backoff_max_s,
+            BACKOFF_FIRST_S * 2 ** min(self._failures - 1, 10),
         )
         # The first half is fixed, so that attempts keep a minimum distance.
         delay = ceiling * (0.5 + 0.5 * self._rng.random())
--- a/src/jasminehold/platform/kv.py
+++ b/src/jasminehold/platform/kv.py
@@ -6,6 +6,7 @@
 import urllib.parse
 
 from jasminehold import errors
+from jasminehold import loop as loop_module
 from jasminehold.platform import http
 from jasminehold.platform import wire
 
@@ -17,6 +18,14 @@
 # time-out only.
 WATCH_MARGIN_S = 1.5
 MAX_CONNS = 4
+# A watch waits on a connection that carries nothing, so only probes show that
+# it has gone silent. A change has to be in force within 2.5 s.
+KEEPALIVE = loop_module.KeepAlive(
+    idle_s=1, interval_s=1, probes=1, unacked_ms=1500
+)
+# Each instance makes one attempt at a time; the store takes thousands of
+# calls a second.
+BACKOFF_MAX_S = 0.5
 MALFORMED = (LookupError, TypeError, ValueError, AttributeError)
 
 
@@ -40,7 +49,15 @@
 
     def __init__(self, loop, host, port, rng, metrics):
         self._metrics = metrics
-        self._http = http.Client(loop, host, port, rng, MAX_CONNS)
+        self._http = http.Client(
+            loop,
+            host,
+            port,
+            rng,
+            MAX_CONNS,
+            keepalive=KEEPALIVE,
+            backoff_max_s=BACKOFF_MAX_S,
+        )
 
     def range(self, prefix, done):
         """Read all items under a prefix: :class:`Range`."""
