Read the store once a region and tell the peers

Now the first instance of a region, by a stable hash, reads the changes every 0.6 s with one call and tells the others over authenticated streams; the next one takes over when its knowledge grows old.

--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -15,6 +15,7 @@
 from jasminehold.front import cfg as cfg_module
 from jasminehold.front import directory
 from jasminehold.front import exchange
+from jasminehold.front import peering
 from jasminehold.front import presence
 from jasminehold.front import reader
 from jasminehold.front import steering as steering_module
@@ -66,7 +67,7 @@
             'callers': '%s:%d' % cfg.caller_listen,
             'place': cfg.place,
             'region': cfg.places[cfg.place],
-            'peers': '%s:%d' % (cfg.caller_listen.host, cfg.internal_ports[0]),
+            'peers': '%s:%d' % cfg.peer_listen,
         }
         self._build_store()
         self._build_path()
@@ -78,25 +79,21 @@
         self._presence = presence.Presence(
             self.loop, self.store, self.cfg.id, self._own, self.rng, _log
         )
-        self._operator = reader.PrefixReader(
-            self.loop,
-            self.store,
-            wire.OPERATOR_PREFIX,
-            self._on_operator,
-            self.rng,
-            _log,
+        self._peering = peering.Peering(
+            self.loop, self.cfg, self.rng, self.metrics, _log
         )
-        self._member_reader = reader.PrefixReader(
+        self._reader = reader.StoreReader(
             self.loop,
             self.store,
-            wire.MEMBER_PREFIX,
-            self._on_members,
+            self._peering.rank,
+            self._on_change,
+            self._peering.tell_news,
             self.rng,
             _log,
         )
-        self._upstreams = reader.UpstreamReader(
-            self.loop, self.store, self.steering, self.rng, _log, self.metrics
-        )
+        self._peering.reader = self._reader
+        self._peering.steering = self.steering
+        self._decoder = reader.Decoder(self.metrics, _log)
 
     def _build_path(self):
         files = max(self.cfg.max_files - FILES_RESERVED, FILES_RESERVED)
@@ -134,9 +131,8 @@
         self.callers.listen(*cfg.caller_listen)
         self._ready.listen(*cfg.ready_listen)
         self._directory.listen(*cfg.directory_listen)
-        self._operator.start()
-        self._upstreams.start()
-        self._member_reader.start()
+        self._peering.start()
+        self._reader.start()
         self._presence.start()
         _log('instance started', instance=cfg.id, place=cfg.place)
 
@@ -174,6 +170,7 @@
         self.leaving = True
         self.callers.leaving = True
         self._presence.leave()
+        self._peering.leave()
         grace = self.cfg.stop_grace
         self._stop_at = self.loop.now() + grace - STOP_MARGIN_S
         _log('instance leaving', instance=self.cfg.id, grace_s=grace)
@@ -194,18 +191,28 @@
 
     # What the store says.
 
-    def _on_operator(self, items):
-        table, places = reader.decode_operator(items, _log)
-        if table is not None:
-            self.steering.on_config(table)
-        self.steering.on_evacuated(places)
+    def _on_change(self, keys):
+        copy = self._reader.mirror
+        if any(key.startswith(wire.OPERATOR_PREFIX) for key in keys):
+            table, places = self._decoder.operator(
+                copy.under(wire.OPERATOR_PREFIX)
+            )
+            if table is not None:
+                self.steering.on_config(table)
+            self.steering.on_evacuated(places)
+        if any(key.startswith(wire.UPSTREAM_PREFIX) for key in keys):
+            entries = self._decoder.upstreams(copy.under(wire.UPSTREAM_PREFIX))
+            self.steering.on_entries(entries, copy.as_of)
+        if any(key.startswith(wire.MEMBER_PREFIX) for key in keys):
+            self._on_members(copy.under(wire.MEMBER_PREFIX))
 
     def _on_members(self, items):
-        members = reader.decode_members(items, _log)
+        members = self._decoder.members(items)
         if set(members) != set(self._members):
             _log('members changed', members=sorted(members))
         self._members = members
         self.steering.on_members(members)
+        self._peering.on_members(members)
         self._presence.on_members(items)
 
 
--- a/src/jasminehold/front/cfg.py
+++ b/src/jasminehold/front/cfg.py
@@ -26,6 +26,14 @@
     return check(value[0]), check(value[1])
 
 
+def _key_or_none(value):
+    if value is None:
+        return None
+    if len(bytes.fromhex(value)) != 32:
+        raise ValueError
+    return value
+
+
 def _number(name, default, low, high, doc):
     allowed = 'number from %g to %g' % (low, high)
     check = settings.number(low, high)
@@ -75,6 +83,23 @@
         settings.REQUIRED,
         'Ports free for streams between instances.',
     ),
+    _listen('peer_listen', 'Address for streams between instances.'),
+    settings.Key(
+        'seeds',
+        tuple,
+        settings.addresses,
+        'list of at most 64 "IP:port"',
+        [],
+        'Addresses of some instances, for the first contact.',
+    ),
+    settings.Key(
+        'peer_key',
+        str,
+        _key_or_none,
+        'null or 64 hex digits',
+        None,
+        'Secret of the streams; derived from other settings if unset.',
+    ),
     _listen('store', "Address of the platform's key-value store."),
     settings.whole(
         'max_files', 4096, 256, 1_000_000, 'Descriptors of the process.'
--- /dev/null
+++ b/src/jasminehold/front/peering.py
@@ -0,0 +1,208 @@
+"""What instances tell each other over authenticated streams.
+
+``news``: what a reader of the region learnt from the store.
+``snapshot``: the whole copy, asked for when news do not fit to one's own.
+``loads``: the load of upstreams as answers told it.
+"""
+
+import hashlib
+
+from jasminehold.decisions import mirror as mirror_module
+from jasminehold.decisions import reading
+from jasminehold import errors
+from jasminehold.peers import link
+from jasminehold.peers import mesh as mesh_module
+
+SNAPSHOT_TIMEOUT_S = 1.0
+SNAPSHOT_EVERY_S = 0.5
+LOADS_EVERY_S = 0.5
+# Instances of other regions that each one keeps a link to, so that a region
+# without the store still gets a copy.
+FAR_PEERS = 1
+KEY_ID = 'k1'
+
+
+def derive_key(cfg):
+    """Return the key of streams when the settings hold none.
+
+    The platform hands out no secret, so that this key only keeps instances
+    of different deployments apart.
+    """
+    text = repr((cfg.store, sorted(cfg.places.items())))
+    return hashlib.sha256(text.encode()).digest()
+
+
+class Peering:
+    """Streams to the instances of the own region and a few others.
+
+    Args:
+        loop: the :class:`~jasminehold.loop.Loop`.
+        cfg: the :class:`~jasminehold.front.cfg.Cfg`.
+        rng: random source.
+        metrics: counters.
+        log: structured log.
+
+    Attributes:
+        reader: the :class:`~jasminehold.front.reader.StoreReader`.
+        steering: the :class:`~jasminehold.front.steering.Steering`.
+    """
+
+    def __init__(self, loop, cfg, rng, metrics, log):
+        self.reader = None
+        self.steering = None
+        self._loop = loop
+        self._cfg = cfg
+        self._region = cfg.places[cfg.place]
+        self._log = log
+        self._members = {}
+        self._near = ()
+        self._rank = 0
+        self._leaving = False
+        self._asked_at = 0.0
+        key = bytes.fromhex(cfg.peer_key) if cfg.peer_key else derive_key(cfg)
+        ring = link.KeyRing([(KEY_ID, key)])
+        self.mesh = mesh_module.Mesh(
+            loop, cfg.id, ring, self._address_of, rng, metrics
+        )
+        self.mesh.on_up = self._on_up
+        self.mesh.handle('news', self._on_news)
+        self.mesh.handle('snapshot', self._on_snapshot)
+        self.mesh.handle('loads', self._on_loads)
+
+    def start(self):
+        """Listen, and look for peers at the seeds."""
+        self.mesh.listen(*self._cfg.peer_listen)
+        for address in self._cfg.seeds:
+            if address != self._cfg.peer_listen:
+                self.mesh.add_seed(*address)
+        self._loop.call_later(LOADS_EVERY_S, self._send_loads)
+
+    def leave(self):
+        """Leave the reading of the store to the others."""
+        self._leaving = True
+
+    def rank(self):
+        """Return this instance's rank as a reader of its region."""
+        return reading.LAST if self._leaving else self._rank
+
+    def on_members(self, members):
+        """Take ``{id: member document}`` of the live instances."""
+        self._members = members
+        own = self._cfg.id
+        near = [
+            name
+            for name, doc in members.items()
+            if doc['region'] == self._region and name != own
+        ]
+        far = sorted(set(members) - set(near) - {own})
+        start = reading.rank(own, near)
+        chosen = [
+            far[(start + step) % len(far)]
+            for step in range(min(FAR_PEERS, len(far)))
+        ]
+        self._near = tuple(near)
+        self._rank = reading.rank(own, near)
+        self.mesh.set_peers(near + chosen)
+
+    def _address_of(self, name):
+        doc = self._members.get(name)
+        if doc is None:
+            return None
+        host, _, port = doc['peers'].rpartition(':')
+        return host, int(port)
+
+    # The copy of the store.
+
+    def tell_news(self, events, before, revision):
+        """Tell the own region what this instance read.
+
+        Args:
+            events: list of items; None when all was read anew.
+            before: revision after which they begin.
+            revision: revision that they lead to.
+        """
+        age = self.reader.mirror.age(self._loop.now())
+        message = {
+            'type': 'news',
+            'before': revision if events is None else before,
+            'revision': revision,
+            'age': int(age * 1000),
+            'items': [list(item) for item in events or ()],
+        }
+        for name in self._near:
+            if self.mesh.is_connected(name):
+                self.mesh.send(name, message)
+
+    def _on_news(self, sender, message, reply):
+        now = self._loop.now()
+        taken = self.reader.take_told(
+            _items(message['items']),
+            message['before'],
+            message['revision'],
+            now - message['age'] / 1000,
+        )
+        if not taken:
+            self._ask_snapshot(sender)
+
+    def _on_up(self, name):
+        if not self.reader.mirror.revision:
+            self._ask_snapshot(name)
+
+    def _ask_snapshot(self, name):
+        now = self._loop.now()
+        if now - self._asked_at < SNAPSHOT_EVERY_S:
+            return
+        self._asked_at = now
+
+        def done(answer, exc):
+            if exc is not None:
+                self._log('no copy from peer', peer=name, error=exc)
+                return
+            try:
+                self.reader.take_snapshot(
+                    _items(answer['items']),
+                    answer['revision'],
+                    now - answer['age'] / 1000,
+                )
+            except errors.MALFORMED as fault:
+                self._log('bad copy from peer', peer=name, error=fault)
+
+        self.mesh.ask(name, {'type': 'snapshot'}, SNAPSHOT_TIMEOUT_S, done)
+
+    def _on_snapshot(self, sender, message, reply):
+        copy = self.reader.mirror
+        if not copy.revision:
+            reply(None, 'no copy yet')
+            return
+        age = copy.age(self._loop.now())
+        reply(
+            {
+                'items': [list(item) for item in copy.items.values()],
+                'revision': copy.revision,
+                'age': int(min(age, 3600.0) * 1000),
+            }
+        )
+
+    # Loads.
+
+    def _send_loads(self):
+        self._loop.call_later(LOADS_EVERY_S, self._send_loads)
+        rows = self.steering.fresh_loads(self._loop.now())
+        if not rows:
+            return
+        message = {'type': 'loads', 'rows': rows}
+        for name in self._near:
+            if self.mesh.is_connected(name):
+                self.mesh.send(name, message)
+
+    def _on_loads(self, sender, message, reply):
+        now = self._loop.now()
+        for name, load, age_ms in message['rows']:
+            self.steering.on_told_load(name, load, now - age_ms / 1000)
+
+
+def _items(rows):
+    return [
+        mirror_module.Item(str(key), value, int(revision))
+        for key, value, revision in rows
+    ]
--- a/src/jasminehold/front/reader.py
+++ b/src/jasminehold/front/reader.py
@@ -1,178 +1,258 @@
-"""Reads configuration, evacuations, upstreams and members from the store."""
+"""Keeps the copy of the store fresh, by own reads and by peers' news."""
 
 import json
 
+from jasminehold.decisions import mirror as mirror_module
+from jasminehold.decisions import reading
+from jasminehold.decisions import upstream_view
 from jasminehold import errors
-from jasminehold.platform import kv
 from jasminehold.platform import wire
 
-# An upstream must get nothing more 2.5 s after its leaving was accepted.
-UPSTREAMS_EVERY_S = 1.0
-# After a failed call, with jitter from 0.5 to 1.
-RETRY_S = 0.4
+# Entries that lapsed in an outage of the store come back within two seconds
+# of its return (the users' letter).
+RETURN_S = 2.2
+# Later than any rank reads: the store, or the way to it, is lost.
+OUTAGE_S = 2.4
+TICK_S = 0.1
+# An idle store keeps a read waiting this long for a change.
+WAIT_S = 0.05
 
 
-class PrefixReader:
-    """Keeps a copy of the keys under a prefix, by a list and watches.
+class StoreReader:
+    """Reads the store when the copy is due, and tells the peers.
 
     Args:
         loop: the :class:`~jasminehold.loop.Loop`.
         store: the :class:`~jasminehold.platform.kv.Store`.
-        prefix: prefix of the keys.
-        on_change: called with ``{key: Item}`` after each change.
+        rank: ``() -> int``, this instance's rank as a reader.
+        on_change: called with the set of changed keys.
+        on_news: called with ``(events, before, revision)`` after an own
+            read, for the peers.
         rng: random source.
         log: structured log.
+
+    Attributes:
+        mirror: the :class:`~jasminehold.decisions.mirror.Mirror`.
     """
 
-    def __init__(self, loop, store, prefix, on_change, rng, log):
-        self.items = {}
-        self.revision = 0
+    def __init__(self, loop, store, rank, on_change, on_news, rng, log):
+        self.mirror = mirror_module.Mirror(wire.LEASED, RETURN_S, OUTAGE_S)
         self._loop = loop
         self._store = store
-        self._prefix = prefix
+        self._rank = rank
         self._on_change = on_change
+        self._on_news = on_news
         self._rng = rng
         self._log = log
-        self._up = True
+        self._busy = False
+        self._not_before = 0.0
+        self._lost = False
 
     def start(self):
         """Begin to read."""
-        self._store.range(self._prefix, self._on_range)
+        self._tick()
 
-    def _again(self, exc):
-        if self._up and not isinstance(exc, errors.Compacted):
-            self._up = False
-            self._log(
-                'store lost', level='warning', prefix=self._prefix, error=exc
+    def _tick(self):
+        self._loop.call_later(TICK_S, self._tick)
+        now = self._loop.now()
+        gone = self.mirror.settle(now)
+        if gone:
+            self._log('lapsed keys dropped', keys=sorted(gone)[:8])
+            self._on_change(gone)
+        age = self.mirror.age(now)
+        if age > OUTAGE_S and not self._lost and self.mirror.revision:
+            self._lost = True
+            self._log('store lost', level='warning', age_s=round(age, 2))
+        due = age >= reading.threshold_s(self._rank()) - TICK_S / 2
+        if due and not self._busy and now >= self._not_before:
+            self._busy = True
+            if self.mirror.revision:
+                self._read_changes(now)
+            else:
+                self._read_all(now)
+
+    def refresh(self):
+        """Read everything soon, for example after the process stood still."""
+        self.mirror.as_of = None
+
+    def _read_all(self, sent_at):
+        found = []
+        prefixes = list(wire.COPIED)
+
+        def step(result, exc):
+            if exc is not None:
+                self._on_failed(exc)
+                return
+            found.append(result)
+            if prefixes:
+                self._store.range(prefixes.pop(0), step)
+                return
+            # The lists are no snapshot: what changed between them comes
+            # with the changes after the first one's revision.
+            revision = found[0].revision
+            items = [item for part in found for item in part.items]
+            self._finish_read()
+            changed = self.mirror.replace(
+                items, revision, sent_at, self._loop.now()
             )
-        delay = RETRY_S * (0.5 + 0.5 * self._rng.random())
-        self._loop.call_later(delay, self.start)
+            self._on_news(None, 0, self.mirror.revision)
+            self._tell(changed)
 
-    def _on_range(self, result, exc):
-        if exc is not None:
-            self._again(exc)
-            return
-        if not self._up:
-            self._up = True
-            self._log('store regained', prefix=self._prefix)
-        self.items = {item.key: item for item in result.items}
-        self.revision = result.revision
-        self._on_change(self.items)
-        self._watch()
-
-    def _watch(self):
-        self._store.watch(
-            self._prefix, self.revision, kv.WATCH_WAIT_S, self._on_events
-        )
+        self._store.range(prefixes.pop(0), step)
 
-    def _on_events(self, result, exc):
-        if exc is not None:
+    def _read_changes(self, sent_at):
+        before = self.mirror.revision
+
+        def done(result, exc):
             if isinstance(exc, errors.Compacted):
-                self.start()
-            else:
-                self._again(exc)
+                self._log('store forgot its history', revision=before)
+                self._read_all(self._loop.now())
+                return
+            if exc is not None:
+                self._on_failed(exc)
+                return
+            self._finish_read()
+            self.take(result.items, before, result.revision, sent_at)
+
+        self._store.watch('', before, WAIT_S, done)
+
+    def take(self, items, before, revision, as_of):
+        """Take changes that this instance read."""
+        events = [item for item in items if item.key.startswith(wire.COPIED)]
+        news = [item for item in events if self._is_news(item)]
+        changed = self.mirror.apply(
+            events, before, revision, as_of, self._loop.now()
+        )
+        self._on_news(news, before, self.mirror.revision)
+        self._tell(changed or set())
+
+    def take_told(self, items, before, revision, as_of):
+        """Take changes that a peer read; returns False when some are missing.
+
+        Args:
+            items, before, revision: as for :meth:`Mirror.apply`.
+            as_of: monotonic seconds at which the peer asked the store.
+        """
+        changed = self.mirror.apply(
+            items, before, revision, as_of, self._loop.now()
+        )
+        if changed is None:
+            return False
+        self._regained()
+        self._tell(changed)
+        return True
+
+    def take_snapshot(self, items, revision, as_of):
+        """Take a peer's whole copy."""
+        if as_of < (self.mirror.as_of or as_of):
             return
-        for item in result.items:
-            if item.value is None:
-                self.items.pop(item.key, None)
-            else:
-                self.items[item.key] = item
-        self.revision = max(self.revision, result.revision)
-        if result.items:
-            self._on_change(self.items)
-        self._watch()
+        changed = self.mirror.replace(items, revision, as_of, self._loop.now())
+        self._regained()
+        self._tell(changed)
+
+    def _is_news(self, item):
+        # A report that tells nothing but that its upstream lives is not
+        # passed on.
+        if not item.key.startswith(wire.UPSTREAM_PREFIX):
+            return True
+        known = self.mirror.items.get(item.key)
+        if item.value is None or known is None:
+            return True
+        try:
+            return not upstream_view.same_but_time(
+                wire.decode_upstream(item), wire.decode_upstream(known)
+            )
+        except wire.BadBody:
+            return True
+
+    def _tell(self, changed):
+        if changed:
+            self._on_change(changed)
 
+    def _finish_read(self):
+        self._busy = False
+        self._regained()
 
-class UpstreamReader:
-    """Reads the list of upstreams at a fixed period.
+    def _regained(self):
+        if self._lost:
+            self._lost = False
+            self._log('store regained', revision=self.mirror.revision)
+
+    def _on_failed(self, exc):
+        self._busy = False
+        pause = reading.retry_s(self._rank(), self._rng)
+        self._not_before = self._loop.now() + pause
+        self._log('store read failed', level='warning', error=exc)
+
+
+class Decoder:
+    """Decodes the items of the copy, each value once.
 
     Args:
-        loop, store, rng, log: as for :class:`PrefixReader`.
-        steering: the :class:`~jasminehold.front.steering.Steering`.
         metrics: counters.
+        log: structured log.
     """
 
-    def __init__(self, loop, store, steering, rng, log, metrics):
-        self._loop = loop
-        self._store = store
-        self._steering = steering
-        self._rng = rng
-        self._log = log
+    def __init__(self, metrics, log):
         self._metrics = metrics
-        self._up = True
-        self._bad = {}
+        self._log = log
+        self._entries = {}
 
-    def start(self):
-        """Begin to read."""
-        self._store.range(wire.UPSTREAM_PREFIX, self._on_range)
-
-    def _on_range(self, result, exc):
-        if exc is not None:
-            if self._up:
-                self._log('store lost', level='warning', error=exc)
-            self._up = False
-            self._steering.view.on_read_failed()
-            delay = RETRY_S * (0.5 + 0.5 * self._rng.random())
-            self._loop.call_later(delay, self.start)
-            return
-        if not self._up:
-            self._log('store regained', revision=result.revision)
-        self._up = True
-        entries = []
-        for item in result.items:
-            entry = self._decode(item)
-            if entry is not None:
-                entries.append(entry)
-        now = self._loop.now()
-        self._steering.on_entries(entries, now)
-        settles_in = self._steering.view.settles_in(now)
-        delay = UPSTREAMS_EVERY_S
-        if settles_in is not None:
-            delay = min(delay, settles_in)
-        self._loop.call_later(delay, self.start)
-
-    def _decode(self, item):
+    def upstreams(self, items):
+        """Return the entries of ``{key: Item}``; bad ones are skipped."""
+        kept = {}
+        for key, item in items.items():
+            known = self._entries.get(key)
+            if known is None or known[0] != item.value:
+                known = (item.value, self._upstream(item))
+            kept[key] = known
+        self._entries = kept
+        return [entry for _, entry in kept.values() if entry is not None]
+
+    def _upstream(self, item):
         try:
             return wire.decode_upstream(item)
         except wire.BadBody as exc:
             self._metrics.inc('upstream_entries_malformed_total')
-            if self._bad.get(item.key) != item.value:
-                self._bad[item.key] = item.value
-                self._log('entry skipped', level='warning', error=exc)
+            self._log('entry skipped', level='warning', error=exc)
             return None
 
+    def operator(self, items):
+        """Return ``(RouteTable or None, evacuated places)``."""
+        table = None
+        places = set()
+        for key, item in items.items():
+            place = wire.evacuated_place(key)
+            if place is not None:
+                places.add(place)
+            elif key == wire.CONFIG_KEY:
+                table = self._config(item)
+        return table, frozenset(places)
 
-def decode_operator(items, log):
-    """Return ``(RouteTable or None, evacuated places)`` of the items."""
-    table = None
-    places = set()
-    for key, item in items.items():
-        place = wire.evacuated_place(key)
-        if place is not None:
-            places.add(place)
-        elif key == wire.CONFIG_KEY:
+    def _config(self, item):
+        try:
+            return wire.decode_config(item.value)
+        except wire.BadBody as exc:
+            self._log(
+                'configuration skipped',
+                level='error',
+                revision=item.revision,
+                error=exc,
+            )
+            return None
+
+    def members(self, items):
+        """Return ``{id: member document}``."""
+        members = {}
+        for key, item in items.items():
             try:
-                table = wire.decode_config(item.value)
-            except wire.BadBody as exc:
-                log(
-                    'configuration skipped',
-                    level='error',
-                    revision=item.revision,
-                    error=exc,
+                doc = json.loads(item.value)
+                members[key[len(wire.MEMBER_PREFIX) :]] = {
+                    name: str(doc[name])
+                    for name in ('callers', 'place', 'region', 'peers')
+                }
+            except errors.MALFORMED as exc:
+                self._log(
+                    'member skipped', level='warning', key=key, error=exc
                 )
-    return table, frozenset(places)
-
-
-def decode_members(items, log):
-    """Return ``{id: member document}`` of the items under the prefix."""
-    members = {}
-    for key, item in items.items():
-        try:
-            doc = json.loads(item.value)
-            members[key[len(wire.MEMBER_PREFIX) :]] = {
-                name: str(doc[name])
-                for name in ('callers', 'place', 'region', 'peers')
-            }
-        except (LookupError, TypeError, ValueError) as exc:
-            log('member skipped', level='warning', key=key, error=repr(exc))
-    return members
+        return members
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -14,9 +14,6 @@
 
 Kind = errors.Kind
 
-# Entries that lapsed in an outage of the store come back within two seconds
-# of its return (the users' letter).
-ENTRY_RETURN_S = 2.2
 # Upstreams that an object is sent to: more would each have to learn it, and
 # forget others.
 OWNERS = 2
@@ -31,6 +28,8 @@
 PAUSE_S = 0.3
 # Fleet size assumed until members are known; too large only means caution.
 FLEET_UNKNOWN = 32
+# Upstreams in one message about loads.
+LOAD_ROWS_MAX = 64
 OWNERS_CACHE_MAX = 20_000
 
 
@@ -73,7 +72,7 @@
 
     def __init__(self, cfg, rng, log):
         self.table = None
-        self.view = upstream_view.UpstreamView(ENTRY_RETURN_S)
+        self.view = upstream_view.UpstreamView()
         self.evacuated = frozenset()
         self.instances = ()
         self._cfg = cfg
@@ -105,10 +104,15 @@
             self.evacuated = places
             self._forget_owners()
 
-    def on_entries(self, entries, now):
-        """Take a whole list of upstream entries."""
+    def on_entries(self, entries, as_of):
+        """Take a whole list of upstream entries.
+
+        Args:
+            entries: list of :class:`~decisions.upstream_view.Entry`.
+            as_of: monotonic seconds at which it was true.
+        """
         before = self._usable_ids()
-        joined, left = self.view.on_list(entries, now)
+        joined, left = self.view.on_list(entries, as_of)
         for upstream in left:
             key = upstream.entry.id
             self._loads.pop(key, None)
@@ -116,7 +120,7 @@
             self._misdirected.pop(key, None)
             for times in self._times.values():
                 times.forget(key)
-            self._log('upstream left', upstream=key, age_s=0)
+            self._log('upstream left', upstream=key, as_of=round(as_of, 3))
         for upstream in joined:
             entry = upstream.entry
             self._log(
@@ -238,7 +242,7 @@
                 or upstream.draining
                 or name in tried
                 or entry.place in self.evacuated
-                or self._misdirected.get(name) == entry.seq
+                or self._misdirected.get(name) == _identity(entry)
                 or (homes and self._region(entry.place) not in homes)
                 or not self._admits_cold(upstream, service, now)
             ):
@@ -329,7 +333,23 @@
         self._weights[service] = weights
         return weights
 
-    # What answers tell.
+    # What peers and answers tell.
+
+    def fresh_loads(self, now):
+        """Return loads that answers told lately: ``[id, load, age ms]``."""
+        rows = []
+        for name, load in self._loads.items():
+            report = load.fresh_report()
+            if report is not None:
+                told, at = report
+                rows.append([name, told, int((now - at) * 1000)])
+        return rows[:LOAD_ROWS_MAX]
+
+    def on_told_load(self, name, told, at):
+        """Take the load of an upstream that a peer was told."""
+        load = self._loads.get(name)
+        if load is not None:
+            load.on_told(told, at)
 
     def on_sent(self, choice, now):
         """Count a request sent to an upstream."""
@@ -366,8 +386,8 @@
         """
         entry = choice.upstream.entry
         if reason == 'misdirected':
-            self._misdirected[entry.id] = entry.seq
-            self._log('address reused', upstream=entry.id, seq=entry.seq)
+            self._misdirected[entry.id] = _identity(entry)
+            self._log('address reused', upstream=entry.id, host=entry.host)
             return
         if choice.load.on_failure(now, at_once=reason == 'connect'):
             self._log(
@@ -376,3 +396,8 @@
                 reason=reason,
                 for_s=round(choice.load.ejected_until - now, 2),
             )
+
+
+def _identity(entry):
+    # What an upstream is known by while it runs.
+    return entry.born_ms, entry.host, entry.port
--- a/src/jasminehold/platform/wire.py
+++ b/src/jasminehold/platform/wire.py
@@ -9,6 +9,7 @@
 import math
 import typing
 
+from jasminehold.decisions import mirror
 from jasminehold.decisions import route_table
 from jasminehold.decisions import upstream_view
 from jasminehold import errors
@@ -32,6 +33,10 @@
 UPSTREAM_PREFIX = 'servers/'
 MEMBER_PREFIX = 'jasminehold/members/'
 
+# The keys that the system copies, and those of them under a lease.
+COPIED = (OPERATOR_PREFIX, UPSTREAM_PREFIX, MEMBER_PREFIX)
+LEASED = (UPSTREAM_PREFIX, MEMBER_PREFIX)
+
 # The words of the platform for the state of an upstream.
 _STATES = {
     'ready': upstream_view.READY,
@@ -44,14 +49,6 @@
     """Raised when a body from the platform cannot be decoded."""
 
 
-class Item(typing.NamedTuple):
-    """A key of the store and its value; ``value`` is None when deleted."""
-
-    key: str
-    value: bytes
-    revision: int
-
-
 class Query(typing.NamedTuple):
     """A caller's question where to connect."""
 
@@ -61,9 +58,9 @@
 
 
 def decode_items(items):
-    """Return :class:`Item` values from rows of the store."""
+    """Return :class:`~decisions.mirror.Item` values from rows of the store."""
     return [
-        Item(
+        mirror.Item(
             row['Key'],
             (
                 None
--- a/src/jasminehold/settings.py
+++ b/src/jasminehold/settings.py
@@ -95,10 +95,11 @@
 def _address_or_none(value):
     if value is None:
         return None
-    return _addresses([value])[0]
+    return addresses([value])[0]
 
 
-def _addresses(value):
+def addresses(value):
+    """Check a list of :class:`Address`; see :class:`Key`."""
     if not isinstance(value, list) or len(value) > 64:
         raise ValueError
     result = tuple(address(item) for item in value)
@@ -218,7 +219,7 @@
     ),
     text_key(
         'platform',
-        _addresses,
+        addresses,
         _ADDRESSES_TEXT,
         [],
         "Addresses of the platform's service, tried in turn.",
@@ -235,7 +236,7 @@
     ),
     text_key(
         'peers',
-        _addresses,
+        addresses,
         _ADDRESSES_TEXT,
         [],
         'Instances to start from.',
