--- a/src/jasminehold/decisions/upstream_view.py
+++ b/src/jasminehold/decisions/upstream_view.py
@@ -100,7 +100,7 @@
             joined.append(self.upstreams[entry.id])
         for key in [key for key in self.upstreams if key not in seen]:
             upstream = self.upstreams.pop(key)
-            self._departed[key] = upstream.entry
+            self._departed[key] = upstream
             left.append(upstream)
         return joined, left
 
@@ -109,6 +109,6 @@
         gone = self._departed.get(entry.id)
         return (
             gone is not None
-            and gone.state == DRAINING
-            and gone.born_ms == entry.born_ms
+            and gone.draining
+            and gone.entry.born_ms == entry.born_ms
         )
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -113,6 +113,7 @@
         self.callers = self._port(self.exchanges.on_request, callers)
         self._ready = self._port(answers.on_request, FILES_RESERVED)
         self._directory = self._port(answers.on_request, FILES_RESERVED)
+        self._metrics = self._port(self._on_scrape, FILES_RESERVED)
 
     def _port(self, on_request, conns):
         return caller.CallerPort(
@@ -123,6 +124,11 @@
         table = self.steering.table
         return table.limits if table else route_table.CallerLimits()
 
+    def _on_scrape(self, inbound):
+        headers = [(b'content-type', b'text/plain; version=0.0.4')]
+        self.metrics.set('requests_in_flight', len(self.exchanges.exchanges))
+        inbound.answer(200, headers, self.metrics.render())
+
     # Life cycle.
 
     def start(self):
@@ -131,6 +137,7 @@
         self.callers.listen(*cfg.caller_listen)
         self._ready.listen(*cfg.ready_listen)
         self._directory.listen(*cfg.directory_listen)
+        self._metrics.listen(*cfg.metrics_listen)
         self._peering.start()
         self._reader.start()
         self._presence.start()
--- a/src/jasminehold/front/cfg.py
+++ b/src/jasminehold/front/cfg.py
@@ -84,6 +84,7 @@
         'Ports free for streams between instances.',
     ),
     _listen('peer_listen', 'Address for streams between instances.'),
+    _listen('metrics_listen', 'Address of the metrics.'),
     settings.Key(
         'seeds',
         tuple,
--- a/src/jasminehold/loop.py
+++ b/src/jasminehold/loop.py
@@ -18,6 +18,7 @@
 import os
 import select
 import socket
+import struct
 import time
 import typing
 
@@ -186,6 +187,14 @@
         """Close at once and drop what was not sent."""
         self._finish(None)
 
+    def reset(self):
+        """Close at once with a reset instead of an orderly end."""
+        if not self.closed:
+            self._sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+        self._finish(None)
+
     def _update(self):
         if self.closed:
             return
--- a/src/jasminehold/standin/caller.py
+++ b/src/jasminehold/standin/caller.py
@@ -67,7 +67,7 @@
             headers: dict of further headers.
             body: bytes; a ``POST`` always has a length.
         """
-        fields = [('Host', 'loja.example')]
+        fields = [] if 'Host' in dict(headers) else [('Host', 'loja.example')]
         fields += [(name, str(value)) for name, value in dict(headers).items()]
         if body or method == 'POST':
             fields.append(('Content-Length', str(len(body))))
--- /dev/null
+++ b/tests/features/front_control.feature
@@ -0,0 +1,71 @@
+Feature: What an instance knows, and how it stops
+  Guards against old configurations, work for upstreams that leave, silent
+  loss of the store, and requests cut off by a planned stop.
+
+  Scenario: Without a configuration a request is refused as not run
+    Given an instance without a configuration
+    When a caller asks for "/browse/a"
+    Then the status is 503 with a time to come back
+
+  Scenario: A newer configuration is in force soon and an older one never
+    Given two upstreams of one service behind an instance
+    When the operator stores version 7 without the route "browse"
+    And the operator stores version 5 with all routes
+    Then a request on "/browse/a" gets 404 from within 1 s on
+
+  Scenario: A draining upstream gets nothing more
+    Given two upstreams of one service behind an instance
+    When upstream "u1" reports that it is leaving
+    Then after 1 s no request reaches "u1"
+
+  Scenario: An evacuated place gets nothing until it is taken back
+    Given two upstreams of one service behind an instance
+    And an upstream "u3" in place "sul-b"
+    When the operator evacuates "sul-a"
+    Then after 1 s all requests reach "u3"
+
+  Scenario Outline: Entries that cannot be read harm no other
+    Given two upstreams of one service behind an instance
+    When the store holds the entry <value> under "servers/bad"
+    Then requests are served and no upstream "bad" is known
+
+    Examples:
+      | value                                                          |
+      | "text"                                                         |
+      | {}                                                             |
+      | {"Service": 7, "Addr": "127.0.0.1:1", "Zone": "sul-a"}         |
+      | {"Service": "loja", "Addr": "x", "Zone": "sul-a", "Slots": 3}  |
+      | bytes                                                          |
+
+  Scenario: Routes and upstreams stay in use while the store is down
+    Given two upstreams of one service behind an instance
+    When the store is "silent" for 3 s
+    Then requests are served all the while
+
+  Scenario: A store that forgets its history is read anew
+    Given two upstreams of one service behind an instance
+    When the store forgets its history while version 9 is stored
+    Then version 9 is in force within 2.5 s
+
+  Scenario: An instance that the store refuses learns from its peers
+    Given two upstreams of one service behind an instance
+    And a second instance that the store refuses, with the first as seed
+    Then the second instance serves within 4 s
+
+  Scenario: The directory names live instances of the caller's region
+    Given two upstreams of one service behind an instance
+    And a second instance in place "norte-a"
+    Then a caller in region "sul" is sent to the first one only
+    And after a kill of the second one callers of "norte" are sent elsewhere
+
+  Scenario: A planned stop cuts off nothing and is announced
+    Given two upstreams of one service behind an instance
+    When the instance is told to stop during work of 1 s
+    Then the work is answered and the connection is closed
+    And the instance is neither ready nor named any more
+
+  Scenario: A silent upstream entry that returns keeps its upstream
+    Given two upstreams of one service behind an instance
+    When the store is "busy" for 3 s and loses the entry of "u1" meanwhile
+    And the entry of "u1" is back 1 s after the store
+    Then upstream "u1" was known all the while
--- /dev/null
+++ b/tests/features/front_path.feature
@@ -0,0 +1,77 @@
+Feature: Requests through an instance in front of upstreams
+  Guards against repeated orders, foreign or partial answers passed on, false
+  promises that a request has not run, and lost pipelined requests.
+
+  Background:
+    Given two upstreams of one service behind an instance
+
+  Scenario: A request is passed on whole and its answer is unchanged
+    When a caller asks for "/browse/a?x=1"
+    Then the status is 200 and the answer names the request
+    And the upstream saw its own id and less time than the caller has
+
+  Scenario: The longest prefix decides the service
+    When a caller asks for "/browse/special/a"
+    Then the status is 200 and upstream "w1" ran it
+
+  Scenario: A path without a route gets 404
+    When a caller asks for "/nothing/a"
+    Then the status is 404
+
+  Scenario Outline: A safe request is repeated after a faulty answer
+    When a caller asks for "/browse/a" with fault "<fault>" at one upstream
+    Then the status is 200 and the answer names the request
+    And it ran <runs> times
+
+    Examples:
+      | fault    | runs |
+      | shed     | 1    |
+      | lost     | 2    |
+      | reset    | 2    |
+      | cut      | 2    |
+      | encoded  | 2    |
+      | bare     | 2    |
+      | error    | 2    |
+      | unframed | 1    |
+      | foreign  | 1    |
+
+  Scenario Outline: An order is never sent again unless it has not run
+    When a caller orders with fault "<fault>" at one upstream
+    Then the status is <status>
+    And it ran <runs> times
+
+    Examples:
+      | fault    | status | runs |
+      | shed     | 200    | 1    |
+      | lost     | 502    | 1    |
+      | reset    | 502    | 1    |
+      | busy     | 502    | 1    |
+      | error    | 500    | 1    |
+      | unframed | 200    | 1    |
+      | foreign  | 200    | 1    |
+
+  Scenario: A second answer on a kept connection reaches no caller
+    When a caller sends 6 requests one after the other with fault "extra"
+    Then each answer names its own request
+
+  Scenario: Pipelined requests run together and are answered in order
+    When a caller pipelines 3 requests that take 0.4 s each
+    Then the answers come in order within 1.0 s
+
+  Scenario: An address that was given to another upstream runs nothing
+    Given the entry of upstream "u1" names the address of "w1"
+    When 6 callers order
+    Then all orders ran once and none at "w1"
+
+  Scenario: A caller that leaves has its work cancelled
+    When a caller leaves 0.1 s after it asked for work of 1.5 s
+    Then the upstream notices within 0.5 s
+
+  Scenario: A request without an answer ends at the route's time-out
+    When a caller asks for work of 3 s on a route of 0.5 s
+    Then the status is 504 within 0.9 s
+
+  Scenario: An upstream that refuses connections does not lose an order
+    Given upstream "u1" stopped without a word
+    When 6 callers order
+    Then all orders ran once
--- /dev/null
+++ b/tests/features/front_rules.feature
@@ -0,0 +1,59 @@
+Feature: Rules of routing, limits and membership of a front instance
+  Guards against overload that feeds itself, fleet-wide bounds broken by
+  instances that each keep their own, and stale knowledge that comes back.
+
+  Scenario: The longest prefix of the right host wins
+    Given routes for "/a/", "/a/b/" and the root of another host
+    Then "/a/b/c?x" on the first host goes to "/a/b/"
+    And "/a/c" on the first host goes to "/a/"
+    And "/ab/c" on the first host has no route
+    And "/a/b" on the first host goes to "/a/"
+
+  Scenario: A split keeps its weights in every short span
+    Given a split of 70, 20 and 10
+    Then any 50 turns in a row are within 1 of the weights
+
+  Scenario: Objects stay with their owners when an upstream leaves
+    Given 16 upstreams of equal weight and 500 objects
+    When one upstream leaves
+    Then only objects of that upstream have another first owner
+
+  Scenario: Owners are taken in proportion to the weights
+    Given 4 upstreams of weights 1, 1, 2 and 4 and 4000 objects
+    Then each first owns its share of the objects within a fifth
+
+  Scenario: A region short of room places the rest where room is left
+    Given regions with a need of 10 each and room for 4, 12 and 14
+    Then the first keeps 0.4 and gives 0.2 and 0.4 to the others
+    And the others keep everything
+
+  Scenario: Parts of the retry budget add up to the fleet's
+    Given 9 instances that each repeat as often as they may
+    When each has 200 requests in 10 s, unevenly in time
+    Then all of them together repeat at most 0.2 of the requests and 58
+
+  Scenario: A cold upstream is warmed by few, within its bound
+    Given 12 instances that send to a cold upstream as often as they may
+    When the bound is 8.15 requests a second
+    Then at most 8 requests arrive in any second and some do in each
+
+  Scenario: Readers follow each other when one falls silent
+    Given 21 instances of a region that know each other
+    When all hear the first reader
+    Then only the first one reads, at most twice a second
+    When the first two fall silent
+    Then the copies of the others are never older than 1.6 s
+
+  Scenario: The copy of the store never goes back
+    Given histories of a store that are told late, twice and in parts
+    Then the copy equals the store's keys at its revision
+
+  Scenario: Reports of a former incarnation are ignored
+    Given an upstream that started anew under its id
+    When a report of its former start arrives late
+    Then the newer one stays in use
+
+  Scenario: A drain is not taken back
+    Given an upstream that reported that it is leaving
+    When an older report without the drain is listed again
+    Then it stays out of use, also after its entry went and came back
--- /dev/null
+++ b/tests/features/steps/front_rules_steps.py
@@ -0,0 +1,315 @@
+"""Steps for the rules of a front instance; no sockets, no clocks."""
+
+import collections
+import random
+
+import behave
+import hypothesis
+from hypothesis import strategies as st
+
+from jasminehold.decisions import cold_gate
+from jasminehold.decisions import mirror as mirror_module
+from jasminehold.decisions import placement
+from jasminehold.decisions import reading
+from jasminehold.decisions import retry_share
+from jasminehold.decisions import route_table
+from jasminehold.decisions import split
+from jasminehold.decisions import upstream_view
+from tests.builders import front_values
+
+
+@behave.given('routes for "/a/", "/a/b/" and the root of another host')
+def given_routes(context):
+    routes = [
+        front_values.route('shop.example', '/a/'),
+        front_values.route('shop.example', '/a/b/'),
+        front_values.route('other.example', '/'),
+    ]
+    limits = route_table.CallerLimits()
+    context.routes = route_table.RouteTable(1, routes, [], limits)
+
+
+@behave.then('"{path}" on the first host goes to "{prefix}"')
+def then_prefix(context, path, prefix):
+    assert context.routes.match('SHOP.example', path).prefix == prefix
+
+
+@behave.then('"{path}" on the first host has no route')
+def then_no_route(context, path):
+    assert context.routes.match('shop.example', path) is None
+
+
+@behave.given('a split of 70, 20 and 10')
+def given_split(context):
+    context.choices = (('a', 70), ('b', 20), ('c', 10))
+
+
+@behave.then('any {count:d} turns in a row are within 1 of the weights')
+def then_turns(context, count):
+    turns = split.WeightedTurns()
+    taken = [turns.pick('route', context.choices) for _ in range(1000)]
+    for start in range(len(taken) - count):
+        found = collections.Counter(taken[start : start + count])
+        for name, weight in context.choices:
+            assert abs(found[name] - count * weight / 100) <= 1, found
+
+
+@behave.given('{count:d} upstreams of equal weight and {objects:d} objects')
+def given_owners(context, count, objects):
+    context.weights = {'u%d' % index: 1.0 for index in range(count)}
+    context.objects = ['route/%d' % index for index in range(objects)]
+    context.before = {
+        key: placement.owners(key, context.weights) for key in context.objects
+    }
+
+
+@behave.when('one upstream leaves')
+def when_leaves(context):
+    del context.weights['u5']
+
+
+@behave.then('only objects of that upstream have another first owner')
+def then_stable(context):
+    moved = 0
+    for key in context.objects:
+        after = placement.owners(key, context.weights)
+        before = [name for name in context.before[key] if name != 'u5']
+        assert after == before
+        moved += context.before[key][0] == 'u5'
+    assert moved
+
+
+@behave.given('4 upstreams of weights 1, 1, 2 and 4 and {objects:d} objects')
+def given_weights(context, objects):
+    context.weights = {'a': 1.0, 'b': 1.0, 'c': 2.0, 'd': 4.0}
+    context.objects = range(objects)
+
+
+@behave.then('each first owns its share of the objects within a fifth')
+def then_shares(context):
+    found = collections.Counter(
+        placement.owners('o%d' % key, context.weights)[0]
+        for key in context.objects
+    )
+    total = sum(context.weights.values())
+    for name, weight in context.weights.items():
+        share = weight / total * len(context.objects)
+        assert abs(found[name] - share) < share / 5, found
+
+
+@behave.given('regions with a need of 10 each and room for 4, 12 and 14')
+def given_regions(context):
+    context.shares = placement.region_shares(
+        {'a': 10, 'b': 10, 'c': 10}, {'a': 4, 'b': 12, 'c': 14}
+    )
+
+
+@behave.then('the first keeps 0.4 and gives 0.2 and 0.4 to the others')
+def then_overflow(context):
+    row = context.shares['a']
+    assert abs(row['a'] - 0.4) < 1e-9
+    assert abs(row['b'] - 0.2) < 1e-9 and abs(row['c'] - 0.4) < 1e-9
+
+
+@behave.then('the others keep everything')
+def then_keep(context):
+    assert context.shares['b']['b'] == context.shares['c']['c'] == 1.0
+
+
+@behave.given('{count:d} instances that each repeat as often as they may')
+def given_retries(context, count):
+    context.shares = [
+        retry_share.RetryShare(0.2, 58, 10.0) for _ in range(count)
+    ]
+
+
+@behave.when('each has {count:d} requests in 10 s, unevenly in time')
+def when_requests(context, count):
+    rng = random.Random(3)
+    events = []
+    for share in context.shares:
+        for _ in range(3 * count):
+            events.append((30 * rng.random() ** 2, rng.random(), share))
+    context.requests, context.repeats = [], []
+    for now, _, share in sorted(events, key=lambda event: event[:2]):
+        share.on_request(now)
+        context.requests.append(now)
+        while share.take(len(context.shares), now):
+            context.repeats.append(now)
+
+
+@behave.then('all of them together repeat at most 0.2 of the requests and 58')
+def then_budget(context):
+    assert context.repeats
+    for begin in context.repeats:
+        repeats = sum(begin <= at < begin + 10 for at in context.repeats)
+        requests = max(
+            sum(
+                begin + shift <= at < begin + shift + 10
+                for at in context.requests
+            )
+            for shift in (0, -5, -10)
+        )
+        assert repeats <= 0.2 * requests + 58, (begin, repeats, requests)
+
+
+@behave.given(
+    '{count:d} instances that send to a cold upstream as often as they may'
+)
+def given_cold(context, count):
+    context.names = ['i%d' % index for index in range(count)]
+
+
+@behave.when('the bound is {bound:g} requests a second')
+def when_bound(context, bound):
+    gates = {name: cold_gate.ColdGate() for name in context.names}
+    context.sent = []
+    for step in range(500):
+        now = step / 100
+        for name in context.names:
+            # One instance has not yet heard of a member that left.
+            known = context.names
+            if name == 'i3':
+                known = context.names + ['gone']
+            if name not in cold_gate.senders('u1', known):
+                continue
+            if gates[name].admits(bound, now):
+                gates[name].on_sent(now)
+                context.sent.append(now)
+
+
+@behave.then(
+    'at most {most:d} requests arrive in any second and some do in each'
+)
+def then_cold(context, most):
+    for begin in context.sent:
+        count = sum(begin <= at < begin + 1 for at in context.sent)
+        assert count <= most, count
+    for second in range(5):
+        assert any(second <= at < second + 1 for at in context.sent)
+
+
+@behave.given('{count:d} instances of a region that know each other')
+def given_readers(context, count):
+    names = ['i%d' % index for index in range(count)]
+    context.ranks = {name: reading.rank(name, names) for name in names}
+
+
+def _play_reading(context, silent):
+    # Each read and each message takes 50 ms; ticks come every 100 ms.
+    ages = {name: 0.0 for name in context.ranks}
+    reads, oldest = collections.Counter(), 0.0
+    due = []
+    for step in range(200):
+        now = step / 10
+        for at, reader in [item for item in due if item[0] <= now]:
+            due.remove((at, reader))
+            for name in ages:
+                ages[name] = max(ages[name], at - 0.05)
+        for name, rank in context.ranks.items():
+            if rank in silent:
+                continue
+            oldest = max(oldest, now - ages[name])
+            pending = any(reader == name for _, reader in due)
+            if now - ages[name] >= reading.threshold_s(rank) and not pending:
+                reads[rank] += 1
+                due.append((now + 0.1, name))
+    return reads, oldest
+
+
+@behave.when('all hear the first reader')
+def when_all_hear(context):
+    context.reads, context.oldest = _play_reading(context, ())
+
+
+@behave.then('only the first one reads, at most twice a second')
+def then_first_reads(context):
+    assert set(context.reads) == {0}, context.reads
+    assert context.reads[0] <= 40
+
+
+@behave.when('the first two fall silent')
+def when_silent(context):
+    context.reads, context.oldest = _play_reading(context, (0, 1))
+
+
+@behave.then('the copies of the others are never older than {seconds:g} s')
+def then_fresh(context, seconds):
+    assert context.reads
+    assert context.oldest <= seconds, context.oldest
+
+
+@behave.given('histories of a store that are told late, twice and in parts')
+def given_histories(context):
+    keys = st.sampled_from(['op/a', 'servers/a', 'servers/b', 'members/a'])
+    history = st.lists(st.tuples(keys, st.booleans()), max_size=12)
+    parts = st.lists(st.tuples(st.integers(0, 12), st.integers(0, 12)))
+
+    @hypothesis.settings(
+        database=None, derandomize=True, max_examples=400, deadline=None
+    )
+    @hypothesis.given(history, parts)
+    def play(changes, told):
+        events = [
+            mirror_module.Item(key, None if gone else b'%d' % index, index + 1)
+            for index, (key, gone) in enumerate(changes)
+        ]
+        copy = mirror_module.Mirror(('none/',), 1.0, 1.0)
+        copy.replace([], 0, 0.0, 0.0)
+        for low, high in told:
+            low, high = sorted((min(low, len(events)), min(high, len(events))))
+            copy.apply(events[low:high], low, high, 0.0, 0.0)
+            truth = {}
+            for item in events[: copy.revision]:
+                truth[item.key] = item
+                if item.value is None:
+                    del truth[item.key]
+            assert copy.items == truth, (copy.items, truth)
+
+    context.play = play
+
+
+@behave.then("the copy equals the store's keys at its revision")
+def then_equal(context):
+    context.play()
+
+
+@behave.given('an upstream that started anew under its id')
+def given_reborn(context):
+    context.view = upstream_view.UpstreamView()
+    context.view.on_list([front_values.entry('u1', born_ms=100)], 0.0)
+    context.view.on_list([front_values.entry('u1', born_ms=200, port=81)], 1.0)
+
+
+@behave.when('a report of its former start arrives late')
+def when_former(context):
+    context.view.on_list([front_values.entry('u1', born_ms=100, seq=900)], 2.0)
+
+
+@behave.then('the newer one stays in use')
+def then_newer(context):
+    found = context.view.upstreams['u1']
+    assert found.entry.born_ms == 200 and found.entry.port == 81
+
+
+@behave.given('an upstream that reported that it is leaving')
+def given_leaving(context):
+    context.view = upstream_view.UpstreamView()
+    context.view.on_list([front_values.entry('u1', seq=1)], 0.0)
+    context.view.on_list(
+        [front_values.entry('u1', seq=2, state='draining')], 1.0
+    )
+
+
+@behave.when('an older report without the drain is listed again')
+def when_older(context):
+    context.view.on_list([front_values.entry('u1', seq=1)], 2.0)
+
+
+@behave.then('it stays out of use, also after its entry went and came back')
+def then_out(context):
+    assert context.view.upstreams['u1'].draining
+    context.view.on_list([], 3.0)
+    context.view.on_list([front_values.entry('u1', seq=1)], 4.0)
+    found = context.view.upstreams.get('u1')
+    assert found is None or found.draining
--- /dev/null
+++ b/tests/features/steps/front_steps.py
@@ -0,0 +1,484 @@
+"""Steps for front instances over real sockets."""
+
+import json
+import time
+
+import behave
+
+from jasminehold.standin import caller
+from tests.builders import front_rig
+
+
+def _rig(context, **kwargs):
+    rig = front_rig.FrontRig(**kwargs)
+    context.rig = rig
+    context.add_cleanup(rig.stop)
+    return rig
+
+
+@behave.given('two upstreams of one service behind an instance')
+def given_instance(context):
+    rig = _rig(context)
+    rig.start()
+    rig.wait_ready()
+
+
+@behave.given('an instance without a configuration')
+def given_unconfigured(context):
+    rig = _rig(context, configured=False)
+    rig.start()
+    rig.wait(lambda: rig.apps['i1'].steering.view.upstreams, 'upstreams known')
+
+
+def _ask(context, path, method='GET', **headers):
+    context.request_id = 'q%d' % time.monotonic_ns()
+    headers.setdefault('Cookie', 'X-Affinity-Key=7')
+    begin = time.monotonic()
+    context.reply = context.rig.ask(
+        path, method, X_Request_Id=context.request_id, **headers
+    )
+    context.seconds = time.monotonic() - begin
+
+
+@behave.when('a caller asks for "{path}"')
+def when_ask(context, path):
+    _ask(context, path)
+
+
+@behave.when('a caller asks for "{path}" with fault "{fault}" at one upstream')
+def when_ask_fault(context, path, fault):
+    _ask(context, path, X_Fault=fault, X_Fault_At=_owner(context, 'browse'))
+
+
+@behave.when('a caller orders with fault "{fault}" at one upstream')
+def when_order_fault(context, fault):
+    owner = _owner(context, 'order')
+    _ask(context, '/order/a', 'POST', X_Fault=fault, X_Fault_At=owner)
+
+
+def _owner(context, route):
+    # The upstream that gets the requests of this test's object first.
+    steering = context.rig.apps['i1'].steering
+    ranked = steering._ranked('loja', '%s/7' % route, {'u1', 'u2'})
+    return ranked[0]
+
+
+@behave.then('the status is {status:d}')
+def then_status(context, status):
+    assert context.reply.status == status, context.reply
+
+
+@behave.then('the status is {status:d} within {seconds:g} s')
+def then_status_within(context, status, seconds):
+    assert context.reply.status == status, context.reply
+    assert context.seconds < seconds, context.seconds
+
+
+@behave.then('the status is 503 with a time to come back')
+def then_come_back(context):
+    assert context.reply.status == 503, context.reply
+    assert float(context.reply.headers['retry-after']) > 0
+
+
+@behave.then('the status is {status:d} and the answer names the request')
+def then_named(context, status):
+    then_status(context, status)
+    doc = json.loads(context.reply.body)
+    assert doc['id'] == context.request_id, doc
+    assert 'x-server-seal' in context.reply.headers
+
+
+@behave.then('the status is {status:d} and upstream "{name}" ran it')
+def then_ran_at(context, status, name):
+    then_status(context, status)
+    assert context.rig.upstreams[name].runs[context.request_id] == 1
+
+
+@behave.then('the upstream saw its own id and less time than the caller has')
+def then_seen(context):
+    for name, item in context.rig.upstreams.items():
+        seen = item.seen.get(context.request_id)
+        if seen is not None:
+            assert seen[b'x-expect-instance'] == name.encode()
+            assert 0 < int(seen[b'x-timeout-ms']) <= 2000
+            return
+    raise AssertionError('no upstream saw the request')
+
+
+@behave.then('it ran {count:d} times')
+def then_ran(context, count):
+    assert context.rig.runs(context.request_id) == count
+
+
+@behave.when(
+    'a caller sends {count:d} requests one after the other with fault "extra"'
+)
+def when_extra(context, count):
+    context.replies = []
+    for index in range(count):
+        request_id = 'e%d' % index
+        reply = context.rig.ask(
+            '/browse/a', X_Request_Id=request_id, X_Fault='extra'
+        )
+        context.replies.append((request_id, reply))
+
+
+@behave.then('each answer names its own request')
+def then_own(context):
+    for request_id, reply in context.replies:
+        assert reply.status == 200, reply
+        assert json.loads(reply.body)['id'] == request_id
+
+
+@behave.when('a caller pipelines {count:d} requests that take {work:g} s each')
+def when_pipeline(context, count, work):
+    for item in context.rig.upstreams.values():
+        item.work_s = work
+    context.ids = ['p%d' % index for index in range(count)]
+    client = context.rig.client()
+    context.begin = time.monotonic()
+    client.sock.sendall(front_rig.pipelined(context.ids))
+    data = b''
+    while data.count(b'"length"') < count:
+        chunk = client.sock.recv(65536)
+        assert chunk, data
+        data += chunk
+    context.seconds = time.monotonic() - context.begin
+    context.data = data.decode()
+    client.close()
+
+
+@behave.then('the answers come in order within {seconds:g} s')
+def then_order(context, seconds):
+    places = [context.data.index('"id": "%s"' % name) for name in context.ids]
+    assert places == sorted(places)
+    assert context.seconds < seconds, context.seconds
+
+
+@behave.given('the entry of upstream "{name}" names the address of "{other}"')
+def given_reused(context, name, other):
+    rig = context.rig
+    entry = rig.upstreams[other].entry('loja', 'sul-a', Seq=9)
+    rig.put('servers/' + name, entry)
+    steering = rig.apps['i1'].steering
+    rig.wait(
+        lambda: steering.view.upstreams[name].entry.port
+        == rig.upstreams[other].port,
+        'new address',
+    )
+
+
+@behave.when('{count:d} callers order')
+def when_orders(context, count):
+    context.orders = ['o%d' % index for index in range(count)]
+    context.replies = [
+        context.rig.ask(
+            '/order/a',
+            'POST',
+            X_Request_Id=name,
+            Cookie='X-Affinity-Key=%d' % index,
+        )
+        for index, name in enumerate(context.orders)
+    ]
+
+
+@behave.then('all orders ran once')
+def then_orders(context):
+    assert [reply.status for reply in context.replies] == [200] * len(
+        context.orders
+    ), context.replies
+    assert all(context.rig.runs(name) == 1 for name in context.orders)
+
+
+@behave.then('all orders ran once and none at "{name}"')
+def then_orders_not_at(context, name):
+    then_orders(context)
+    assert not context.rig.upstreams[name].runs
+
+
+@behave.when(
+    'a caller leaves {after:g} s after it asked for work of {work:g} s'
+)
+def when_leave(context, after, work):
+    for item in context.rig.upstreams.values():
+        item.work_s = work
+    client = context.rig.client()
+    headers = front_rig.request_headers({'X_Request_Id': 'gone'})
+    client.send('GET', '/browse/a', headers)
+    time.sleep(after)
+    client.close()
+
+
+@behave.then('the upstream notices within {seconds:g} s')
+def then_cancelled(context, seconds):
+    time.sleep(seconds)
+    open_conns = sum(
+        len(item.conns) for item in context.rig.upstreams.values()
+    )
+    assert open_conns == 0, open_conns
+
+
+@behave.when('a caller asks for work of {work:g} s on a route of 0.5 s')
+def when_slow(context, work):
+    rig = context.rig
+    for item in rig.upstreams.values():
+        item.work_s = work
+    rule = front_rig.route('slow', '/slow/', 'loja', TimeoutMs=500)
+    rig.put('op/config', front_rig.configuration(2, [rule]))
+    rig.wait(lambda: rig.apps['i1'].steering.table.version == 2, 'version 2')
+    _ask(context, '/slow/a')
+
+
+@behave.given('upstream "{name}" stopped without a word')
+def given_stopped(context, name):
+    rig = context.rig
+    rig.call(rig.upstreams[name].stop)
+
+
+@behave.when(
+    'the operator stores version {number:d} without the route "browse"'
+)
+def when_without(context, number):
+    rules = [rule for rule in front_rig.RULES if rule['Name'] == 'order']
+    context.rig.put('op/config', front_rig.configuration(number, rules))
+
+
+@behave.when('the operator stores version {number:d} with all routes')
+def when_all_routes(context, number):
+    rig = context.rig
+    rig.wait(lambda: rig.apps['i1'].steering.table.version > 1, 'a version')
+    rules = list(front_rig.RULES)
+    rig.put('op/config', front_rig.configuration(number, rules))
+
+
+@behave.then('a request on "{path}" gets 404 from within 1 s on')
+def then_gone_route(context, path):
+    time.sleep(1.0)
+    for _ in range(5):
+        assert context.rig.ask(path).status == 404
+        time.sleep(0.1)
+
+
+@behave.when('upstream "{name}" reports that it is leaving')
+def when_draining(context, name):
+    rig = context.rig
+    entry = rig.upstreams[name].entry('loja', 'sul-a', State='draining', Seq=2)
+    rig.put('servers/' + name, entry)
+
+
+@behave.then('after 1 s no request reaches "{name}"')
+def then_nothing_reaches(context, name):
+    time.sleep(1.0)
+    before = context.rig.upstreams[name].arrivals
+    for index in range(8):
+        reply = context.rig.ask(
+            '/browse/a', Cookie='X-Affinity-Key=%d' % index
+        )
+        assert reply.status == 200
+    assert context.rig.upstreams[name].arrivals == before
+
+
+@behave.given('an upstream "{name}" in place "{place}"')
+def given_other_place(context, name, place):
+    rig = context.rig
+    rig.call(rig.add_upstream, name, 'loja', place)
+
+
+@behave.when('the operator evacuates "{place}"')
+def when_evacuate(context, place):
+    context.rig.put('op/evacuate/' + place, {})
+
+
+@behave.then('after 1 s all requests reach "{name}"')
+def then_all_reach(context, name):
+    time.sleep(1.0)
+    before = context.rig.upstreams[name].arrivals
+    for index in range(8):
+        reply = context.rig.ask(
+            '/browse/a', Cookie='X-Affinity-Key=%d' % index
+        )
+        assert reply.status == 200, reply
+    assert context.rig.upstreams[name].arrivals == before + 8
+
+
+@behave.when('the store holds the entry {value} under "{key}"')
+def when_bad_entry(context, value, key):
+    doc = b'\xff\x00\x9a' if value == 'bytes' else json.loads(value)
+    context.rig.put(key, doc)
+
+
+@behave.then('requests are served and no upstream "{name}" is known')
+def then_bad_unknown(context, name):
+    time.sleep(0.9)
+    rig = context.rig
+    assert rig.ask('/browse/a').status == 200
+    assert set(rig.apps['i1'].steering.view.upstreams) == {'u1', 'u2', 'w1'}
+
+
+@behave.when('the store is "{mode}" for {seconds:g} s')
+def when_store_down(context, mode, seconds):
+    rig = context.rig
+    rig.call(rig.store.set_faults, mode=mode)
+    context.statuses = []
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        context.statuses.append(rig.ask('/browse/a').status)
+        time.sleep(0.1)
+    rig.call(rig.store.set_faults)
+
+
+@behave.then('requests are served all the while')
+def then_served(context):
+    assert set(context.statuses) == {200}, context.statuses
+
+
+@behave.when(
+    'the store forgets its history while version {number:d} is stored'
+)
+def when_forget(context, number):
+    rig = context.rig
+
+    def change():
+        rig.store.put(
+            'op/config', front_rig.configuration(number, list(front_rig.RULES))
+        )
+        rig.store.forget_history()
+
+    rig.call(change)
+
+
+@behave.then('version {number:d} is in force within {seconds:g} s')
+def then_in_force(context, number, seconds):
+    end = time.monotonic() + seconds
+    steering = context.rig.apps['i1'].steering
+    while time.monotonic() < end and steering.table.version != number:
+        time.sleep(0.02)
+    assert steering.table.version == number
+
+
+@behave.given(
+    'a second instance that the store refuses, with the first as seed'
+)
+def given_refused(context):
+    rig = context.rig
+    rig.call(rig.store.set_faults, mode='busy')
+    seed = rig.apps['i1'].cfg.peer_listen
+    rig.start('i2', 'sul-b', [seed], 2)
+
+
+@behave.then('the second instance serves within {seconds:g} s')
+def then_second(context, seconds):
+    rig = context.rig
+    end = time.monotonic() + seconds
+    status = None
+    while time.monotonic() < end and status != 200:
+        status = rig.ask('/browse/a', name='i2').status
+        time.sleep(0.1)
+    assert status == 200, status
+
+
+@behave.given('a second instance in place "{place}"')
+def given_second(context, place):
+    rig = context.rig
+    rig.start('i2', place, (), 2)
+    rig.wait_ready('i2')
+    rig.wait(
+        lambda: set(rig.apps['i1'].steering.instances) == {'i1', 'i2'},
+        'both instances known',
+    )
+
+
+def _named(rig, region, name='i1'):
+    port = rig.apps[name].cfg.directory_listen.port
+    client = caller.Client(port)
+    path = '/api/resolve?Name=shop.example&Region=%s&Zone=x' % region
+    doc = json.loads(client.ask('GET', path).body)
+    client.close()
+    assert 0 < doc['TtlS'] <= 5
+    return set(doc['Addrs'])
+
+
+def _address(rig, name):
+    return '%s:%d' % rig.apps[name].cfg.caller_listen
+
+
+@behave.then('a caller in region "{region}" is sent to the first one only')
+def then_first_only(context, region):
+    rig = context.rig
+    assert _named(rig, region) == {_address(rig, 'i1')}
+
+
+@behave.then(
+    'after a kill of the second one callers of "{region}" are sent elsewhere'
+)
+def then_elsewhere(context, region):
+    rig = context.rig
+    assert _named(rig, region) == {_address(rig, 'i2')}
+    rig.apps['i2'].stop()
+    rig.wait(
+        lambda: _named(rig, region) == {_address(rig, 'i1')},
+        'the first instance named alone',
+    )
+
+
+@behave.when('the instance is told to stop during work of {work:g} s')
+def when_stop(context, work):
+    rig = context.rig
+    for item in rig.upstreams.values():
+        item.work_s = work
+    context.client = rig.client()
+    headers = front_rig.request_headers({'X_Request_Id': 'last'})
+    context.client.send('GET', '/browse/a', headers)
+    time.sleep(0.1)
+    app = rig.apps['i1']
+    rig.on_loop(app.loop, app.leave)
+
+
+@behave.then('the work is answered and the connection is closed')
+def then_answered(context):
+    reply = context.client.read()
+    assert reply.status == 200 and reply.whole, reply
+    assert reply.headers.get('connection') == 'close'
+    context.client.close()
+
+
+@behave.then('the instance is neither ready nor named any more')
+def then_not_ready(context):
+    rig = context.rig
+    client = caller.Client(rig.apps['i1'].cfg.ready_listen.port)
+    assert client.ask('GET', '/api/ready').status == 503
+    client.close()
+    assert not rig.call(rig.store.state.list, 'jasminehold/members/', '')[0]
+
+
+@behave.when(
+    'the store is "{mode}" for {seconds:g} s and loses the entry of "{name}"'
+    ' meanwhile'
+)
+def when_lapse(context, mode, seconds, name):
+    rig = context.rig
+    context.known = []
+    rig.call(rig.store.set_faults, mode=mode)
+    rig.call(rig.store.delete, 'servers/' + name)
+    time.sleep(seconds)
+    rig.call(rig.store.set_faults)
+
+
+@behave.when('the entry of "{name}" is back {seconds:g} s after the store')
+def when_back(context, name, seconds):
+    rig = context.rig
+    view = rig.apps['i1'].steering.view
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        context.known.append(name in view.upstreams)
+        time.sleep(0.02)
+    rig.put('servers/' + name, rig.upstreams[name].entry('loja', 'sul-a'))
+    end = time.monotonic() + 2.5
+    while time.monotonic() < end:
+        context.known.append(name in view.upstreams)
+        time.sleep(0.02)
+
+
+@behave.then('upstream "{name}" was known all the while')
+def then_known(context, name):
+    assert all(context.known), context.known.count(False)
