--- a/src/jasminehold/decisions/retry_share.py
+++ b/src/jasminehold/decisions/retry_share.py
@@ -18,7 +18,9 @@
 
     # Part of the budget that is used; the rest covers views of the fleet's
     # size that differ for a moment.
-    USED = 0.8
+    USED = 0.9
+    # Part that only urgent requests may use.
+    RESERVED = 0.3
 
     def __init__(self, ratio, burst, window_s):
         self._ratio = ratio
@@ -32,18 +34,21 @@
         self._requests.append(now)
         self._trim(self._requests, now)
 
-    def take(self, instances, now):
+    def take(self, instances, now, urgent=True):
         """Return whether one repeat may be sent, and count it.
 
         Args:
             instances: size of the fleet.
             now: monotonic seconds.
+            urgent: whether the reserved part may be used.
         """
         self._trim(self._requests, now)
         self._trim(self._repeats, now)
         allowed = self.USED * (
             self._ratio * len(self._requests) + self._burst / max(instances, 1)
         )
+        if not urgent:
+            allowed *= 1.0 - self.RESERVED
         if len(self._repeats) + 1 > allowed:
             return False
         self._repeats.append(now)
--- a/src/jasminehold/decisions/route_table.py
+++ b/src/jasminehold/decisions/route_table.py
@@ -73,12 +73,18 @@
         routes: list of :class:`Route`.
         services: list of :class:`Service`.
         limits: the :class:`CallerLimits`.
+
+    Attributes:
+        first_priority: rank of the most urgent routes.
     """
 
     def __init__(self, version, routes, services, limits):
         self.version = version
         self.limits = limits
         self.services = {service.name: service for service in services}
+        self.first_priority = min(
+            (route.priority for route in routes), default=0
+        )
         self._hosts = {}
         for route in routes:
             prefixes = self._hosts.setdefault(route.host, {})
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -14,6 +14,9 @@
 LAST_SEND_PART = 0.1
 # Upstreams that one request may crash before it is no longer sent.
 CRASHES_MAX = 2
+# Times that a request is sent again to an upstream that rejected it although
+# it told of free slots.
+FLIPS_MAX = 2
 _MAX_DEADLINE_MS = 24 * 3600 * 1000
 
 _DROPPED = proxy_exchange.HOP_BY_HOP | {
@@ -51,7 +54,11 @@
         self._sends = 0
         self._may_have_run = False
         self._crashes = 0
-        self._tried = []
+        self._returned = False
+        # Upstreams that it was sent to, and those that it may not go to.
+        self._servers = set()
+        self._tried = set()
+        self._flips = 0
         self._attempts = []
         self._ended = False
         self._last_failure = None
@@ -70,7 +77,9 @@
         left = route.timeout_s
         told = self._values.get(wire.DEADLINE_MS, b'')
         if told.isdigit():
-            left = min(left, min(int(told), _MAX_DEADLINE_MS) / 1000)
+            told_s = min(int(told), _MAX_DEADLINE_MS) / 1000
+            self._returned = self._steering.returned(route, told_s)
+            left = min(left, told_s)
         self._deadline = now + left
         self._service = self._steering.service(route, now)
         self._key = wire.object_key(inbound.headers)
@@ -91,6 +100,7 @@
             self._key if self._route.sticky else '',
             str(self._id),
             self._tried,
+            self._servers_left(),
             left,
             now,
         )
@@ -102,7 +112,7 @@
             return
         self._choice = found
         entry = found.upstream.entry
-        self._tried.append(entry.id)
+        self._tried.add(entry.id)
         self._steering.on_sent(found, now)
 
         def ready(conn, reused):
@@ -122,11 +132,17 @@
             failed,
         )
 
+    def _servers_left(self):
+        if len(self._servers) < self._route.max_attempts:
+            return None
+        return self._servers
+
     def _send(self, conn, reused):
         now = self._loop.now()
         self._conn = conn
         self._sent_at = now
         self._sends += 1
+        self._servers.add(self._choice.upstream.entry.id)
         self._may_have_run = True
         left_ms = max(int((self._deadline - now) * 1000), 1)
         headers = proxy_exchange.without(self._inbound.headers, _DROPPED)
@@ -201,6 +217,12 @@
             self._choice.load.on_full(now)
         choice = self._release(reason)
         self._may_have_run = self._crashes > 0
+        if report is not None and report[0] < report[2]:
+            # It rejects at random although it has room; the object's owner
+            # is still the best place.
+            self._flips += 1
+            if self._flips <= FLIPS_MAX:
+                self._tried.discard(choice.upstream.entry.id)
         self._steering.on_failed(choice, reason, now)
         if self._may_repeat(now):
             self._try()
@@ -229,9 +251,11 @@
     def _may_repeat(self, now):
         left = self._deadline - now
         return (
-            self._sends < self._route.max_attempts
+            self._sends < self._route.max_attempts + FLIPS_MAX
             and left > LAST_SEND_PART * self._route.aim_s
-            and self._steering.may_repeat(self._service, now)
+            and self._steering.may_repeat(
+                self._route, self._service, self._returned, now
+            )
         )
 
     def _pause(self):
@@ -312,6 +336,7 @@
             object=self._key,
             outcome=outcome,
             reason=reason,
+            returned=self._returned,
             seconds=round(seconds, 4),
             left_s=round(self._deadline - now, 3),
             sends=self._attempts,
--- a/src/jasminehold/front/presence.py
+++ b/src/jasminehold/front/presence.py
@@ -7,8 +7,8 @@
 
 # The entry of a killed instance has to be gone before the directory may no
 # longer name it, 6 s after its end.
-LEASE_S = 3.0
-RENEW_EVERY_S = 1.0
+LEASE_S = 4.0
+RENEW_EVERY_S = 1.5
 RETRY_S = 0.5
 
 
--- a/src/jasminehold/front/reader.py
+++ b/src/jasminehold/front/reader.py
@@ -76,29 +76,23 @@
         self.mirror.as_of = None
 
     def _read_all(self, sent_at):
-        found = []
-        prefixes = list(wire.COPIED)
-
-        def step(result, exc):
+        def done(result, exc):
             if exc is not None:
                 self._on_failed(exc)
                 return
-            found.append(result)
-            if prefixes:
-                self._store.range(prefixes.pop(0), step)
-                return
-            # The lists are no snapshot: what changed between them comes
-            # with the changes after the first one's revision.
-            revision = found[0].revision
-            items = [item for part in found for item in part.items]
             self._finish_read()
+            items = [
+                item
+                for item in result.items
+                if item.key.startswith(wire.COPIED)
+            ]
             changed = self.mirror.replace(
-                items, revision, sent_at, self._loop.now()
+                items, result.revision, sent_at, self._loop.now()
             )
             self._on_news(None, 0, self.mirror.revision)
             self._tell(changed)
 
-        self._store.range(prefixes.pop(0), step)
+        self._store.range('', done)
 
     def _read_changes(self, sent_at):
         before = self.mirror.revision
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -19,6 +19,8 @@
 OWNERS = 2
 # Queue that an upstream is given beyond its slots, in multiples of them.
 QUEUE_FACTOR = 2.0
+# A caller whose time is less than this part of the usual one came back.
+RETURNED_PART = 0.97
 # Share of the fleet's capacity that demand is taken to use; what a region
 # needs beyond its own part is placed in the others.
 PLANNED_USE = 0.7
@@ -86,6 +88,7 @@
         self._times = {}
         self._owners = {}
         self._weights = {}
+        self._usual_wait = {}
 
     # What is learnt.
 
@@ -169,10 +172,32 @@
         self._retry_share(name).on_request(now)
         return name
 
-    def may_repeat(self, service, now):
-        """Take one repeat out of the budget; returns whether it is there."""
+    def may_repeat(self, route, service, returned, now):
+        """Take one repeat out of the budget; returns whether it is there.
+
+        Args:
+            route: the request's route.
+            service: the service it goes to.
+            returned: whether its caller was rejected before.
+            now: monotonic seconds.
+        """
         fleet = len(self.instances) or FLEET_UNKNOWN
-        return self._retry_share(service).take(fleet, now)
+        urgent = returned or route.priority <= self.table.first_priority
+        return self._retry_share(service).take(fleet, now, urgent)
+
+    def returned(self, route, told_s):
+        """Return whether a caller that waits this long came back.
+
+        Callers give a first request of a route the same time; one that was
+        rejected has less left.
+
+        Args:
+            route: the request's route.
+            told_s: seconds that the caller will wait.
+        """
+        usual = max(told_s, self._usual_wait.get(route.name, 0.0))
+        self._usual_wait[route.name] = usual
+        return told_s < RETURNED_PART * usual
 
     def _retry_share(self, service):
         if service not in self._retries:
@@ -183,7 +208,7 @@
             )
         return self._retries[service]
 
-    def pick(self, route, service, key, request_id, tried, left_s, now):
+    def pick(self, route, service, key, request_id, tried, only, left_s, now):
         """Return a :class:`Choice` or a :class:`Refusal`.
 
         Args:
@@ -191,11 +216,12 @@
             service: the service it goes to.
             key: the object's key, '' for none.
             request_id: the request's own id, text.
-            tried: ids of upstreams that it was sent to before.
+            tried: ids of upstreams that it must not be sent to.
+            only: ids of the upstreams left to it, None for all.
             left_s: seconds until the request's deadline.
             now: monotonic seconds.
         """
-        upstreams = self._usable(route, service, tried, now)
+        upstreams = self._usable(route, service, tried, only, now)
         if not upstreams:
             return Refusal(Kind.OVERLOADED, PAUSE_S, 'no usable upstream')
         ranked = self._ranked(service, key or request_id, upstreams)
@@ -232,7 +258,7 @@
             why,
         )
 
-    def _usable(self, route, service, tried, now):
+    def _usable(self, route, service, tried, only, now):
         homes = route.home_regions
         usable, held = {}, {}
         for name, upstream in self.view.upstreams.items():
@@ -241,6 +267,7 @@
                 entry.service != service
                 or upstream.draining
                 or name in tried
+                or (only is not None and name not in only)
                 or entry.place in self.evacuated
                 or self._misdirected.get(name) == _identity(entry)
                 or (homes and self._region(entry.place) not in homes)
@@ -389,6 +416,9 @@
             self._misdirected[entry.id] = _identity(entry)
             self._log('address reused', upstream=entry.id, host=entry.host)
             return
+        if reason == 'shed':
+            # The load that it told decides, not the rejection.
+            return
         if choice.load.on_failure(now, at_once=reason == 'connect'):
             self._log(
                 'upstream left out',
--- a/src/jasminehold/platform/kv.py
+++ b/src/jasminehold/platform/kv.py
@@ -60,8 +60,13 @@
         )
 
     def range(self, prefix, done):
-        """Read all items under a prefix: :class:`Range`."""
+        """Read all items under a prefix: :class:`Range`.
+
+        Pages are no snapshot; the result has the first one's revision, so
+        that changes read from there on complete it.
+        """
         items = []
+        first = None
 
         def page(after):
             query = {'Prefix': prefix}
@@ -80,12 +85,14 @@
             if exc is not None:
                 done(None, exc)
                 return
+            nonlocal first
             rows, more, revision = result
+            first = revision if first is None else first
             items.extend(rows)
             if more and rows:
                 page(rows[-1].key)
             else:
-                done(Range(items, revision), None)
+                done(Range(items, first), None)
 
         page('')
 
