--- a/src/jasminehold/decisions/mirror.py
+++ b/src/jasminehold/decisions/mirror.py
@@ -71,9 +71,12 @@
         self._refresh(as_of, now)
         changed = set()
         seen = set()
+        reached = self.revision
         for item in items:
             seen.add(item.key)
-            changed |= self._put(item)
+            # An older item that this copy lacks was deleted since.
+            if item.key in self.items or item.revision > reached:
+                changed |= self._put(item)
         for key in [key for key in self.items if key not in seen]:
             if self.items[key].revision <= revision:
                 changed |= self._drop(key, now)
@@ -121,6 +124,12 @@
             self.items.pop(key, None)
         return gone
 
+    def listed(self):
+        """Return the items that the store still has, without lapsed ones."""
+        return [
+            item for key, item in self.items.items() if key not in self._lapsed
+        ]
+
     def under(self, prefix):
         """Return ``{key: Item}`` of the keys under a prefix."""
         return {
--- a/src/jasminehold/front/peering.py
+++ b/src/jasminehold/front/peering.py
@@ -177,7 +177,7 @@
         age = copy.age(self._loop.now())
         reply(
             {
-                'items': [list(item) for item in copy.items.values()],
+                'items': [list(item) for item in copy.listed()],
                 'revision': copy.revision,
                 'age': int(min(age, 3600.0) * 1000),
             }
--- a/tests/features/front_rules.feature
+++ b/tests/features/front_rules.feature
@@ -48,6 +48,13 @@
     Given histories of a store that are told late, twice and in parts
     Then the copy equals the store's keys at its revision
 
+  Scenario: A copy with lapsed keys does not bring them back elsewhere
+    Given a copy that keeps the lapsed key "servers/a" after an outage
+    And a copy of a peer that saw "servers/a" deleted
+    When the peer takes the first copy's list
+    Then the peer does not know "servers/a"
+    And after 2.2 s the first copy does not either
+
   Scenario: Reports of a former incarnation are ignored
     Given an upstream that started anew under its id
     When a report of its former start arrives late
--- a/tests/features/steps/front_rules_steps.py
+++ b/tests/features/steps/front_rules_steps.py
@@ -274,6 +274,47 @@
     context.play()
 
 
+def _item(key, revision, value=b'x'):
+    return mirror_module.Item(key, value, revision)
+
+
+@behave.given('a copy that keeps the lapsed key "{key}" after an outage')
+def given_lapsed(context, key):
+    context.first = mirror_module.Mirror(('servers/',), 2.2, 2.4)
+    context.first.replace([_item(key, 3), _item('op/a', 4)], 4, 0.0, 0.0)
+    context.first.replace([_item('op/a', 4)], 9, 10.0, 10.0)
+    assert key in context.first.items
+
+
+@behave.given('a copy of a peer that saw "{key}" deleted')
+def given_peer_copy(context, key):
+    context.peer = mirror_module.Mirror(('servers/',), 2.2, 2.4)
+    context.peer.replace([_item(key, 3), _item('op/a', 4)], 4, 0.0, 0.0)
+    context.peer.apply([_item(key, 6, None)], 4, 6, 1.0, 1.0)
+
+
+@behave.when("the peer takes the first copy's list")
+def when_takes(context):
+    first = context.first
+    # The list as sent, and one as an instance of an older version sends it.
+    context.peer.replace(first.listed(), first.revision, 10.0, 10.1)
+    context.peer.revision = 6
+    context.peer.replace(
+        list(first.items.values()), first.revision, 10.0, 10.1
+    )
+
+
+@behave.then('the peer does not know "{key}"')
+def then_unknown(context, key):
+    assert key not in context.peer.items
+
+
+@behave.then('after 2.2 s the first copy does not either')
+def then_settled(context):
+    assert context.first.settle(12.2) == {'servers/a'}
+    assert 'servers/a' not in context.first.items
+
+
 @behave.given('an upstream that started anew under its id')
 def given_reborn(context):
     context.view = upstream_view.UpstreamView()
