Return from a cut sooner, and drop lapsed keys when a peer saw the store

Connection attempts to the store last 0.5 s, a read that did not leave is tried again after 0.15 s, and a peer whose copy was fresh all the while ends the waiting.

--- a/src/jasminehold/decisions/mirror.py
+++ b/src/jasminehold/decisions/mirror.py
@@ -32,12 +32,15 @@
         revision: revision of the store that the copy has reached.
         as_of: monotonic seconds at which the copy was true, None before the
             first read.
+        steady_since: monotonic seconds since when the copy has been fresh.
     """
 
     def __init__(self, leased, return_s, outage_s):
         self.items = {}
         self.revision = 0
         self.as_of = None
+        self.steady_since = 0.0
+        self._lost_from = 0.0
         self._leased = leased
         self._return_s = return_s
         self._outage_s = outage_s
@@ -114,6 +117,15 @@
         self.revision = max(reached, revision)
         return changed
 
+    def on_steady_peer(self, since, now):
+        """Note that a peer's copy has been fresh since a time.
+
+        When that reaches back to before this copy was lost, the store was
+        there all the while, and no key has lapsed for its absence.
+        """
+        if self._settled_at is not None and since <= self._lost_from:
+            self._settled_at = now
+
     def settle(self, now):
         """Drop lapsed keys that did not return; returns those keys."""
         if self._settled_at is None or now < self._settled_at:
@@ -141,7 +153,10 @@
     def _refresh(self, as_of, now):
         lost = self.as_of is not None and now - self.as_of > self._outage_s
         if lost and as_of > self.as_of:
+            self._lost_from = self.as_of
             self._settled_at = now + self._return_s
+        if lost or self.as_of is None:
+            self.steady_since = as_of
         if self.as_of is None or as_of > self.as_of:
             self.as_of = as_of
 
--- a/src/jasminehold/decisions/reading.py
+++ b/src/jasminehold/decisions/reading.py
@@ -19,6 +19,8 @@
 RETRY_S = 0.8
 RETRY_LATE_S = 1.6
 FIRST_RANKS = 2
+# Pause when no call left the process: it waits for a connection only.
+RETRY_UNSENT_S = 0.15
 # Rank of an instance that is about to stop.
 LAST = 1000
 
@@ -43,7 +45,15 @@
     return min(TAKE_OVER_S + RANK_STEP_S * (own_rank - 1), TAKE_OVER_MAX_S)
 
 
-def retry_s(own_rank, rng):
-    """Return the pause after a failed read, seconds."""
+def retry_s(own_rank, sent, rng):
+    """Return the pause after a failed read, seconds.
+
+    Args:
+        own_rank: the instance's rank.
+        sent: whether the store may have got the call.
+        rng: random source.
+    """
     pause = RETRY_S if own_rank < FIRST_RANKS else RETRY_LATE_S
+    if not sent:
+        pause = RETRY_UNSENT_S
     return pause * (0.75 + 0.5 * rng.random())
--- a/src/jasminehold/errors.py
+++ b/src/jasminehold/errors.py
@@ -212,6 +212,10 @@
     """Raised when a platform call certainly had no effect."""
 
 
+class NotConnected(PlatformUnavailable):
+    """Raised when a platform call did not leave this process."""
+
+
 class OutcomeUnknown(PlatformError):
     """Raised when a platform write may have taken effect."""
 
--- a/src/jasminehold/front/peering.py
+++ b/src/jasminehold/front/peering.py
@@ -121,12 +121,14 @@
             before: revision after which they begin.
             revision: revision that they lead to.
         """
-        age = self.reader.mirror.age(self._loop.now())
+        now = self._loop.now()
+        copy = self.reader.mirror
         message = {
             'type': 'news',
             'before': revision if events is None else before,
             'revision': revision,
-            'age': int(age * 1000),
+            'age': int(copy.age(now) * 1000),
+            'steady': int((now - copy.steady_since) * 1000),
             'items': [list(item) for item in events or ()],
         }
         for name in self._near:
@@ -140,6 +142,7 @@
             message['before'],
             message['revision'],
             now - message['age'] / 1000,
+            now - message['steady'] / 1000,
         )
         if not taken:
             self._ask_snapshot(sender)
--- a/src/jasminehold/front/reader.py
+++ b/src/jasminehold/front/reader.py
@@ -120,13 +120,16 @@
         self._on_news(news, before, self.mirror.revision)
         self._tell(changed or set())
 
-    def take_told(self, items, before, revision, as_of):
+    def take_told(self, items, before, revision, as_of, steady_since):
         """Take changes that a peer read; returns False when some are missing.
 
         Args:
             items, before, revision: as for :meth:`Mirror.apply`.
             as_of: monotonic seconds at which the peer asked the store.
+            steady_since: monotonic seconds since when the peer's copy has
+                been fresh.
         """
+        self.mirror.on_steady_peer(steady_since, self._loop.now())
         changed = self.mirror.apply(
             items, before, revision, as_of, self._loop.now()
         )
@@ -174,9 +177,11 @@
 
     def _on_failed(self, exc):
         self._busy = False
-        pause = reading.retry_s(self._rank(), self._rng)
+        sent = not isinstance(exc, errors.NotConnected)
+        pause = reading.retry_s(self._rank(), sent, self._rng)
         self._not_before = self._loop.now() + pause
-        self._log('store read failed', level='warning', error=exc)
+        if sent:
+            self._log('store read failed', level='warning', error=exc)
 
 
 class Decoder:
--- a/src/jasminehold/platform/http.py
+++ b/src/jasminehold/platform/http.py
@@ -51,6 +51,7 @@
         max_body: bytes of an answer at most.
         keepalive: :class:`~jasminehold.loop.KeepAlive` of its connections.
         backoff_max_s: longest pause after a failed attempt, seconds.
+        connect_timeout_s: time for opening a connection, seconds.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         max_body=MAX_BODY_BYTES,
         keepalive=None,
         backoff_max_s=BACKOFF_MAX_S,
+        connect_timeout_s=CONNECT_TIMEOUT_S,
     ):
         self.connects = 0
         self._loop = loop
@@ -73,6 +75,7 @@
         self.max_body = max_body
         self._keepalive = keepalive
         self._backoff_max_s = backoff_max_s
+        self._connect_timeout_s = connect_timeout_s
         self._idle = []
         self._conns = set()
         self._opening = 0
@@ -153,7 +156,7 @@
             self._port,
             self._on_open,
             self._on_error,
-            CONNECT_TIMEOUT_S,
+            self._connect_timeout_s,
             self._keepalive,
         )
 
--- a/src/jasminehold/platform/kv.py
+++ b/src/jasminehold/platform/kv.py
@@ -25,7 +25,10 @@
 )
 # Each instance makes one attempt at a time; the store takes thousands of
 # calls a second.
-BACKOFF_MAX_S = 0.5
+BACKOFF_MAX_S = 0.3
+# Regions are at most 35 ms apart. A packet lost in a cut must not delay the
+# next attempt.
+CONNECT_TIMEOUT_S = 0.5
 MALFORMED = (LookupError, TypeError, ValueError, AttributeError)
 
 
@@ -57,6 +60,7 @@
             MAX_CONNS,
             keepalive=KEEPALIVE,
             backoff_max_s=BACKOFF_MAX_S,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
         )
 
     def range(self, prefix, done):
@@ -157,7 +161,9 @@
             result = None
             if exc is not None:
                 kind = errors.PlatformUnavailable
-                if exc.sent and method != 'GET':
+                if not exc.sent:
+                    kind = errors.NotConnected
+                elif method != 'GET':
                     kind = errors.OutcomeUnknown
                 exc = kind(str(exc))
             else:
--- a/tests/features/front_rules.feature
+++ b/tests/features/front_rules.feature
@@ -55,6 +55,11 @@
     Then the peer does not know "servers/a"
     And after 2.2 s the first copy does not either
 
+  Scenario: After a cut of one instance its old knowledge is dropped at once
+    Given a copy that keeps the lapsed key "servers/a" after an outage
+    When a peer tells that its copy was fresh all the while
+    Then the lapsed key "servers/a" is dropped at once
+
   Scenario: Reports of a former incarnation are ignored
     Given an upstream that started anew under its id
     When a report of its former start arrives late
--- a/tests/features/steps/front_rules_steps.py
+++ b/tests/features/steps/front_rules_steps.py
@@ -315,6 +315,19 @@
     assert 'servers/a' not in context.first.items
 
 
+@behave.when('a peer tells that its copy was fresh all the while')
+def when_steady(context):
+    # A peer that was lost itself meanwhile proves nothing.
+    context.first.on_steady_peer(5.0, 10.5)
+    assert not context.first.settle(10.5)
+    context.first.on_steady_peer(-3.0, 10.5)
+
+
+@behave.then('the lapsed key "{key}" is dropped at once')
+def then_dropped(context, key):
+    assert context.first.settle(10.5) == {key}
+
+
 @behave.given('an upstream that started anew under its id')
 def given_reborn(context):
     context.view = upstream_view.UpstreamView()
