--- a/src/jasminehold/decisions/mirror.py
+++ b/src/jasminehold/decisions/mirror.py
@@ -40,7 +40,6 @@
         self.revision = 0
         self.as_of = None
         self.steady_since = 0.0
-        self._lost_from = 0.0
         self._leased = leased
         self._return_s = return_s
         self._outage_s = outage_s
@@ -117,14 +116,14 @@
         self.revision = max(reached, revision)
         return changed
 
-    def on_steady_peer(self, since, now):
+    def on_steady_peer(self, since):
         """Note that a peer's copy has been fresh since a time.
 
-        When that reaches back to before this copy was lost, the store was
-        there all the while, and no key has lapsed for its absence.
+        The store has been there since then, so that what lapsed in its
+        absence had its time to return from then on.
         """
-        if self._settled_at is not None and since <= self._lost_from:
-            self._settled_at = now
+        if self._settled_at is not None:
+            self._settled_at = min(self._settled_at, since + self._return_s)
 
     def settle(self, now):
         """Drop lapsed keys that did not return; returns those keys."""
@@ -153,7 +152,6 @@
     def _refresh(self, as_of, now):
         lost = self.as_of is not None and now - self.as_of > self._outage_s
         if lost and as_of > self.as_of:
-            self._lost_from = self.as_of
             self._settled_at = now + self._return_s
         if lost or self.as_of is None:
             self.steady_since = as_of
--- a/src/jasminehold/front/peering.py
+++ b/src/jasminehold/front/peering.py
@@ -166,6 +166,7 @@
                     _items(answer['items']),
                     answer['revision'],
                     now - answer['age'] / 1000,
+                    now - answer['steady'] / 1000,
                 )
             except errors.MALFORMED as fault:
                 self._log('bad copy from peer', peer=name, error=fault)
@@ -177,12 +178,13 @@
         if not copy.revision:
             reply(None, 'no copy yet')
             return
-        age = copy.age(self._loop.now())
+        now = self._loop.now()
         reply(
             {
                 'items': [list(item) for item in copy.listed()],
                 'revision': copy.revision,
-                'age': int(min(age, 3600.0) * 1000),
+                'age': int(copy.age(now) * 1000),
+                'steady': int((now - copy.steady_since) * 1000),
             }
         )
 
--- a/src/jasminehold/front/reader.py
+++ b/src/jasminehold/front/reader.py
@@ -129,21 +129,22 @@
             steady_since: monotonic seconds since when the peer's copy has
                 been fresh.
         """
-        self.mirror.on_steady_peer(steady_since, self._loop.now())
         changed = self.mirror.apply(
             items, before, revision, as_of, self._loop.now()
         )
         if changed is None:
             return False
+        self.mirror.on_steady_peer(steady_since)
         self._regained()
         self._tell(changed)
         return True
 
-    def take_snapshot(self, items, revision, as_of):
-        """Take a peer's whole copy."""
+    def take_snapshot(self, items, revision, as_of, steady_since):
+        """Take a peer's whole copy; arguments as for :meth:`take_told`."""
         if as_of < (self.mirror.as_of or as_of):
             return
         changed = self.mirror.replace(items, revision, as_of, self._loop.now())
+        self.mirror.on_steady_peer(steady_since)
         self._regained()
         self._tell(changed)
 
--- a/src/jasminehold/platform/kv.py
+++ b/src/jasminehold/platform/kv.py
@@ -25,10 +25,10 @@
 )
 # Each instance makes one attempt at a time; the store takes thousands of
 # calls a second.
-BACKOFF_MAX_S = 0.3
+BACKOFF_MAX_S = 0.15
 # Regions are at most 35 ms apart. A packet lost in a cut must not delay the
 # next attempt.
-CONNECT_TIMEOUT_S = 0.5
+CONNECT_TIMEOUT_S = 0.4
 MALFORMED = (LookupError, TypeError, ValueError, AttributeError)
 
 
