--- a/src/jasminehold/cli.py
+++ b/src/jasminehold/cli.py
@@ -72,8 +72,16 @@
     """Check a settings file."""
 
     def run():
-        cfg = settings.load(file)
-        print('%s: valid; place %s, region %s' % (file, cfg.place, cfg.region))
+        text = settings.read_file(file)
+        raw = settings.parse_json5(text, file)
+        if isinstance(raw, dict) and 'store' in raw:
+            front_cfg = importlib.import_module('jasminehold.front.cfg')
+            cfg = front_cfg.parse(text, file)
+            region = cfg.places[cfg.place]
+        else:
+            cfg = settings.from_dict(raw)
+            region = cfg.region
+        print('%s: valid; place %s, region %s' % (file, cfg.place, region))
 
     return Command(run)
 
@@ -494,10 +502,24 @@
     return Command(run)
 
 
+def explain(request_id, *files):
+    """Tell the story of the request REQUEST_ID from log FILES."""
+
+    def run():
+        if not files:
+            raise errors.SettingsError('explain: needs a log file')
+        module = importlib.import_module('jasminehold.explain')
+        for line in module.story(request_id, module.read(files)):
+            print(line)
+
+    return Command(run)
+
+
 def _commands():
     table = {
         'serve': serve,
         'front': front,
+        'explain': explain,
         'check-settings': check_settings,
         'apply': apply,
         'get': get,
--- /dev/null
+++ b/src/jasminehold/explain.py
@@ -0,0 +1,183 @@
+"""The story of one request, joined from the log lines of several instances.
+
+Example:
+    >>> lines = read(['front-1.log', 'front-2.log'])  # doctest: +SKIP
+    >>> print('\\n'.join(story('9c41d07be2a35f68', lines)))  # doctest: +SKIP
+"""
+
+import json
+import typing
+
+from jasminehold import errors
+
+# State changes this long before a request's end are told with it, seconds.
+BEFORE_S = 10.0
+# Events of an instance that bear on any request.
+GENERAL = (
+    'store lost',
+    'store regained',
+    'configuration in force',
+    'evacuated places changed',
+    'instance started',
+    'instance leaving',
+)
+REQUEST_END = 'request ended'
+
+
+class Line(typing.NamedTuple):
+    """One log line.
+
+    Attributes:
+        source: file, or the instance named in front of the line.
+        time: text of the time, sortable.
+        event: the event.
+        fields: all fields of the line.
+    """
+
+    source: str
+    time: str
+    event: str
+    fields: dict
+
+
+def read(paths):
+    """Return the :class:`Line` values of log files.
+
+    Text in front of a line's JSON object, as a log collector writes it, is
+    taken as the source; lines without an object are skipped.
+
+    Raises:
+        SettingsError: when a file cannot be read.
+    """
+    lines = []
+    for path in paths:
+        try:
+            with open(path, encoding='utf-8', errors='replace') as stream:
+                for text in stream:
+                    line = _parse(path, text)
+                    if line is not None:
+                        lines.append(line)
+        except OSError as exc:
+            raise errors.SettingsError('%s: %s' % (path, exc)) from exc
+    return lines
+
+
+def _parse(path, text):
+    front, brace, rest = text.partition('{')
+    if not brace:
+        return None
+    try:
+        fields = json.loads(brace + rest)
+    except ValueError:
+        return None
+    if not isinstance(fields, dict) or 'event' not in fields:
+        return None
+    names = front.split()
+    source = names[-1] if names else path
+    return Line(source, fields.get('time', ''), fields['event'], fields)
+
+
+def story(request_id, lines):
+    """Return the story of a request as a list of text lines.
+
+    Args:
+        request_id: id of one attempt of a caller.
+        lines: list of :class:`Line`, in any order.
+    """
+    ends = [
+        line
+        for line in lines
+        if line.event == REQUEST_END and line.fields.get('id') == request_id
+    ]
+    if not ends:
+        return [
+            'no line names request %s: it reached none of these instances, '
+            'or the line was dropped (see lines_dropped)' % request_id
+        ]
+    told = []
+    for end in sorted(ends, key=lambda line: line.time):
+        told += _end(end)
+        upstreams = {
+            send.get('upstream') for send in end.fields.get('sends', ())
+        }
+        before = [
+            line
+            for line in lines
+            if line.source == end.source
+            and _seconds(end.time) - BEFORE_S
+            <= _seconds(line.time)
+            <= _seconds(end.time)
+            and (
+                line.event in GENERAL
+                or (line.fields.get('upstream') in upstreams and upstreams)
+            )
+        ]
+        if before:
+            told.append('  what %s learnt before:' % end.source)
+        told += [
+            '    %s %s %s' % (line.time, line.event, _rest(line.fields))
+            for line in sorted(before, key=lambda line: line.time)
+        ]
+    return told
+
+
+def _end(end):
+    fields = end.fields
+    told = [
+        '%s %s: %s%s after %s s'
+        % (
+            end.time,
+            end.source,
+            fields.get('outcome'),
+            ' (%s)' % fields['reason'] if fields.get('reason') else '',
+            fields.get('seconds'),
+        ),
+        '  route %s, service %s, object %s, configuration %s, %s s left%s'
+        % (
+            fields.get('route') or 'none',
+            fields.get('service') or 'none',
+            fields.get('object') or 'none',
+            fields.get('config'),
+            fields.get('left_s'),
+            ', caller came back' if fields.get('returned') else '',
+        ),
+    ]
+    for send in fields.get('sends', ()):
+        told.append(
+            '  sent to %s, owner %s of %s, load %s, answer expected in %s s, '
+            'entry %s s old: %s'
+            % (
+                send.get('upstream'),
+                send.get('rank', 0) + 1,
+                send.get('of'),
+                send.get('load'),
+                send.get('finish_s'),
+                send.get('entry_age_s'),
+                send.get('end'),
+            )
+        )
+    for owner in fields.get('owners') or ():
+        told.append(
+            '  not sent to %s: load %s, wait %s s, answer expected in %s s'
+            % tuple(owner)
+        )
+    return told
+
+
+def _rest(fields):
+    skipped = ('time', 'level', 'logger', 'event')
+    return ', '.join(
+        '%s=%s' % (name, value)
+        for name, value in fields.items()
+        if name not in skipped
+    )
+
+
+def _seconds(text):
+    # Seconds within the day; a story does not span midnight.
+    clock = text.partition('T')[2]
+    try:
+        hours, minutes, seconds = clock.split(':')
+        return int(hours) * 3600 + int(minutes) * 60 + float(seconds)
+    except ValueError:
+        return 0.0
--- a/src/jasminehold/front/cfg.py
+++ b/src/jasminehold/front/cfg.py
@@ -143,3 +143,10 @@
     if cfg.place not in cfg.places:
         raise errors.SettingsError('place: allowed: a key of places')
     return cfg
+
+
+if __name__ == '__main__':
+    page = settings.markdown(
+        KEYS, 'Settings on the platform', 'jasminehold.front.cfg'
+    )
+    print(page, end='')
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -60,6 +60,7 @@
         self._tried = set()
         self._flips = 0
         self._attempts = []
+        self._owners = ()
         self._ended = False
         self._last_failure = None
 
@@ -105,6 +106,7 @@
             now,
         )
         if isinstance(found, steering_module.Refusal):
+            self._owners = found.owners
             if self._last_failure is not None:
                 self._end_failed(found.reason)
             else:
@@ -340,6 +342,7 @@
             seconds=round(seconds, 4),
             left_s=round(self._deadline - now, 3),
             sends=self._attempts,
+            owners=self._owners,
         )
 
 
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -56,11 +56,19 @@
 
 
 class Refusal(typing.NamedTuple):
-    """Why no upstream was picked."""
+    """Why no upstream was picked.
+
+    Attributes:
+        kind: the :class:`~errors.Kind` to answer.
+        retry_after_s: seconds after which a repeat makes sense.
+        reason: for the log.
+        owners: ``(upstream, load, wait_s, finish_s)`` of those considered.
+    """
 
     kind: errors.Kind
     retry_after_s: float
     reason: str
+    owners: tuple = ()
 
 
 class Steering:
@@ -239,7 +247,16 @@
                 candidates + full, PAUSE_S, self._rng
             )
             reason = 'queues full' if best is None else 'too late'
-            return Refusal(Kind.OVERLOADED, pause, reason)
+            owners = tuple(
+                (
+                    item.id,
+                    round(self._loads[item.id].load(now), 1),
+                    round(item.wait_s, 3),
+                    round(item.finish_s, 3),
+                )
+                for item in candidates + full
+            )
+            return Refusal(Kind.OVERLOADED, pause, reason, owners)
         upstream = upstreams[best.id]
         load = self._load(upstream, route)
         why = {
--- a/src/jasminehold/settings.py
+++ b/src/jasminehold/settings.py
@@ -27,6 +27,9 @@
 # json5 parses recursively; deeper files would exhaust the stack.
 MAX_DEPTH = 16
 
+# Keys whose values no message shows.
+SECRET = ('operators', 'peer_key', 'peer_keys')
+
 _NAME = re.compile(r'[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?')
 REQUIRED = object()
 
@@ -492,10 +495,15 @@
         return key.check(value)
     except (ValueError, TypeError) as exc:
         raise errors.SettingsError(
-            '%s: is %.80r; allowed: %s' % (key.name, value, key.allowed)
+            '%s: allowed: %s%s' % (key.name, key.allowed, _shown(key, value))
         ) from exc
 
 
+def _shown(key, value):
+    # Secrets stay out of messages and logs.
+    return '' if key.name in SECRET else '; got %.80r' % (value,)
+
+
 def _check_together(cfg):
     if cfg.peer_keys and cfg.peer_key_id not in cfg.peer_keys:
         raise errors.SettingsError('peer_key_id: allowed: an id in peer_keys')
@@ -525,18 +533,23 @@
         raise errors.SettingsError('%s: %s' % (path, exc)) from exc
 
 
-def markdown():
-    """Return the page ``docs/settings.md``."""
+def markdown(keys, title, module):
+    """Return the page of a table of keys.
+
+    Args:
+        keys: sequence of :class:`Key`.
+        title: heading of the page.
+        module: module whose run writes the page.
+    """
     lines = [
-        '# Settings',
+        '# ' + title,
         '',
-        'Written from the table in `settings.py` by '
-        '`python -m jasminehold.settings > docs/settings.md`.',
+        'Written from the table in `%s` by `python -m %s`.' % (module, module),
         '',
         '| key | allowed | default | meaning |',
         '|---|---|---|---|',
     ]
-    for key in KEYS:
+    for key in keys:
         default = 'required'
         if key.default is not REQUIRED:
             default = '`%s`' % json.dumps(key.default)
@@ -546,4 +559,4 @@
 
 
 if __name__ == '__main__':
-    print(markdown(), end='')
+    print(markdown(KEYS, 'Settings', 'jasminehold.settings'), end='')
--- /dev/null
+++ b/tests/features/explain.feature
@@ -0,0 +1,20 @@
+Feature: The story of a request from logs
+  Guards against failed requests whose cause cannot be found afterwards, and
+  against logs that block or flood.
+
+  Scenario: The lines of several instances make one story
+    Given log lines of two instances, one behind a collector's prefix
+    When the story of request "r1" is asked for
+    Then it names the upstreams, what was expected there and the outcome
+    And it tells that the upstream was left out shortly before
+    And it leaves out what another instance learnt
+
+  Scenario: An unknown request is said to be unknown
+    Given log lines of two instances, one behind a collector's prefix
+    When the story of request "r9" is asked for
+    Then it says that no line names it
+
+  Scenario: Logging to a pipe that nobody reads does not block
+    Given a pipe that nobody reads
+    When 5000 long lines are logged
+    Then it takes under 5 s and later lines say how many were dropped
--- /dev/null
+++ b/tests/features/steps/explain_steps.py
@@ -0,0 +1,113 @@
+"""Steps for the story of a request and for bounded logs."""
+
+import json
+import logging
+import os
+import pathlib
+import tempfile
+import time
+
+import behave
+
+from jasminehold import explain
+from jasminehold import logs
+
+
+def _line(second, event, **fields):
+    doc = {'time': '2026-01-01T10:00:%06.3f' % second, 'event': event}
+    return json.dumps({**doc, **fields})
+
+
+@behave.given("log lines of two instances, one behind a collector's prefix")
+def given_lines(context):
+    send = {
+        'upstream': 'u1',
+        'rank': 0,
+        'of': 4,
+        'load': 2.5,
+        'finish_s': 0.4,
+        'entry_age_s': 1.0,
+        'end': 'connect: refused',
+    }
+    first = [
+        '  4.0 front-1 ' + _line(4, 'upstream left out', upstream='u1'),
+        'no line of a log',
+        '  5.0 front-1 '
+        + _line(
+            5,
+            'request ended',
+            id='r1',
+            outcome='not_run',
+            reason='shed',
+            sends=[send],
+        ),
+    ]
+    second = [_line(3, 'upstream left out', upstream='u1', reason='other')]
+    context.paths = []
+    for lines in (first, second):
+        with tempfile.NamedTemporaryFile('w', delete=False) as stream:
+            stream.write('\n'.join(lines))
+        context.paths.append(stream.name)
+        context.add_cleanup(pathlib.Path(stream.name).unlink)
+
+
+@behave.when('the story of request "{request_id}" is asked for')
+def when_story(context, request_id):
+    lines = explain.read(context.paths)
+    context.story = explain.story(request_id, lines)
+
+
+@behave.then('it names the upstreams, what was expected there and the outcome')
+def then_names(context):
+    told = '\n'.join(context.story)
+    for part in ('front-1: not_run (shed)', 'u1', 'load 2.5', 'refused'):
+        assert part in told, told
+
+
+@behave.then('it tells that the upstream was left out shortly before')
+def then_left_out(context):
+    assert any('upstream left out' in line for line in context.story)
+
+
+@behave.then('it leaves out what another instance learnt')
+def then_other(context):
+    assert not any('reason=other' in line for line in context.story)
+
+
+@behave.then('it says that no line names it')
+def then_unknown(context):
+    assert len(context.story) == 1 and 'no line names' in context.story[0]
+
+
+@behave.given('a pipe that nobody reads')
+def given_pipe(context):
+    context.pipe = os.pipe()
+    for fileno in context.pipe:
+        context.add_cleanup(os.close, fileno)
+
+
+@behave.when('{count:d} long lines are logged')
+def when_logged(context, count):
+    handler = logs.BoundedHandler(context.pipe[1], rate=1e9, burst=1e9)
+    handler.setFormatter(logs.JsonFormatter())
+    begin = time.monotonic()
+    record = logging.LogRecord('x', logging.INFO, '', 1, 'e' * 500, (), None)
+    for _ in range(count):
+        record.fields = {}
+        handler.emit(record)
+    context.seconds = time.monotonic() - begin
+    context.dropped = handler.dropped
+    os.set_blocking(context.pipe[0], False)
+    os.read(context.pipe[0], 1 << 20)
+    record.fields = {}
+    handler.emit(record)
+    context.rest = os.read(context.pipe[0], 1 << 20).decode()
+
+
+@behave.then(
+    'it takes under {seconds:g} s and later lines say how many were dropped'
+)
+def then_not_blocked(context, seconds):
+    assert context.seconds < seconds
+    assert context.dropped
+    assert '"lines_dropped": %d' % context.dropped in context.rest
--- a/tests/features/steps/settings_steps.py
+++ b/tests/features/steps/settings_steps.py
@@ -5,9 +5,11 @@
 import behave
 
 from jasminehold import errors
+from jasminehold.front import cfg as front_cfg
 from jasminehold import settings
 
 PAGE = pathlib.Path(__file__).parents[3] / 'docs' / 'settings.md'
+FRONT_PAGE = PAGE.parent / 'operations' / 'front-settings.md'
 
 
 @behave.when('the settings are {count:d} opening brackets')
@@ -43,4 +45,9 @@
 
 @behave.then('docs/settings.md is what the table writes')
 def then_page(context):
-    assert PAGE.read_text() == settings.markdown()
+    page = settings.markdown(settings.KEYS, 'Settings', 'jasminehold.settings')
+    assert PAGE.read_text() == page
+    page = settings.markdown(
+        front_cfg.KEYS, 'Settings on the platform', 'jasminehold.front.cfg'
+    )
+    assert FRONT_PAGE.read_text() == page
