--- a/src/jasminehold/decisions/upstream_load.py
+++ b/src/jasminehold/decisions/upstream_load.py
@@ -33,7 +33,6 @@
         self._ejections = 0
         self._others = 0.0
         self._told_at = 0.0
-        self._report = None
 
     def on_sent(self):
         """Count a request sent."""
@@ -49,18 +48,6 @@
         others = running + waiting - (self.in_flight - 1)
         self._others = max(others, 0)
         self._told_at = now
-        self._report = (running + waiting, now)
-
-    def on_told(self, load, at):
-        """Take the load that a peer was told at ``at``."""
-        if at > self._told_at:
-            self._others = max(load - self.in_flight, 0)
-            self._told_at = at
-
-    def fresh_report(self):
-        """Return the last report ``(load, at)`` once, then None."""
-        report, self._report = self._report, None
-        return report
 
     def on_full(self, now):
         """Take a rejection for lack of room that carried no load."""
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -92,7 +92,6 @@
             _log,
         )
         self._peering.reader = self._reader
-        self._peering.steering = self.steering
         self._decoder = reader.Decoder(self.metrics, _log)
 
     def _build_path(self):
--- a/src/jasminehold/front/peering.py
+++ b/src/jasminehold/front/peering.py
@@ -2,7 +2,6 @@
 
 ``news``: what a reader of the region learnt from the store.
 ``snapshot``: the whole copy, asked for when news do not fit to one's own.
-``loads``: the load of upstreams as answers told it.
 """
 
 import hashlib
@@ -15,7 +14,6 @@
 
 SNAPSHOT_TIMEOUT_S = 1.0
 SNAPSHOT_EVERY_S = 0.5
-LOADS_EVERY_S = 0.5
 # Instances of other regions that each one keeps a link to, so that a region
 # without the store still gets a copy.
 FAR_PEERS = 1
@@ -44,12 +42,10 @@
 
     Attributes:
         reader: the :class:`~jasminehold.front.reader.StoreReader`.
-        steering: the :class:`~jasminehold.front.steering.Steering`.
     """
 
     def __init__(self, loop, cfg, rng, metrics, log):
         self.reader = None
-        self.steering = None
         self._loop = loop
         self._cfg = cfg
         self._region = cfg.places[cfg.place]
@@ -67,7 +63,6 @@
         self.mesh.on_up = self._on_up
         self.mesh.handle('news', self._on_news)
         self.mesh.handle('snapshot', self._on_snapshot)
-        self.mesh.handle('loads', self._on_loads)
 
     def start(self):
         """Listen, and look for peers at the seeds."""
@@ -75,7 +70,6 @@
         for address in self._cfg.seeds:
             if address != self._cfg.peer_listen:
                 self.mesh.add_seed(*address)
-        self._loop.call_later(LOADS_EVERY_S, self._send_loads)
 
     def leave(self):
         """Leave the reading of the store to the others."""
@@ -188,23 +182,6 @@
             }
         )
 
-    # Loads.
-
-    def _send_loads(self):
-        self._loop.call_later(LOADS_EVERY_S, self._send_loads)
-        rows = self.steering.fresh_loads(self._loop.now())
-        if not rows:
-            return
-        message = {'type': 'loads', 'rows': rows}
-        for name in self._near:
-            if self.mesh.is_connected(name):
-                self.mesh.send(name, message)
-
-    def _on_loads(self, sender, message, reply):
-        now = self._loop.now()
-        for name, load, age_ms in message['rows']:
-            self.steering.on_told_load(name, load, now - age_ms / 1000)
-
 
 def _items(rows):
     return [
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -30,8 +30,6 @@
 PAUSE_S = 0.3
 # Fleet size assumed until members are known; too large only means caution.
 FLEET_UNKNOWN = 32
-# Upstreams in one message about loads.
-LOAD_ROWS_MAX = 64
 OWNERS_CACHE_MAX = 20_000
 
 
@@ -377,23 +375,7 @@
         self._weights[service] = weights
         return weights
 
-    # What peers and answers tell.
-
-    def fresh_loads(self, now):
-        """Return loads that answers told lately: ``[id, load, age ms]``."""
-        rows = []
-        for name, load in self._loads.items():
-            report = load.fresh_report()
-            if report is not None:
-                told, at = report
-                rows.append([name, told, int((now - at) * 1000)])
-        return rows[:LOAD_ROWS_MAX]
-
-    def on_told_load(self, name, told, at):
-        """Take the load of an upstream that a peer was told."""
-        load = self._loads.get(name)
-        if load is not None:
-            load.on_told(told, at)
+    # What answers tell.
 
     def on_sent(self, choice, now):
         """Count a request sent to an upstream."""
