Choose the tests' ports outside the range of connections

Cause of four failures of front_control.feature beside a running fleet: a port found free was taken by another process's connection before it was used (bind: address already in use).

--- a/tests/builders/front_rig.py
+++ b/tests/builders/front_rig.py
@@ -1,5 +1,7 @@
 """Front instances with a stand-in store and stand-in upstreams."""
 
+import itertools
+import os
 import random
 import socket
 import threading
@@ -19,11 +21,30 @@
 WAIT_S = 8.0
 
 
+# Ports below the range from which the system takes those of connections, so
+# that none of them is taken between the choice and its use.
+_ports = itertools.cycle(range(12_000, 30_000))
+
+
 def free_port():
     """Return a port that nobody listens on."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return sock.getsockname()[1]
+    while True:
+        port = next(_ports)
+        with socket.socket() as sock:
+            try:
+                sock.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        return port
+
+
+def _skip_ports():
+    # Processes that run at the same time begin at different ports.
+    for _ in range(os.getpid() * 64 % 18_000):
+        next(_ports)
+
+
+_skip_ports()
 
 
 def route(name, prefix, service, kind='safe', **changes):
