Revert "Give suspects of one crash different upstreams at all instances"

Preferring a part of the upstreams makes a suspect wait for a slot there that its instance has no share of.

--- a/src/jasminehold/decisions/blame.py
+++ b/src/jasminehold/decisions/blame.py
@@ -58,29 +58,6 @@
     cleared: bool
 
 
-class Lane(typing.NamedTuple):
-    """Which upstreams a suspect may use, of those in a common order.
-
-    Suspects of one crash have different lanes at all instances that know of
-    the crash, so that none of them meets the culprit again.
-
-    Attributes:
-        index: the suspect's own number, from 0.
-        count: number of suspects of the crash.
-    """
-
-    index: int
-    count: int
-
-    def allowed(self, names):
-        """Return the names of a sorted sequence that are in the lane."""
-        if not names:
-            return frozenset()
-        if self.count >= len(names):
-            return frozenset((names[self.index % len(names)],))
-        return frozenset(names[self.index :: self.count])
-
-
 class _Record:
     def __init__(self):
         self.crashes = []
@@ -95,8 +72,6 @@
         self._cfg = cfg
         self._records = collections.OrderedDict()
         self._suspects = {}
-        # Suspects of the last crash of each upstream: {name: (at, set)}.
-        self._groups = {}
 
     def __len__(self):
         return len(self._records)
@@ -181,22 +156,6 @@
             return Verdict.ISOLATE
         return Verdict.CLEAR
 
-    def lane(self, fingerprint):
-        """Return the :class:`Lane` of a suspect and the crashed upstream.
-
-        Args:
-            fingerprint: digest of the request.
-
-        Returns:
-            ``(lane, upstream)``, or None when no crash is known.
-        """
-        record = self._records.get(fingerprint)
-        if record is None or not record.crashes:
-            return None
-        upstream = max(record.crashes, key=lambda crash: crash[1])[0]
-        group = sorted(self._groups[upstream][1] | {fingerprint})
-        return Lane(group.index(fingerprint), len(group)), upstream
-
     def may_share(self, upstream):
         """Return whether no suspect is in flight on an upstream."""
         return not self._suspects.get(upstream)
@@ -215,11 +174,6 @@
 
     def expire(self, now):
         """Drop records whose crashes no longer count."""
-        self._groups = {
-            name: group
-            for name, group in self._groups.items()
-            if now - group[0] < self._cfg.keep_s
-        }
         for fingerprint in list(self._records):
             record = self._records[fingerprint]
             if record.condemned_until is not None:
@@ -230,15 +184,7 @@
             if not record.crashes:
                 del self._records[fingerprint]
 
-    def _join(self, fingerprint, upstream, at):
-        known = self._groups.get(upstream)
-        if known is None or at - known[0] >= self._cfg.same_crash_s:
-            self._groups[upstream] = (at, {fingerprint})
-        elif known[0] - at < self._cfg.same_crash_s:
-            known[1].add(fingerprint)
-
     def _add(self, fingerprint, upstream, at, now):
-        self._join(fingerprint, upstream, at)
         record = self._records.get(fingerprint)
         if record is None:
             record = self._records[fingerprint] = _Record()
--- a/src/jasminehold/steering/picker.py
+++ b/src/jasminehold/steering/picker.py
@@ -339,8 +339,6 @@
             and upstream.name not in self._tables.drained.upstreams
             and self.leaving.get(upstream.name, 0.0) <= now
         ]
-        if isolate:
-            candidates = self._prefer_lane(req, candidates)
         chosen = routing.choose_upstream(
             candidates, self._rng, isolate, self.blame.may_share
         )
@@ -358,29 +356,6 @@
             self._metrics.inc('requests_moved_total', movement=option.move)
         return self._target(req, chosen.name, slot, isolate, now)
 
-    def _prefer_lane(self, req, candidates):
-        # A suspect uses upstreams that no other suspect prefers, as long as
-        # one of them has a free slot.
-        lane = self._lane(req)
-        if lane is None:
-            return candidates
-        own = [item for item in candidates if item.name in lane]
-        usable = [item for item in own if item.free > 0 and item.weight > 0]
-        return usable or candidates
-
-    def _lane(self, req):
-        # Names of the upstreams that this suspect prefers, None for all.
-        found = self.blame.lane(self._fingerprint(req))
-        if found is None:
-            return None
-        lane, crashed = found
-        names = sorted(
-            upstream.name
-            for upstream in self._tables.upstreams.values()
-            if upstream.service == req.service and upstream.name != crashed
-        )
-        return lane.allowed(names)
-
     def _candidate(self, upstream, now):
         holder = self._holder
         limit_id = limit_table.upstream_slots(upstream.name)
