Spread objects over regions as if all capacity were used; shorter queues

Cause: with a planned use of 0.7 the region with two of sixteen upstreams kept more objects than it could serve, and its queues fed the spill.

--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -18,12 +18,12 @@
 # forget others.
 OWNERS = 2
 # Queue that an upstream is given beyond its slots, in multiples of them.
-QUEUE_FACTOR = 2.0
+QUEUE_FACTOR = 1.5
 # A caller whose time is less than this part of the usual one came back.
 RETURNED_PART = 0.97
 # Share of the fleet's capacity that demand is taken to use; what a region
 # needs beyond its own part is placed in the others.
-PLANNED_USE = 0.7
+PLANNED_USE = 1.0
 # Seconds a request takes to another region and back.
 CROSS_REGION_S = 0.08
 # Least time a rejected caller is asked to wait, seconds.
