--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -14,6 +14,8 @@
 
 Kind = errors.Kind
 
+# The same at an upstream that would have to learn the object.
+UNKNOWN_QUEUE_FACTOR = 0.5
 # Upstreams that an object is sent to: more would each have to learn it, and
 # forget others.
 OWNERS = 2
@@ -336,7 +338,8 @@
         candidate = selection.Candidate(
             entry.id, load.wait_s(now), run, travel, extra
         )
-        room = load.load(now) + 1 <= load.slots * (1 + QUEUE_FACTOR)
+        queue = QUEUE_FACTOR if known else UNKNOWN_QUEUE_FACTOR
+        room = load.load(now) + 1 <= load.slots * (1 + queue)
         return candidate, room
 
     def _ranked(self, service, key, upstreams):
