Soak real instances under faults from outside

tests/soak: real processes, stand-ins of store and upstreams, a relay in front of the store, signals, drains and configurations in overlapping series; callers keep open connections.

--- a/src/jasminehold/standin/sealed.py
+++ b/src/jasminehold/standin/sealed.py
@@ -40,6 +40,8 @@
         arrivals: number of requests that arrived.
         seen: last request's headers by request id.
         cancelled: ids of requests whose connection closed during the work.
+        observe: called with this upstream's name, a request id and whether
+            it runs, at each arrival and each start of work.
     """
 
     def __init__(self, loop, name, work_s=0.01, slots=3, queue=9):
@@ -52,6 +54,7 @@
         self.arrivals = 0
         self.seen = {}
         self.cancelled = set()
+        self.observe = lambda name, request_id, ran: None
         self.conns = set()
         self._running = 0
         self._waiting = collections.deque()
@@ -85,6 +88,7 @@
     def submit(self, work):
         """Take a whole request."""
         self.arrivals += 1
+        self.observe(self.name, work.id, False)
         expected = work.values.get(b'x-expect-instance', b'').decode()
         self.seen[work.id] = work.values
         if expected != self.name:
@@ -111,6 +115,7 @@
     def _run(self, work):
         self._running += 1
         self.runs[work.id] += 1
+        self.observe(self.name, work.id, True)
         work.running = True
         self.loop.call_later(self.work_s, self._finish, work)
 
--- /dev/null
+++ b/tests/features/soak.feature
@@ -0,0 +1,22 @@
+Feature: A short fault soak of real processes
+  Guards against faults that only real sockets, signals and restarts show.
+  `tests/soak/run.py` plays many seeds by hand.
+
+  Scenario: A seeded run with series of faults breaks no promise
+    When the soak plays seed 7 for 20 s
+    Then no promise is broken
+
+  Scenario Outline: The checks notice a broken record
+    Given a record in which <what>
+    Then the check "<check>" fails and no other
+
+    Examples:
+      | what                                     | check                      |
+      | an order ran twice                       | runs_at_most_once          |
+      | an order that ran was promised not to    | promise_is_true            |
+      | an answer names another request          | answer_is_own_and_whole    |
+      | a drained upstream got a request         | drained_gets_nothing       |
+      | an instance went back to a configuration | newest_configuration_holds |
+      | repeats exceed the budget                | repeats_stay_in_budget     |
+      | a planned stop cut a request             | planned_stop_cuts_nothing  |
+      | nothing is served after the faults       | service_returns            |
--- /dev/null
+++ b/tests/features/steps/soak_steps.py
@@ -0,0 +1,122 @@
+"""Steps for the fault soak and its checks."""
+
+import pathlib
+import subprocess
+import sys
+
+import behave
+
+from tests.soak import checks
+
+RUN = pathlib.Path(__file__).parents[2] / 'soak' / 'run.py'
+
+
+@behave.when('the soak plays seed {seed:d} for {seconds:d} s')
+def when_soak(context, seed, seconds):
+    command = [sys.executable, str(RUN), '--first', str(seed)]
+    context.done = subprocess.run(
+        command + ['--seconds', str(seconds)],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        timeout=180,
+    )
+
+
+@behave.then('no promise is broken')
+def then_whole(context):
+    assert context.done.returncode == 0, context.done.stdout
+
+
+def _sent(name, **changes):
+    values = {
+        'id': name,
+        'instance': 'i1',
+        'incarnation': 1,
+        'path': '/order/1',
+        'idempotent': False,
+        'begin': 20.0,
+        'end': 20.1,
+        'status': 200,
+        'whole': True,
+        'named': name,
+        'read': True,
+    }
+    values.update(changes)
+    return checks.Sent(**values)
+
+
+def _record(sent, *arrivals):
+    record = checks.Record()
+    record.sent = list(sent) + [_sent('last', begin=90.0, end=90.1)]
+    record.arrivals = [checks.Arrival(*item) for item in arrivals]
+    record.calm_from = 50.0
+    return record
+
+
+def _twice():
+    return _record(
+        [_sent('a')], (1.0, 'u1', 'a', True), (2.0, 'u2', 'a', True)
+    )
+
+
+def _promised():
+    return _record([_sent('a', status=503)], (1.0, 'u1', 'a', True))
+
+
+def _foreign():
+    return _record([_sent('a', named='b')])
+
+
+def _drained():
+    record = _record([_sent('a')], (20.0, 'u1', 'a', False))
+    record.drains.append((15.0, 'u1'))
+    return record
+
+
+def _back():
+    old = _sent('b', path='/gen1/x', begin=21.0, end=21.1)
+    return _record([_sent('a', path='/gen2/x'), old])
+
+
+def _repeats():
+    arrivals = [
+        (20.0 + number / 100, 'u1', 'r%d' % (number // 2), False)
+        for number in range(200)
+    ]
+    return _record([_sent('r0', idempotent=True)], *arrivals)
+
+
+def _cut():
+    record = _record([_sent('a', status=0, named=None, whole=False)])
+    record.stops.append(('i1', 1, 20.05))
+    return record
+
+
+def _nothing():
+    record = _record([])
+    record.sent = [_sent('a', begin=60.0, status=503, idempotent=True)]
+    return record
+
+
+RECORDS = {
+    'an order ran twice': _twice,
+    'an order that ran was promised not to': _promised,
+    'an answer names another request': _foreign,
+    'a drained upstream got a request': _drained,
+    'an instance went back to a configuration': _back,
+    'repeats exceed the budget': _repeats,
+    'a planned stop cut a request': _cut,
+    'nothing is served after the faults': _nothing,
+}
+
+
+@behave.given('a record in which {what}')
+def given_record(context, what):
+    context.record = RECORDS[what]()
+
+
+@behave.then('the check "{name}" fails and no other')
+def then_fails(context, name):
+    found = {text.partition(':')[0] for text in checks.broken(context.record)}
+    assert found == {name}, found
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: real processes, faults injected from outside, checks."""
--- /dev/null
+++ b/tests/soak/checks.py
@@ -0,0 +1,222 @@
+"""Checks of the promises, from what callers and upstreams see."""
+
+import collections
+import typing
+
+# An instance that was disturbed is bound by times again after this long.
+TOUCH_S = 4.0
+# Bounds of the users' pages, with one tick of the checks on top.
+DRAIN_S = 2.5
+APPLY_S = 2.5
+SLACK_S = 0.3
+RETRY_RATIO = 0.2
+RETRY_BURST = 50
+RETRY_WINDOW_S = 10.0
+# Part of the requests that are answered well once faults are over.
+RECOVERED_PART = 0.9
+PROMISES = (408, 421, 429, 503)
+
+
+class Sent(typing.NamedTuple):
+    """One request of a caller and how it ended.
+
+    Attributes:
+        id: its id.
+        instance: name of the instance.
+        incarnation: number of that instance's process.
+        path: its path.
+        idempotent: whether it may be repeated.
+        begin: monotonic seconds of its sending.
+        end: of its end.
+        status: HTTP status, 0 when it was cut or had no answer.
+        whole: whether the answer was whole.
+        named: id that the answer's body names, None without.
+        read: whether the instance had taken the whole request.
+    """
+
+    id: str
+    instance: str
+    incarnation: int
+    path: str
+    idempotent: bool
+    begin: float
+    end: float
+    status: int
+    whole: bool
+    named: str
+    read: bool
+
+
+class Arrival(typing.NamedTuple):
+    """A request that reached an upstream, or began to run there."""
+
+    at: float
+    upstream: str
+    request_id: str
+    ran: bool
+
+
+class Record:
+    """What was seen in one run."""
+
+    def __init__(self):
+        self.sent = []
+        self.arrivals = []
+        # (instance, begin, end) of each disturbance; None names all.
+        self.troubles = []
+        # (at, upstream) of each accepted drain.
+        self.drains = []
+        # (at, version) of each stored configuration.
+        self.versions = []
+        # (instance, incarnation, at) of each planned stop.
+        self.stops = []
+        self.calm_from = None
+
+    def in_touch(self, instance, at):
+        """Return whether an instance was undisturbed before a time."""
+        return not any(
+            (name is None or name == instance)
+            and begin <= at
+            and end > at - TOUCH_S
+            for name, begin, end in self.troubles
+        )
+
+
+def broken(record):
+    """Return the broken promises as a list of texts."""
+    found = []
+    for check in CHECKS:
+        found += ['%s: %s' % (check.__name__, text) for text in check(record)]
+    return found
+
+
+def runs_at_most_once(record):
+    """A request that is not idempotent runs once at most."""
+    runs = collections.Counter(
+        item.request_id for item in record.arrivals if item.ran
+    )
+    for sent in record.sent:
+        if not sent.idempotent and runs[sent.id] > 1:
+            yield '%s ran %d times' % (sent.id, runs[sent.id])
+
+
+def promise_is_true(record):
+    """What is answered as not run has not run."""
+    ran = {item.request_id for item in record.arrivals if item.ran}
+    for sent in record.sent:
+        promised = sent.status in PROMISES and not sent.idempotent
+        if promised and sent.id in ran:
+            yield '%s got %d and ran' % (sent.id, sent.status)
+
+
+def answer_is_own_and_whole(record):
+    """A success is the whole answer to its own request."""
+    for sent in record.sent:
+        if sent.status == 200 and sent.whole and sent.named != sent.id:
+            yield '%s got the answer to %s' % (sent.id, sent.named)
+
+
+def drained_gets_nothing(record):
+    """An upstream that reported its leaving gets nothing soon after."""
+    by_id = {sent.id: sent for sent in record.sent}
+    for at, upstream in record.drains:
+        for item in record.arrivals:
+            late = item.at > at + DRAIN_S + SLACK_S
+            sent = by_id.get(item.request_id)
+            if item.upstream != upstream or not late or sent is None:
+                continue
+            if record.in_touch(sent.instance, item.at):
+                yield '%s reached %s %.1f s after its drain' % (
+                    sent.id,
+                    upstream,
+                    item.at - at,
+                )
+
+
+def newest_configuration_holds(record):
+    """A version is in force soon and an older one never again."""
+    newest = {}
+    for sent in sorted(record.sent, key=lambda item: item.begin):
+        if not sent.path.startswith('/gen'):
+            continue
+        asked = int(sent.path[4:].partition('/')[0])
+        key = (sent.instance, sent.incarnation)
+        if sent.status == 404:
+            due = [
+                number
+                for at, number in record.versions
+                if at + APPLY_S + SLACK_S < sent.begin
+            ]
+            stored = [n for at, n in record.versions if at < sent.end]
+            current = max(due, default=0)
+            if asked == current == max(stored, default=0):
+                if record.in_touch(sent.instance, sent.begin):
+                    yield '%s: version %d not in force at %s' % (
+                        sent.id,
+                        asked,
+                        sent.instance,
+                    )
+            continue
+        if sent.status == 200:
+            if asked < newest.get(key, 0):
+                yield '%s: %s went back to version %d' % (
+                    sent.id,
+                    sent.instance,
+                    asked,
+                )
+            newest[key] = max(newest.get(key, 0), asked)
+
+
+def repeats_stay_in_budget(record):
+    """Arrivals beyond the first stay within the fleet's budget."""
+    seen, repeats = set(), []
+    arrivals = [item for item in record.arrivals if not item.ran]
+    for item in sorted(arrivals):
+        if item.request_id in seen:
+            repeats.append(item.at)
+        seen.add(item.request_id)
+    times = sorted(sent.begin for sent in record.sent)
+    for begin in repeats:
+        count = sum(begin <= at < begin + RETRY_WINDOW_S for at in repeats)
+        asked = max(
+            sum(
+                begin + off <= at < begin + off + RETRY_WINDOW_S
+                for at in times
+            )
+            for off in (0.0, -RETRY_WINDOW_S / 2, -RETRY_WINDOW_S)
+        )
+        if count > RETRY_RATIO * asked + RETRY_BURST:
+            yield '%d repeats in 10 s of %d requests' % (count, asked)
+            return
+
+
+def planned_stop_cuts_nothing(record):
+    """A planned stop answers what the instance has read."""
+    for instance, incarnation, at in record.stops:
+        if not record.in_touch(instance, at):
+            continue
+        for sent in record.sent:
+            same = (sent.instance, sent.incarnation) == (instance, incarnation)
+            if same and sent.read and sent.end > at and not sent.status:
+                if record.in_touch(instance, sent.end):
+                    yield '%s was cut at %s' % (sent.id, instance)
+
+
+def service_returns(record):
+    """Most requests are served once faults are over."""
+    late = [s for s in record.sent if s.begin > record.calm_from]
+    served = sum(sent.status in (200, 404) for sent in late)
+    if not late or served < RECOVERED_PART * len(late):
+        yield '%d of %d served after the faults' % (served, len(late))
+
+
+CHECKS = (
+    runs_at_most_once,
+    promise_is_true,
+    answer_is_own_and_whole,
+    drained_gets_nothing,
+    newest_configuration_holds,
+    repeats_stay_in_budget,
+    planned_stop_cuts_nothing,
+    service_returns,
+)
--- /dev/null
+++ b/tests/soak/planted.py
@@ -0,0 +1,123 @@
+"""Instances with a planted fault, to show that each check can fail.
+
+Usage: ``python -m tests.soak.planted FAULT front --settings FILE``
+"""
+
+import os
+import sys
+
+from jasminehold.decisions import retry_share
+from jasminehold.decisions import upstream_view
+from jasminehold.front import app
+from jasminehold.front import exchange
+from jasminehold.front import steering
+
+
+def repeats_orders():
+    """Treats orders as requests that may run again."""
+    route = steering.Steering.route
+
+    def patched(self, host, path):
+        found = route(self, host, path)
+        if hasattr(found, '_replace'):
+            return found._replace(idempotent=True)
+        return found
+
+    steering.Steering.route = patched
+
+
+def false_promises():
+    """Answers a lost order as not run."""
+
+    def patched(self, reason):
+        self._fail(steering.Kind.NOT_RUN, 0.1, reason)
+
+    exchange.Exchange._end_failed = patched
+
+
+def swaps_answers():
+    """Passes on the answer to the request before."""
+    deliver = exchange.Exchange._deliver
+    kept = []
+
+    def patched(self, answer):
+        kept.append(answer)
+        deliver(self, kept[-2] if len(kept) > 1 else answer)
+
+    exchange.Exchange._deliver = patched
+
+
+def ignores_drains():
+    """Takes leaving upstreams for ready ones."""
+    upstream_view.DRAINING = 'never'
+
+
+def goes_back():
+    """Puts every second configuration in force late and then an old one."""
+    on_config = steering.Steering.on_config
+    seen = []
+
+    def patched(self, table):
+        seen.append(table)
+        if len(seen) % 2 == 0:
+            self.table = None
+            return on_config(self, seen[-2])
+        return on_config(self, table)
+
+    steering.Steering.on_config = patched
+
+
+def repeats_without_end():
+    """Repeats whatever failed, past any budget."""
+    retry_share.RetryShare.take = lambda self, *args: True
+    exchange.FLIPS_MAX = 30
+    send = exchange.Exchange._on_answer
+
+    def patched(self, answer, exc):
+        if exc is None and len(self._attempts) < 3 and self._route.idempotent:
+            self._release('planted')
+            self._tried.clear()
+            self._try()
+            return
+        send(self, answer, exc)
+
+    exchange.Exchange._on_answer = patched
+
+
+def stops_at_once():
+    """Ends at once when told to stop."""
+    app.FrontApplication.leave = lambda self: os._exit(0)
+
+
+def never_returns():
+    """Refuses everything after some requests."""
+    on_request = exchange.Port.on_request
+    count = []
+
+    def patched(self, inbound):
+        count.append(1)
+        if len(count) > 200:
+            inbound.fail(steering.Kind.NOT_RUN)
+            return
+        on_request(self, inbound)
+
+    exchange.Port.on_request = patched
+
+
+# Fault to the check that has to notice it.
+FAULTS = {
+    'repeats_orders': 'runs_at_most_once',
+    'false_promises': 'promise_is_true',
+    'swaps_answers': 'answer_is_own_and_whole',
+    'ignores_drains': 'drained_gets_nothing',
+    'goes_back': 'newest_configuration_holds',
+    'repeats_without_end': 'repeats_stay_in_budget',
+    'stops_at_once': 'planned_stop_cuts_nothing',
+    'never_returns': 'service_returns',
+}
+
+if __name__ == '__main__':
+    globals()[sys.argv[1]]()
+    from jasminehold import cli
+
+    sys.exit(cli.main(sys.argv[2:]))
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,241 @@
+"""Randomised soak of real instances with faults from outside.
+
+Usage::
+
+    python tests/soak/run.py --seeds 50            # by hand
+    python tests/soak/run.py --first 7 --seeds 1   # one seed again
+    python tests/soak/run.py --seeds 1 --instances 40 --seconds 60
+    python tests/soak/run.py --seeds 1 --planted repeats_orders
+
+Faults, restarts and changes come in series that overlap. Ends with exit
+status 1 when a promise was broken; settings, logs and findings of a seed are
+in ``out/soak/<seed>``.
+"""
+
+import pathlib
+import random
+import signal
+import sys
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path[:0] = [str(ROOT), str(ROOT / 'src')]
+
+import fire  # noqa: E402
+
+from tests.soak import callers  # noqa: E402
+from tests.soak import checks  # noqa: E402
+from tests.soak import world as world_module  # noqa: E402
+
+STORE_MODES = ('silent', 'busy', 'many', 'reset')
+# Time in which faults are over at the end of a run.
+CALM_S = 6.0
+
+
+class Faults:
+    """Draws and carries out faults; each returns when it will end."""
+
+    def __init__(self, world, rng):
+        self.world = world
+        self._rng = rng
+        self._ends = []
+
+    def step(self):
+        """Begin one fault and end those that are due."""
+        self.finish(time.monotonic())
+        kind = self._rng.choice(
+            (
+                self._store,
+                self._relay,
+                self._kill,
+                self._pause,
+                self._stop,
+                self._configure,
+                self._drain,
+                self._crash,
+                self._forget,
+                self._reload,
+            )
+        )
+        kind()
+
+    def finish(self, now):
+        """End the faults whose time has come."""
+        due = [item for item in self._ends if item[0] <= now]
+        for item in due:
+            self._ends.remove(item)
+            item[1]()
+
+    def _later(self, low, high, func):
+        end = time.monotonic() + self._rng.uniform(low, high)
+        self._ends.append((end, func))
+
+    def _instance(self):
+        return self._rng.choice(self.world.instances)
+
+    def _store(self):
+        begin = time.monotonic()
+        world = self.world
+        faults = {'mode': self._rng.choice(STORE_MODES)}
+        if self._rng.random() < 0.3:
+            faults = {'slow_s': 0.4, 'lose_writes': 2}
+        world.on_loop(world.store.set_faults, **faults)
+
+        def end():
+            world.on_loop(world.store.set_faults)
+            world.trouble(None, begin)
+
+        self._later(0.5, 3.0, end)
+
+    def _relay(self):
+        begin, item = time.monotonic(), self._instance()
+        mode = self._rng.choice(('delay', 'reset', 'one way', 'silent'))
+        self.world.on_loop(item.relay.set_mode, mode)
+
+        def end():
+            self.world.on_loop(item.relay.set_mode, '')
+            self.world.trouble(item.name, begin)
+
+        self._later(0.5, 4.0, end)
+
+    def _kill(self):
+        begin, item = time.monotonic(), self._instance()
+        process = item.process
+        item.signal(signal.SIGKILL)
+        item.wait()
+
+        def end():
+            if item.process is process:
+                item.start()
+            self.world.trouble(item.name, begin)
+
+        self._later(0.2, 1.5, end)
+
+    def _pause(self):
+        begin, item = time.monotonic(), self._instance()
+        item.signal(signal.SIGSTOP)
+
+        def end():
+            item.signal(signal.SIGCONT)
+            self.world.trouble(item.name, begin)
+
+        self._later(0.3, 3.0, end)
+
+    def _stop(self):
+        item = self._instance()
+        begin, process = time.monotonic(), item.process
+        self.world.record.stops.append((item.name, item.incarnation, begin))
+        item.signal(signal.SIGTERM)
+
+        def end():
+            # An overlapping pause must not hold the end up.
+            if item.process is process:
+                item.signal(signal.SIGCONT)
+                item.wait()
+                item.start()
+            self.world.trouble(item.name, begin + world_module.GRACE_S)
+
+        self._later(world_module.GRACE_S, world_module.GRACE_S + 1.0, end)
+
+    def _configure(self):
+        for _ in range(self._rng.choice((1, 1, 3))):
+            self.world.configure()
+
+    def _drain(self):
+        names = [name for name in self.world.upstreams if name[0] == 'u']
+        drained = {name for _, name in self.world.record.drains}
+        left = [name for name in names if name not in drained]
+        if len(left) > 2:
+            self.world.drain(self._rng.choice(left))
+            self.world.add_upstream('u%d' % len(names))
+
+    def _crash(self):
+        world = self.world
+        name = self._rng.choice(sorted(world.upstreams))
+        item = world.upstreams[name]
+
+        def drop():
+            for served in list(item.conns):
+                served.conn.reset()
+
+        world.on_loop(drop)
+
+    def _forget(self):
+        self.world.on_loop(self.world.store.forget_history)
+
+    def _reload(self):
+        self._instance().signal(signal.SIGHUP)
+
+
+def play(seed, seconds, instances, upstreams, planted):
+    """Play one seed; returns the broken promises."""
+    rng = random.Random(seed)
+    program = ('jasminehold',)
+    if planted:
+        program = ('tests.soak.planted', planted)
+    folder = ROOT / 'out' / 'soak' / str(seed)
+    world = world_module.World(folder, instances, upstreams, program)
+    threads = []
+    try:
+        world.start()
+        threads = [
+            callers.Caller(world, number, seed)
+            for number in range(2 * instances)
+        ]
+        for thread in threads:
+            thread.start()
+        faults = Faults(world, rng)
+        end = time.monotonic() + seconds - CALM_S
+        while time.monotonic() < end:
+            faults.step()
+            time.sleep(rng.uniform(0.2, 1.2))
+        while faults._ends:
+            faults.finish(time.monotonic())
+            time.sleep(0.1)
+        world.record.calm_from = time.monotonic() + CALM_S / 2
+        time.sleep(CALM_S)
+    finally:
+        for thread in threads:
+            thread.stopped = True
+        for thread in threads:
+            thread.join(10)
+        world.stop()
+    found = checks.broken(world.record)
+    (folder / 'findings.txt').write_text('\n'.join(found) + '\n')
+    print(
+        'seed %d: %d requests, %d arrivals, %d faults, %d broken'
+        % (
+            seed,
+            len(world.record.sent),
+            len(world.record.arrivals),
+            len(world.record.troubles),
+            len(found),
+        ),
+        flush=True,
+    )
+    for text in found[:10]:
+        print('  ' + text, flush=True)
+    return found
+
+
+def main(seeds=1, first=1, seconds=20.0, instances=3, upstreams=5, planted=''):
+    """Play seeds one after the other.
+
+    Args:
+        seeds: number of seeds.
+        first: first seed.
+        seconds: length of each.
+        instances: processes of the product.
+        upstreams: stand-in upstreams at the start.
+        planted: name of a fault in ``planted.py``, '' for the real program.
+    """
+    bad = []
+    for seed in range(first, first + seeds):
+        if play(seed, seconds, instances, upstreams, planted):
+            bad.append(seed)
+    print('%d seeds, broken: %s' % (seeds, bad or 'none'))
+    sys.exit(1 if bad else 0)
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,194 @@
+"""Stand-ins, relays and instances of one soak run."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import threading
+import time
+
+import circuits
+
+from jasminehold import loop as loop_module
+from jasminehold.standin import kv
+from jasminehold.standin import sealed
+from tests.builders import front_rig
+from tests.soak import checks
+from tests.soak import relay
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+GRACE_S = 3.0
+START_S = 15.0
+
+
+class Instance:
+    """One instance's settings, relay to the store and process."""
+
+    def __init__(self, world, name, place, seeds):
+        self.name = name
+        self.world = world
+        self.incarnation = 0
+        self.process = None
+        self.relay = world.on_loop(
+            relay.Relay, world.loop, ('127.0.0.1', world.store.port)
+        )
+        ports = [front_rig.free_port() for _ in range(5)]
+        address = ['127.0.0.1:%d' % port for port in ports]
+        self.caller_port = ports[0]
+        self.peer = address[3]
+        self.settings = {
+            'id': name,
+            'place': place,
+            'places': front_rig.PLACES,
+            'caller_listen': address[0],
+            'ready_listen': address[1],
+            'directory_listen': address[2],
+            'peer_listen': self.peer,
+            'metrics_listen': address[4],
+            'seeds': seeds,
+            'internal_ports': [1, 2],
+            'store': '127.0.0.1:%d' % self.relay.port,
+            'stop_grace': GRACE_S,
+            'retry_ratio': checks.RETRY_RATIO,
+            'retry_burst': checks.RETRY_BURST,
+            'cold_over': 1.5,
+            'cold_slack': 5,
+        }
+        self.path = world.folder / (name + '.json')
+        self.path.write_text(json.dumps(self.settings))
+
+    def start(self):
+        """Start a process."""
+        self.incarnation += 1
+        log = open(self.world.folder / (self.name + '.log'), 'ab')
+        command = [sys.executable, '-m', *self.world.program]
+        env = dict(os.environ)
+        env['PYTHONPATH'] = '%s:%s' % (ROOT / 'src', ROOT)
+        self.process = subprocess.Popen(
+            command + ['front', '--settings', str(self.path)],
+            stdout=log,
+            stderr=log,
+            env=env,
+        )
+        log.close()
+
+    def signal(self, number):
+        """Send a signal to this instance's own process."""
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def wait(self):
+        """Wait for the process to end."""
+        self.process.wait(GRACE_S + 5)
+
+
+class World:
+    """Everything around the callers.
+
+    Args:
+        folder: where settings and logs go.
+        count: number of instances.
+        upstreams: number of upstreams of the service.
+        program: module to run, with words in front of the command.
+    """
+
+    def __init__(self, folder, count, upstreams, program=('jasminehold',)):
+        self.folder = pathlib.Path(folder)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.program = program
+        self.record = checks.Record()
+        self.root = circuits.Component()
+        self.loop = loop_module.Loop().register(self.root)
+        self.store = kv.KvStore(self.loop)
+        self.upstreams = {}
+        self.version = 0
+        self._thread = threading.Thread(target=self.root.run, daemon=True)
+        self._thread.start()
+        for index in range(upstreams):
+            self.add_upstream('u%d' % index)
+        self.configure()
+        self.instances = []
+        for index in range(count):
+            seeds = [item.peer for item in self.instances[:2]]
+            place = sorted(front_rig.PLACES)[index % 3]
+            self.instances.append(Instance(self, 'i%d' % index, place, seeds))
+
+    def on_loop(self, func, *args, **kwargs):
+        """Run a function on the stand-ins' thread."""
+        return front_rig.FrontRig.on_loop(self.loop, func, *args, **kwargs)
+
+    def add_upstream(self, name):
+        """Start an upstream and write its entry."""
+
+        def add():
+            item = sealed.SealedUpstream(self.loop, name, 0.03, slots=4)
+            item.observe = self._observe
+            self.upstreams[name] = item
+            places = sorted(front_rig.PLACES)
+            place = places[len(self.upstreams) % len(places)]
+            item.place = place
+            self.store.put('servers/' + name, item.entry('loja', place))
+
+        self.on_loop(add)
+
+    def _observe(self, name, request_id, ran):
+        self.record.arrivals.append(
+            checks.Arrival(time.monotonic(), name, request_id, ran)
+        )
+
+    def configure(self):
+        """Store the next version; only its own /gen route is in it."""
+        self.version += 1
+        rules = [
+            front_rig.route('browse', '/browse/', 'loja'),
+            front_rig.route('order', '/order/', 'loja', 'unsafe'),
+            front_rig.route('gen', '/gen%d/' % self.version, 'loja'),
+        ]
+        doc = front_rig.configuration(self.version, rules)
+        self.on_loop(self.store.put, 'op/config', doc)
+        self.record.versions.append((time.monotonic(), self.version))
+
+    def drain(self, name):
+        """Let an upstream report that it is leaving."""
+        item = self.upstreams[name]
+        entry = item.entry('loja', item.place, State='draining', Seq=2)
+        self.on_loop(self.store.put, 'servers/' + name, entry)
+        self.record.drains.append((time.monotonic(), name))
+
+    def trouble(self, name, begin):
+        """Record that an instance, or all (None), was disturbed till now."""
+        self.record.troubles.append((name, begin, time.monotonic()))
+
+    def start(self):
+        """Start all instances and wait until they serve."""
+        for item in self.instances:
+            item.start()
+        deadline = time.monotonic() + START_S
+        for item in self.instances:
+            while time.monotonic() < deadline:
+                if self._serves(item):
+                    break
+                time.sleep(0.1)
+
+    @staticmethod
+    def _serves(item):
+        try:
+            client = front_rig.caller.Client(item.caller_port, 2.0)
+        except OSError:
+            return False
+        headers = front_rig.request_headers({})
+        reply = client.ask('GET', '/browse/ready', headers)
+        client.close()
+        return reply.status == 200
+
+    def stop(self):
+        """End the processes that this world started."""
+        for item in self.instances:
+            if item.process is not None and item.process.poll() is None:
+                item.process.send_signal(signal.SIGCONT)
+                item.process.kill()
+                item.process.wait(10)
+        self.root.stop()
+        self._thread.join(10)
