--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -4,6 +4,7 @@
     >>> run('instance.json')  # doctest: +SKIP
 """
 
+import os
 import random
 import signal
 
@@ -37,6 +38,8 @@
 # The process ends this long before the platform kills it, seconds.
 STOP_MARGIN_S = 0.4
 CHECK_EVERY_S = 0.05
+# The platform may change the settings file without a signal.
+SETTINGS_EVERY_S = 2.0
 
 _log = logs.get('front')
 
@@ -105,7 +108,7 @@
         answers = directory.Directory(
             lambda: self._members,
             self._own,
-            lambda: not self.leaving,
+            lambda: not self.leaving and self.steering.table is not None,
             self.cfg.lookup_ttl,
         )
         callers = int(files * CALLERS_PART)
@@ -140,6 +143,8 @@
         self._peering.start()
         self._reader.start()
         self._presence.start()
+        self._file = self._file_state()
+        self.loop.call_later(SETTINGS_EVERY_S, self._watch_settings)
         _log('instance started', instance=cfg.id, place=cfg.place)
 
     @circuits.handler('signal', channel='*')
@@ -157,10 +162,27 @@
             trace=''.join(trace)[-2000:],
         )
 
+    def _file_state(self):
+        # What tells a changed settings file from the one that was read.
+        if self._path is None:
+            return None
+        try:
+            found = os.stat(self._path)
+        except OSError as exc:
+            _log('settings not found', level='warning', error=exc)
+            return None
+        return found.st_mtime_ns, found.st_size, found.st_ino
+
+    def _watch_settings(self):
+        self.loop.call_later(SETTINGS_EVERY_S, self._watch_settings)
+        if self._path is not None and self._file_state() != self._file:
+            self.reload()
+
     def reload(self):
         """Read the settings again; the addresses stay as they are."""
         if self._path is None:
             return
+        self._file = self._file_state()
         try:
             cfg = cfg_module.load(self._path)
         except errors.SettingsError as exc:
--- a/src/jasminehold/front/reader.py
+++ b/src/jasminehold/front/reader.py
@@ -1,6 +1,7 @@
 """Keeps the copy of the store fresh, by own reads and by peers' news."""
 
 import json
+import time
 
 from jasminehold.decisions import mirror as mirror_module
 from jasminehold.decisions import reading
@@ -14,6 +15,8 @@
 # Later than any rank reads: the store, or the way to it, is lost.
 OUTAGE_S = 2.4
 TICK_S = 0.1
+# Lead of the boot clock over the steady one that shows a suspension.
+SUSPENDED_S = 0.5
 # An idle store keeps a read waiting this long for a change.
 WAIT_S = 0.05
 
@@ -47,6 +50,7 @@
         self._busy = False
         self._not_before = 0.0
         self._lost = False
+        self._lead = time.clock_gettime(time.CLOCK_BOOTTIME) - loop.now()
 
     def start(self):
         """Begin to read."""
@@ -55,6 +59,7 @@
     def _tick(self):
         self._loop.call_later(TICK_S, self._tick)
         now = self._loop.now()
+        self._check_suspension(now)
         gone = self.mirror.settle(now)
         if gone:
             self._log('lapsed keys dropped', keys=sorted(gone)[:8])
@@ -71,9 +76,16 @@
             else:
                 self._read_all(now)
 
-    def refresh(self):
-        """Read everything soon, for example after the process stood still."""
-        self.mirror.as_of = None
+    def _check_suspension(self, now):
+        # The steady clock stands still while the machine is suspended; the
+        # copy would look fresh after it.
+        lead = time.clock_gettime(time.CLOCK_BOOTTIME) - now
+        if lead - self._lead > SUSPENDED_S:
+            self._log(
+                'machine was suspended', for_s=round(lead - self._lead, 1)
+            )
+            self.mirror.as_of = None
+        self._lead = lead
 
     def _read_all(self, sent_at):
         def done(result, exc):
--- a/tests/builders/front_rig.py
+++ b/tests/builders/front_rig.py
@@ -178,7 +178,7 @@
 
     # Instances.
 
-    def start(self, name='i1', place='sul-a', seeds=(), seed=1):
+    def start(self, name='i1', place='sul-a', seeds=(), seed=1, path=None):
         """Start an instance; it need not be ready when this returns."""
         cfg = cfg_module.Cfg(
             id=name,
@@ -203,7 +203,7 @@
             cold_over=1.5,
             cold_slack=5.0,
         )
-        app = front_app.FrontApplication(cfg, None, random.Random(seed))
+        app = front_app.FrontApplication(cfg, path, random.Random(seed))
         self.apps[name] = app
         app.start()
         thread = threading.Thread(target=app.run, daemon=True)
--- a/tests/features/front_control.feature
+++ b/tests/features/front_control.feature
@@ -64,6 +64,22 @@
     Then the work is answered and the connection is closed
     And the instance is neither ready nor named any more
 
+  Scenario: Settings that change without a signal are used
+    Given two upstreams of one service behind an instance with a settings file
+    When the file's retry burst changes to 7
+    Then the instance uses it within 3 s
+    And a file with a fault changes nothing
+
+  Scenario: An instance without a configuration is not ready
+    Given an instance without a configuration
+    Then it is not ready
+    And it is ready soon after the operator stores version 3
+
+  Scenario: A copy that stood still with its machine is read anew
+    Given two upstreams of one service behind an instance
+    When the boot clock runs ahead by 5 s
+    Then the instance reads the store at once
+
   Scenario: A silent upstream entry that returns keeps its upstream
     Given two upstreams of one service behind an instance
     When the store is "busy" for 3 s and loses the entry of "u1" meanwhile
--- a/tests/features/steps/front_steps.py
+++ b/tests/features/steps/front_steps.py
@@ -1,6 +1,8 @@
 """Steps for front instances over real sockets."""
 
 import json
+import pathlib
+import tempfile
 import time
 
 import behave
@@ -482,3 +484,99 @@
 @behave.then('upstream "{name}" was known all the while')
 def then_known(context, name):
     assert all(context.known), context.known.count(False)
+
+
+def _settings_file(app, path, **changes):
+    doc = {
+        name: '%s:%d' % value if isinstance(value, tuple) else value
+        for name, value in app.cfg._asdict().items()
+        if name not in ('seeds', 'internal_ports', 'peer_key')
+    }
+    doc['internal_ports'] = list(app.cfg.internal_ports)
+    doc.update(changes)
+    path.write_text(json.dumps(doc))
+
+
+@behave.given(
+    'two upstreams of one service behind an instance with a settings file'
+)
+def given_file(context):
+    rig = _rig(context)
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.path = pathlib.Path(folder.name) / 'instance.json'
+    context.path.write_text('{}')
+    app = rig.start(path=str(context.path))
+    rig.wait_ready()
+    _settings_file(app, context.path)
+
+
+@behave.when("the file's retry burst changes to {burst:d}")
+def when_file_changes(context, burst):
+    app = context.rig.apps['i1']
+    _settings_file(app, context.path, retry_burst=burst)
+    context.burst = burst
+
+
+@behave.then('the instance uses it within {seconds:g} s')
+def then_used(context, seconds):
+    steering = context.rig.apps['i1'].steering
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if steering._cfg.retry_burst == context.burst:
+            return
+        time.sleep(0.05)
+    raise AssertionError(steering._cfg.retry_burst)
+
+
+@behave.then('a file with a fault changes nothing')
+def then_fault(context):
+    context.path.write_text('{"place": 7}')
+    time.sleep(2.5)
+    steering = context.rig.apps['i1'].steering
+    assert steering._cfg.retry_burst == context.burst
+
+
+def _readiness(rig):
+    client = caller.Client(rig.apps['i1'].cfg.ready_listen.port)
+    status = client.ask('GET', '/api/ready').status
+    client.close()
+    return status
+
+
+@behave.then('it is not ready')
+def then_unready(context):
+    assert _readiness(context.rig) == 503
+
+
+@behave.then('it is ready soon after the operator stores version {number:d}')
+def then_ready(context, number):
+    rig = context.rig
+    rules = list(front_rig.RULES)
+    rig.put('op/config', front_rig.configuration(number, rules))
+    rig.wait(lambda: _readiness(rig) == 200, 'readiness')
+
+
+@behave.when('the boot clock runs ahead by {seconds:g} s')
+def when_suspended(context, seconds):
+    rig = context.rig
+    context.reads = rig.store.counts.get('watch', 0)
+    reader = rig.apps['i1']._reader
+    rig.on_loop(rig.apps['i1'].loop, _fall_behind, reader, seconds)
+
+
+def _fall_behind(reader, seconds):
+    # As if the lead had been measured before a suspension.
+    reader._lead -= seconds
+    reader._tick()
+
+
+@behave.then('the instance reads the store at once')
+def then_reads(context):
+    rig = context.rig
+    end = time.monotonic() + 0.3
+    while time.monotonic() < end:
+        if rig.store.counts.get('watch', 0) > context.reads:
+            return
+        time.sleep(0.01)
+    raise AssertionError('the store was not read')
