Send nothing for callers that left; say 'not run' only when it is certain

Found by reading: an order that was rejected after its caller had left was sent again; a request that was lost and then found no other upstream got 503; a planned stop closed a connection in front of pipelined answers; connections opened in vain were not kept. Each with a scenario that failed first, but for the last.

--- a/src/jasminehold/front/caller.py
+++ b/src/jasminehold/front/caller.py
@@ -256,7 +256,10 @@
             inbound = self._queue.pop(0)
             if self._conn.closed:
                 continue
-            data, last = inbound.serialize(self._port.leaving)
+            # What was read behind this request is answered as well, before
+            # the connection ends.
+            ends = self._port.leaving and not self._queue
+            data, last = inbound.serialize(ends and not self._half_read)
             self._conn.write(data)
             if last:
                 self._end()
@@ -303,6 +306,9 @@
         self._port.metrics.inc('callers_slow_total')
         if self._current is not None:
             self._reject(Kind.BAD_REQUEST)
+        elif self._queue:
+            # The answers in front of the slow head come first.
+            self._closing = True
         else:
             self._conn.close()
 
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -4,6 +4,7 @@
 
 from jasminehold import errors
 from jasminehold.front import steering as steering_module
+from jasminehold.front import upstream_conn
 from jasminehold.platform import wire
 from jasminehold.proxy import exchange as proxy_exchange
 
@@ -14,6 +15,9 @@
 LAST_SEND_PART = 0.1
 # Upstreams that one request may crash before it is no longer sent.
 CRASHES_MAX = 2
+# Upstreams that a request may be tried at in vain, counting those that did not
+# take the connection.
+CONNECTS_MAX = 6
 # Times that a request is sent again to an upstream that rejected it although
 # it told of free slots.
 FLIPS_MAX = 2
@@ -176,14 +180,19 @@
         choice = self._release('connect: %s' % exc)
         now = self._loop.now()
         self._steering.on_failed(choice, 'connect', now)
-        self._last_failure = None
-        if len(self._tried) > 3 * self._route.max_attempts:
+        if len(self._tried) <= CONNECTS_MAX:
+            self._try()
+        elif self._last_failure is not None:
+            self._end_failed('no upstream could be reached')
+        else:
             self._fail(Kind.NOT_RUN, None, 'no upstream could be reached')
-            return
-        self._try()
 
     def _on_answer(self, answer, exc):
         now = self._loop.now()
+        if self._ended:
+            # The caller left; nothing may be sent for it any more.
+            self._release('after the caller left')
+            return
         if exc is not None:
             self._on_loss(exc, now)
             return
@@ -265,7 +274,7 @@
 
     def _end_failed(self, reason):
         # Ends a request that was sent and may have run.
-        if hasattr(self._last_failure, 'status'):
+        if isinstance(self._last_failure, upstream_conn.Answer):
             self._deliver(self._last_failure)
         elif self._route.idempotent:
             self._fail(Kind.UPSTREAM_FAILED, self._pause(), reason)
@@ -285,13 +294,11 @@
     def _on_deadline(self):
         if self._ended:
             return
-        if self._choice is None or self._conn is None and not self._crashes:
-            # Nothing that could run was sent.
-            kind = Kind.NOT_RUN
-            self._cancel('deadline')
-        else:
-            kind = Kind.DEADLINE_UNKNOWN
-            self._cancel('deadline')
+        self._cancel('deadline')
+        if isinstance(self._last_failure, upstream_conn.Answer):
+            self._deliver(self._last_failure)
+            return
+        kind = Kind.DEADLINE_UNKNOWN if self._may_have_run else Kind.NOT_RUN
         self._fail(kind, self._pause(), 'deadline')
 
     def _on_caller_gone(self):
@@ -300,7 +307,6 @@
         if self._conn is not None and not self._route.idempotent:
             # It may be at work; the upstream finishes it.
             self._finish('caller gone')
-            self._conn = None
             return
         self._cancel('caller gone')
         self._finish('caller gone')
--- a/src/jasminehold/front/upstream_conn.py
+++ b/src/jasminehold/front/upstream_conn.py
@@ -216,7 +216,6 @@
         match = _TIMEOUT.search(stated) if stated else None
         if match:
             self.keep_s = min(int(match.group(1)) * KEEP_PART, KEEP_MAX_S)
-        self.idle_since = self._pool.loop.now()
         self._pool.put_back(self)
 
 
@@ -282,6 +281,7 @@
 
     def put_back(self, conn):
         """Keep a connection for reuse."""
+        conn.idle_since = self.loop.now()
         self._idle.setdefault(conn.key, []).append(conn)
 
     def forget(self, conn):
--- a/src/jasminehold/standin/sealed.py
+++ b/src/jasminehold/standin/sealed.py
@@ -4,6 +4,7 @@
 The request header ``X-Fault`` asks for a fault, at the upstream that
 ``X-Fault-At`` names or at any:
 
+- ``late-shed``: rejected as not run after the time of the work.
 - ``shed``: rejected as not run; ``busy``: 503 without saying so.
 - ``lost``: runs, then closes without an answer.
 - ``reset``: runs, then resets in the middle of the answer.
@@ -96,6 +97,8 @@
             work.answer(421, own, b'')
         elif self._fault(work) == 'shed':
             self._reject(work)
+        elif self._fault(work) == 'late-shed':
+            self.loop.call_later(self.work_s, self._reject, work)
         elif self._running < self.slots:
             self._run(work)
         elif len(self._waiting) < self.queue:
--- a/tests/features/front_control.feature
+++ b/tests/features/front_control.feature
@@ -64,6 +64,11 @@
     Then the work is answered and the connection is closed
     And the instance is neither ready nor named any more
 
+  Scenario: A planned stop answers pipelined requests
+    Given two upstreams of one service behind an instance
+    When the instance is told to stop while 3 pipelined requests take 0.6 s
+    Then all of them are answered and the last answer closes the connection
+
   Scenario: Settings that change without a signal are used
     Given two upstreams of one service behind an instance with a settings file
     When the file's retry burst changes to 7
--- a/tests/features/front_path.feature
+++ b/tests/features/front_path.feature
@@ -67,6 +67,15 @@
     When a caller leaves 0.1 s after it asked for work of 1.5 s
     Then the upstream notices within 0.5 s
 
+  Scenario: Nothing is sent again for a caller that has left
+    When a caller leaves 0.1 s after an order that is rejected after 0.4 s
+    Then one request reached the upstreams within 1 s
+
+  Scenario: A request that may have run is not said not to have run
+    Given upstream "u2" stopped without a word
+    When a caller reads "/browse/a" with fault "lost" at "u1"
+    Then the status is 502
+
   Scenario: A request without an answer ends at the route's time-out
     When a caller asks for work of 3 s on a route of 0.5 s
     Then the status is 504 within 0.9 s
--- a/tests/features/steps/front_steps.py
+++ b/tests/features/steps/front_steps.py
@@ -580,3 +580,64 @@
             return
         time.sleep(0.01)
     raise AssertionError('the store was not read')
+
+
+@behave.when(
+    'a caller leaves {after:g} s after an order that is rejected after'
+    ' {work:g} s'
+)
+def when_leave_order(context, after, work):
+    for item in context.rig.upstreams.values():
+        item.work_s = work
+    client = context.rig.client()
+    headers = front_rig.request_headers({'X_Fault': 'late-shed'})
+    client.send('POST', '/order/a', headers)
+    time.sleep(after)
+    client.close()
+
+
+@behave.then('one request reached the upstreams within {seconds:g} s')
+def then_one(context, seconds):
+    time.sleep(seconds)
+    upstreams = context.rig.upstreams.values()
+    assert sum(item.arrivals for item in upstreams) == 1
+
+
+@behave.when('a caller reads "{path}" with fault "{fault}" at "{name}"')
+def when_read_fault_at(context, path, fault, name):
+    _ask(context, path, X_Fault=fault, X_Fault_At=name)
+
+
+@behave.when(
+    'the instance is told to stop while {count:d} pipelined requests take'
+    ' {work:g} s'
+)
+def when_stop_pipelined(context, count, work):
+    rig = context.rig
+    for item in rig.upstreams.values():
+        item.work_s = work
+    client = rig.client()
+    client.sock.sendall(
+        front_rig.pipelined(['p%d' % index for index in range(count)])
+    )
+    time.sleep(work / 2)
+    app = rig.apps['i1']
+    rig.on_loop(app.loop, app.leave)
+    context.count, context.data = count, b''
+    while True:
+        chunk = client.sock.recv(65536)
+        if not chunk:
+            break
+        context.data += chunk
+    client.close()
+
+
+@behave.then(
+    'all of them are answered and the last answer closes the connection'
+)
+def then_all_answered(context):
+    text = context.data.decode()
+    assert text.count('"length"') == context.count, text
+    last = text.rindex('HTTP/1.1')
+    assert 'connection: close' not in text[:last].lower(), text
+    assert 'connection: close' in text[last:].lower(), text
