--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 SOURCES = src tests bench
 
-.PHONY: test check demo bench format
+.PHONY: test check demo bench format experiment soak
 
 test: check
 	$(BIN)/python tests/run.py
@@ -27,3 +27,10 @@
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -e .
 	touch $@
+
+experiment: $(VENV)/.ready
+	PYTHONPATH=src:. $(BIN)/python bench/experiment.py run \
+		bench/models/ferromodelos.json
+
+soak: $(VENV)/.ready
+	$(BIN)/python tests/soak/run.py --seeds 5 --first $$(date +%s)
