--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -14,19 +14,22 @@
 
 Kind = errors.Kind
 
-# The same at an upstream that would have to learn the object.
-UNKNOWN_QUEUE_FACTOR = 0.5
+# The three below and PLANNED_USE were compared on the heaviest days of the
+# users' bench: docs/design.md, section 7.
 # Upstreams that an object is sent to: more would each have to learn it, and
 # forget others.
 OWNERS = 2
 # Queue that an upstream is given beyond its slots, in multiples of them.
 QUEUE_FACTOR = 1.5
+# The same at an upstream that would have to learn the object.
+UNKNOWN_QUEUE_FACTOR = 0.5
 # A caller whose time is less than this part of the usual one came back.
 RETURNED_PART = 0.97
-# Share of the fleet's capacity that demand is taken to use; what a region
-# needs beyond its own part is placed in the others.
+# Share of the fleet's capacity that demand is taken to use, the same in each
+# region; what a region needs beyond its own room is placed in the others.
 PLANNED_USE = 1.0
-# Seconds a request takes to another region and back.
+# Seconds a request takes to another region and back: 40 to 70 ms by the users'
+# pages, and some for the bytes' price.
 CROSS_REGION_S = 0.08
 # Least time a rejected caller is asked to wait, seconds.
 PAUSE_S = 0.3
