Catch up after an outage at once, and take no part for the whole

Now the copy is read whole after an outage, a full part is followed by the next one at once, and it does not refresh the age.

--- a/src/jasminehold/front/reader.py
+++ b/src/jasminehold/front/reader.py
@@ -17,6 +17,9 @@
 TICK_S = 0.1
 # Lead of the boot clock over the steady one that shows a suspension.
 SUSPENDED_S = 0.5
+# The store answers with about 500 changes at the most; an answer of this many
+# is taken for a part.
+PAGE_EVENTS = 400
 # An idle store keeps a read waiting this long for a change.
 WAIT_S = 0.05
 
@@ -71,7 +74,9 @@
         due = age >= reading.threshold_s(self._rank()) - TICK_S / 2
         if due and not self._busy and now >= self._not_before:
             self._busy = True
-            if self.mirror.revision:
+            # After an outage the history to catch up with would take many
+            # answers; the present state takes one or two.
+            if self.mirror.revision and age < OUTAGE_S:
                 self._read_changes(now)
             else:
                 self._read_all(now)
@@ -117,6 +122,12 @@
             if exc is not None:
                 self._on_failed(exc)
                 return
+            if len(result.items) >= PAGE_EVENTS:
+                # Part of the changes; what it leads to is older than now.
+                as_of = self.mirror.as_of
+                self.take(result.items, before, result.revision, as_of)
+                self._read_changes(self._loop.now())
+                return
             self._finish_read()
             self.take(result.items, before, result.revision, sent_at)
 
--- a/tests/features/front_control.feature
+++ b/tests/features/front_control.feature
@@ -47,6 +47,16 @@
     When the store forgets its history while version 9 is stored
     Then version 9 is in force within 2.5 s
 
+  Scenario Outline: An instance catches up with many changes at once
+    Given two upstreams of one service behind an instance
+    When <count> changes and version 9 come within <seconds> s without the store
+    Then version 9 is in force within 1.5 s
+
+    Examples:
+      | count | seconds |
+      | 3000  | 3.0     |
+      | 3000  | 0.5     |
+
   Scenario: An instance that the store refuses learns from its peers
     Given two upstreams of one service behind an instance
     And a second instance that the store refuses, with the first as seed
