--- a/tests/features/heavy_days.feature
+++ b/tests/features/heavy_days.feature
@@ -1,7 +1,7 @@
 Feature: Heavy days of a shop, on the model of its deployment
   Guards against overload that feeds itself. Each scenario names the load
-  pattern; bounds come from the users' targets (marks 'one' of their days, as
-  shares of the credit owed) and from the naive rule on the same arrivals.
+  pattern. The bound of 0.35 is the users' mark of scale-1; the other bounds
+  are the project's own and follow from no stated target.
 
   Scenario: A day begins at full load with upstreams that know no object
     Given the shop at full load
