Keep the suspects of a crash apart across instances

One instance, the arbiter of an upstream by hash, now gives a single permit to send it a suspect.

Ruled out earlier: parts of the upstreams by crash. Ruled out now: several unused permits an instance, which kept the others waiting.

--- a/src/jasminehold/app.py
+++ b/src/jasminehold/app.py
@@ -16,6 +16,7 @@
 from jasminehold import claims as claims_module
 from jasminehold import config as config_module
 from jasminehold.control import claiming
+from jasminehold.control import isolation
 from jasminehold.control import lending
 from jasminehold.control import planner as planner_module
 from jasminehold.control import relay as relay_module
@@ -180,6 +181,14 @@
             self.rng,
             self.metrics,
         )
+        self.isolation = isolation.Isolation(
+            self.loop,
+            self.mesh,
+            cfg.id,
+            self._near_peers,
+            self.rng,
+            self.metrics,
+        )
         self.relay = relay_module.Relay(
             self.loop, self.client, self.publish, self.rng, self.metrics
         )
@@ -235,6 +244,7 @@
             self.rng,
             self.notify,
             self.lending.want,
+            self.isolation,
         )
         self.probes = probes.Probes(
             self.loop,
--- a/src/jasminehold/peers/messages.py
+++ b/src/jasminehold/peers/messages.py
@@ -121,6 +121,28 @@
     loan: str
 
 
+class PermitAsk(typing.TypedDict):
+    """Asks an upstream's arbiter for the permit to send it a suspect."""
+
+    type: str
+    upstream: str
+    seconds: float
+
+
+class Permit(typing.TypedDict):
+    """Reply to ``permit_ask``."""
+
+    type: str
+    granted: bool
+
+
+class PermitEnd(typing.TypedDict):
+    """Gives a permit back."""
+
+    type: str
+    upstream: str
+
+
 class Claim(typing.TypedDict):
     """Asks a shard's owner for a claim on an idempotency key."""
 
--- a/src/jasminehold/proxy/exchange.py
+++ b/src/jasminehold/proxy/exchange.py
@@ -130,6 +130,7 @@
         self._refused = False
         self._refusal_size = 0
         self._result = ''
+        self._crash_shared = False
         self._retry_after = None
         self._answer = None
         self._kept = None
@@ -298,7 +299,7 @@
         )
         # Requests that shared a crashed upstream are kept apart from each
         # other, so that they may have to wait for one of their own.
-        if overloaded and (not self._tried or self._result == 'crash'):
+        if overloaded and (not self._tried or self._crash_shared):
             self._hooks.wait_for_target(
                 self._req, self._deadline, self._on_target
             )
@@ -537,6 +538,7 @@
         def judged(crashed):
             if crashed:
                 self._result = 'crash'
+                self._crash_shared = True
             self.on_event(Event.LOSS)
 
         # Whether the upstream crashed has to be known, here and at the other
--- a/src/jasminehold/steering/picker.py
+++ b/src/jasminehold/steering/picker.py
@@ -52,6 +52,8 @@
         rng: random source.
         notify: ``notify(key, value, ttl)`` spreads a notice.
         want_loan: ``want_loan(group, limit ids, count)`` when short.
+        isolation: the :class:`~control.isolation.Isolation`, which keeps
+            suspects apart from those of other instances.
 
     Attributes:
         has_idle: ``has_idle(name, host, port)`` tells whether an open
@@ -59,7 +61,16 @@
     """
 
     def __init__(
-        self, loop, cfg, tables, holder, metrics, rng, notify, want_loan
+        self,
+        loop,
+        cfg,
+        tables,
+        holder,
+        metrics,
+        rng,
+        notify,
+        want_loan,
+        isolation=None,
     ):
         self._loop = loop
         self._cfg = cfg
@@ -69,6 +80,7 @@
         self._rng = rng
         self._notify = notify
         self._want_loan = want_loan
+        self._isolation = isolation
         self._states = {}
         self._numbers = 0
         self._reported = {}
@@ -148,6 +160,8 @@
                 if index:
                     self._count_demand(option.limits, now)
                 return target
+        if isolate:
+            self._want_permit(req, tried, now)
         state.refused.add(now)
         return hooks_module.Refusal(
             Kind.OVERLOADED, state.admission.service_time_s
@@ -330,17 +344,9 @@
             if not holder.room(limit_id, now):
                 self._want_loan(limit_id, [limit_id], 1)
                 return None
-        candidates = [
-            self._candidate(upstream, now)
-            for upstream in self._tables.by_place.get(
-                (req.service, option.place), ()
-            )
-            if upstream.name not in tried
-            and upstream.name not in self._tables.drained.upstreams
-            and self.leaving.get(upstream.name, 0.0) <= now
-        ]
+        candidates = self._candidates(req, option, tried, now)
         chosen = routing.choose_upstream(
-            candidates, self._rng, isolate, self.blame.may_share
+            candidates, self._rng, isolate, self._may_share
         )
         if chosen is None:
             return None
@@ -356,6 +362,33 @@
             self._metrics.inc('requests_moved_total', movement=option.move)
         return self._target(req, chosen.name, slot, isolate, now)
 
+    def _candidates(self, req, option, tried, now):
+        return [
+            self._candidate(upstream, now)
+            for upstream in self._tables.by_place.get(
+                (req.service, option.place), ()
+            )
+            if upstream.name not in tried
+            and upstream.name not in self._tables.drained.upstreams
+            and self.leaving.get(upstream.name, 0.0) <= now
+        ]
+
+    def _may_share(self, upstream):
+        return self._isolation.permitted(upstream) and self.blame.may_share(
+            upstream
+        )
+
+    def _want_permit(self, req, tried, now):
+        names = [
+            item.name
+            for option in self._options(req)
+            for item in self._candidates(req, option, tried, now)
+            if item.free > 0
+            and item.weight > 0
+            and self.blame.may_share(item.name)
+        ]
+        self._isolation.want(names, req.plan.timeout_s)
+
     def _candidate(self, upstream, now):
         holder = self._holder
         limit_id = limit_table.upstream_slots(upstream.name)
@@ -375,6 +408,7 @@
         fingerprint = self._fingerprint(req)
         if isolate:
             self.blame.suspect_sent(name)
+            self._isolation.begin(name)
         self.in_flight[name] += 1
         state.in_flight.change(1, now)
 
@@ -385,6 +419,7 @@
             state.in_flight.change(-1, ended)
             if isolate:
                 self.blame.suspect_ended(name)
+                self._isolation.end(name)
             if result == 'ok':
                 notice = self.blame.succeeded(fingerprint, now, ended)
                 if notice is not None:
--- a/tests/features/crashers.feature
+++ b/tests/features/crashers.feature
@@ -27,3 +27,14 @@
 
   Scenario: Requests that shared a crash are not lost for want of budget
     Then a retry needs budget after a loss, but not after a crash or a refusal
+
+  Scenario: Suspects that different instances send never meet
+    Given six upstreams with permits of five instances
+    When suspects of each ask for them 500 times
+    Then no two had the permit for one upstream at the same time
+    And each instance had one at some time
+
+  Scenario: Upstreams that refuse connections are left out in any number
+    Given six upstreams of which two are left out
+    When a third and a fourth refuse connections
+    Then only the last two get requests
--- a/tests/features/steps/orders_steps.py
+++ b/tests/features/steps/orders_steps.py
@@ -7,6 +7,8 @@
 from bench import crashers
 from bench import order_fleet
 from bench import orders
+from jasminehold.decisions import health
+from jasminehold.decisions import permits
 from jasminehold.decisions import retry
 
 BROKEN = 'builders.broken_orders'
@@ -98,3 +100,68 @@
         assert retry.decide(attempt, budget, 0.0, rng) is not None
         last = attempt._replace(number=3)
         assert retry.decide(last, budget, 0.0, rng) is None
+
+
+@behave.given('six upstreams with permits of five instances')
+def given_permits(context):
+    context.upstreams = ['u%d' % number for number in range(6)]
+    context.instances = ['i%d' % number for number in range(5)]
+    context.permits = {name: permits.Permits() for name in context.instances}
+
+
+@behave.when('suspects of each ask for them {count:d} times')
+def when_permits(context, count):
+    rng, now = random.Random(3), 0.0
+    held, context.meetings, context.had = {}, [], set()
+    for _ in range(count):
+        now += rng.uniform(0.0, 0.2)
+        upstream = rng.choice(context.upstreams)
+        own = rng.choice(context.instances)
+        giver = context.permits[permits.arbiter(upstream, context.instances)]
+        other, until = held.get(upstream, (own, 0.0))
+        if other == own and now < until:
+            # Half of the permits end by their time.
+            if rng.random() < 0.5:
+                giver.end(upstream, own)
+                del held[upstream]
+        elif giver.grant(upstream, own, 0.4, now):
+            if now < until:
+                context.meetings.append((upstream, other, own))
+            held[upstream] = (own, now + 0.4)
+            context.had.add(own)
+
+
+@behave.then('no two had the permit for one upstream at the same time')
+def then_no_meeting(context):
+    assert not context.meetings, context.meetings
+
+
+@behave.then('each instance had one at some time')
+def then_all_had(context):
+    assert context.had == set(context.instances)
+
+
+@behave.given('six upstreams of which two are left out')
+def given_two_out(context):
+    context.health = health.Health()
+    context.upstreams = ['u%d' % number for number in range(6)]
+    context.health.set_upstreams(context.upstreams, 0.0)
+    # Past the slow start.
+    context.now = 100.0
+    for name in context.upstreams[:2]:
+        assert context.health.lost(name, context.now)
+
+
+@behave.when('a third and a fourth refuse connections')
+def when_refuse(context):
+    for name in context.upstreams[2:4]:
+        context.health.lost(name, context.now)
+
+
+@behave.then('only the last two get requests')
+def then_last_two(context):
+    weights = [
+        context.health.weight(name, context.now + 1)
+        for name in context.upstreams
+    ]
+    assert [weight > 0 for weight in weights] == [False] * 4 + [True] * 2
