--- a/src/jasminehold/decisions/health.py
+++ b/src/jasminehold/decisions/health.py
@@ -100,13 +100,12 @@
             state.ejections //= 2
         if not self._is_outlier(state):
             return False
-        return self._eject(name, state, now, self._most_out())
+        return self._eject(name, state, now)
 
     def lost(self, name, now):
         """Record that connections to an upstream are refused.
 
-        A refused connection leaves no doubt, so one is enough, and only the
-        last upstream of the service stays in whatever share is out.
+        A refused connection leaves no doubt, so one is enough.
 
         Returns:
             Whether this ejected the upstream.
@@ -115,7 +114,7 @@
         if state is None:
             return False
         state.last_failure = now
-        return self._eject(name, state, now, len(self._states) - 1)
+        return self._eject(name, state, now)
 
     def report(self, name, load, healthy, now):
         """Record an endpoint's report.
@@ -179,10 +178,10 @@
         enough = state.samples >= self._cfg.rate_samples
         return enough and state.failure_rate >= self._cfg.rate
 
-    def _eject(self, name, state, now, most):
+    def _eject(self, name, state, now):
         if state.ejected_until is not None and now < state.ejected_until:
             return False
-        if len(self.ejected(now)) >= most:
+        if len(self.ejected(now)) >= self._most_out():
             return False
         length = self._cfg.eject_s * 2**state.ejections
         state.ejected_until = now + min(length, self._cfg.eject_max_s)
--- a/src/jasminehold/proxy/exchange.py
+++ b/src/jasminehold/proxy/exchange.py
@@ -301,7 +301,7 @@
         # other, so that they may have to wait for one of their own.
         if overloaded and (not self._tried or self._crash_shared):
             self._hooks.wait_for_target(
-                self._req, self._deadline, self._on_target
+                self._req, self._tried, self._deadline, self._on_target
             )
         else:
             self._on_target(found)
--- a/src/jasminehold/proxy/hooks.py
+++ b/src/jasminehold/proxy/hooks.py
@@ -91,7 +91,8 @@
     Attributes:
         route: ``(req) -> RequestPlan or Kind``.
         pick: ``(req, tried, now) -> Target or Refusal``.
-        wait_for_target: ``(req, deadline, done)``; ``done`` takes the same.
+        wait_for_target: ``(req, tried, deadline, done)``; ``done`` takes the
+            same.
         claim: ``(key_digest, request_digest, done)``; ``done(Claim)``.
         release_claim: ``(key_digest)``: the request certainly did not run.
         keep_answer: ``(key_digest, KeptAnswer or None)``; None when it may
@@ -200,7 +201,7 @@
     return Hooks(
         route=route,
         pick=pick,
-        wait_for_target=lambda req, deadline, done: done(
+        wait_for_target=lambda req, tried, deadline, done: done(
             Refusal(errors.Kind.OVERLOADED)
         ),
         claim=lambda key, digest, done: done(Claim(True)),
--- a/src/jasminehold/steering/picker.py
+++ b/src/jasminehold/steering/picker.py
@@ -167,8 +167,15 @@
             Kind.OVERLOADED, state.admission.service_time_s
         )
 
-    def wait_for_target(self, req, deadline, done):
-        """Queue a request until it gets a target or is refused."""
+    def wait_for_target(self, req, tried, deadline, done):
+        """Queue a request until it gets a target or is refused.
+
+        Args:
+            req: the request.
+            tried: names of the upstreams that it must not be sent to.
+            deadline: seconds, monotonic.
+            done: called once with the target or the refusal.
+        """
         now = self._loop.now()
         state = self._state(req.service)
         slots = self._slots(req.service, now)
@@ -184,7 +191,7 @@
             self._metrics.inc('requests_shed_total', service=req.service)
             done(hooks_module.Refusal(Kind.OVERLOADED, offer.retry_after_s))
             return
-        state.waiting[ident] = (req, done)
+        state.waiting[ident] = (req, tried, done)
         if not self._ticking:
             self._ticking = True
             self._loop.call_later(DISPATCH_S, self._tick)
@@ -489,8 +496,8 @@
                 self._refuse(state, item.ident, state.admission.service_time_s)
             if waiting is None:
                 return
-            req, done = state.waiting[waiting.ident]
-            found = self._pick(req, (), now, False)
+            req, tried, done = state.waiting[waiting.ident]
+            found = self._pick(req, tried, now, False)
             if _overloaded(found):
                 state.admission.restore(waiting)
                 self._borrow(service, now)
@@ -503,7 +510,7 @@
             done(found)
 
     def _refuse(self, state, ident, retry_after_s):
-        req, done = state.waiting.pop(ident)
+        req, _, done = state.waiting.pop(ident)
         state.in_flight.change(-1, self._loop.now())
         self._metrics.inc('requests_shed_total', service=req.service)
         done(hooks_module.Refusal(Kind.OVERLOADED, retry_after_s))
