Use one client and one stand-in for the platform's store

The product's own interface spoke a protocol of its own to its store, with a second client and a second stand-in. Both are gone: PlatformClient repeats reads and chooses addresses on top of platform/kv.py, and standin/kv.py serves faults and counts on a control port. Instances that use the product's own interface register with the same Presence as the front, under a lease; the product no longer imports a stand-in.

The stand-in learns late writes, stale reads, lost answers by share, refused connections and leases that pause.

Also the size of the fleet that the retry budget divides by: an instance counts those that left within the window, and at least 32 within one window after its start, since all are not listed yet.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -26,7 +26,7 @@
 
 RATES = (50, 200, 1000)
 EXPIRE_AFTER_S = 1.0
-SERVE = 'from jasminehold.standin import platform; platform.run(port=%d,%s)'
+SERVE = 'from jasminehold.standin import kv; kv.run(port=%d,%s)'
 
 
 class _Held:
@@ -105,7 +105,7 @@
         return answers[0][0]
 
     for _ in range(50):
-        if ask('POST', '/v1/faults', b'{"slow_s": %f}' % delay):
+        if ask('POST', '/faults', b'{"slow_s": %f}' % delay):
             break
         time.sleep(0.1)
     if mode == 'single':
--- a/bench/measured_fleet.py
+++ b/bench/measured_fleet.py
@@ -252,7 +252,7 @@
 
     def platform_calls(self):
         """Return the stand-in's count of calls by kind."""
-        body = fetch(self.platform_control, '/v1/stats')
+        body = fetch(self.platform_control, '/stats')
         return json.loads(body)['calls']
 
     def put(self, kind, name, spec):
--- a/bench/model.py
+++ b/bench/model.py
@@ -244,7 +244,9 @@
             rng = random.Random(self.rng.random())
             item = steering_module.Steering(cfg, rng, _silent)
             item.on_config(table)
-            item.on_members([other for _, other in names])
+            # The fleet has run for a while when its callers come.
+            ids = [other for _, other in names]
+            item.on_members(ids, -cfg.retry_window)
             item.on_entries(entries, 0.0)
             found.setdefault(self.dep.places[place], []).append(item)
         return found
--- a/bench/order_fleet.py
+++ b/bench/order_fleet.py
@@ -26,7 +26,7 @@
     'europa': ('europa-1', 'europa-2'),
 }
 INSTANCE = 'import sys; from jasminehold import cli; sys.exit(cli.main())'
-PLATFORM = 'from jasminehold.standin import platform; platform.run(%s)'
+PLATFORM = 'from jasminehold.standin import kv; kv.run(%s)'
 UPSTREAM = 'from jasminehold.standin import upstream; upstream.run(%s)'
 
 
@@ -144,7 +144,7 @@
     def faults(self, **changes):
         """Set faults of the platform stand-in."""
         conn = http.client.HTTPConnection('127.0.0.1', self.control_port)
-        conn.request('POST', '/v1/faults', json.dumps(changes))
+        conn.request('POST', '/faults', json.dumps(changes))
         assert conn.getresponse().status == 200
         conn.close()
 
@@ -400,7 +400,7 @@
     def _platform_down(self):
         if 'platform' not in self._busy:
             self.counts['platform down'] += 1
-            self.fleet.faults(down=self.rng.choice(('refuse', 'hang')))
+            self.fleet.faults(mode=self.rng.choice(('refuse', 'silent')))
             seconds = self.rng.uniform(1.0, 4.0)
             reset = self.fleet.faults
-            self._after(seconds, 'platform', lambda: reset(down=''))
+            self._after(seconds, 'platform', lambda: reset(mode=''))
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -306,7 +306,7 @@
         """Set faults of the platform's stand-in."""
         port = self.addresses['platform']['control_port']
         conn = http.client.HTTPConnection(HOST, port, timeout=3)
-        conn.request('POST', '/v1/faults', json.dumps(faults))
+        conn.request('POST', '/faults', json.dumps(faults))
         assert conn.getresponse().status == 200
         conn.close()
 
--- a/src/jasminehold/cli.py
+++ b/src/jasminehold/cli.py
@@ -400,7 +400,7 @@
 
 def stand_in_platform(**options):
     """Run the stand-in of the platform's service."""
-    return Command(lambda: _stand_in('platform', options))
+    return Command(lambda: _stand_in('kv', options))
 
 
 def stand_in_upstream(**options):
--- /dev/null
+++ b/src/jasminehold/decisions/fleet_size.py
@@ -0,0 +1,42 @@
+"""How many instances share what is counted over the whole fleet."""
+
+# Size assumed before members are known, and at least for one window after: not
+# all that started together are listed yet, and an earlier process of this
+# instance may have used its part. Too large only means caution.
+UNKNOWN = 32
+
+
+class FleetSize:
+    """Number of instances that may have used a window's budget.
+
+    Args:
+        window_s: length of the window in which uses are counted, seconds.
+    """
+
+    def __init__(self, window_s):
+        self._window_s = window_s
+        self._since = None
+        self._members = frozenset()
+        # When those that left were last known.
+        self._left = {}
+
+    def on_members(self, ids, now):
+        """Take the ids of the live instances, at monotonic seconds ``now``."""
+        if self._since is None:
+            self._since = now
+        members = frozenset(ids)
+        for name in self._members - members:
+            self._left[name] = now
+        for name in members:
+            self._left.pop(name, None)
+        self._members = members
+
+    def assumed(self, now):
+        """Return the size to divide by, at least 1."""
+        if self._since is None:
+            return UNKNOWN
+        begin = now - self._window_s
+        for name in [n for n, at in self._left.items() if at <= begin]:
+            del self._left[name]
+        known = max(len(self._members) + len(self._left), 1)
+        return max(known, UNKNOWN) if self._since > begin else known
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -17,7 +17,6 @@
 from jasminehold.front import directory
 from jasminehold.front import exchange
 from jasminehold.front import peering
-from jasminehold.front import presence
 from jasminehold.front import reader
 from jasminehold.front import steering as steering_module
 from jasminehold.front import upstream_conn
@@ -26,6 +25,7 @@
 from jasminehold import metrics as metrics_module
 from jasminehold.platform import kv
 from jasminehold.platform import wire
+from jasminehold import presence
 
 # Parts of the descriptors that callers and upstreams may use.
 CALLERS_PART = 0.6
@@ -76,11 +76,16 @@
         self._build_path()
 
     def _build_store(self):
-        self.store = kv.Store(
+        self.store = kv.connect(
             self.loop, *self.cfg.store, self.rng, self.metrics
         )
         self._presence = presence.Presence(
-            self.loop, self.store, self.cfg.id, self._own, self.rng, _log
+            self.loop,
+            self.store,
+            wire.MEMBER_PREFIX + self.cfg.id,
+            self._own,
+            self.rng,
+            _log,
         )
         self._peering = peering.Peering(
             self.loop, self.cfg, self.rng, self.metrics, _log
@@ -239,7 +244,7 @@
         if set(members) != set(self._members):
             _log('members changed', members=sorted(members))
         self._members = members
-        self.steering.on_members(members)
+        self.steering.on_members(members, self.loop.now())
         self._peering.on_members(members)
         self._presence.on_members(items)
 
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -3,6 +3,7 @@
 import typing
 
 from jasminehold.decisions import cold_gate
+from jasminehold.decisions import fleet_size
 from jasminehold.decisions import placement
 from jasminehold.decisions import retry_share
 from jasminehold.decisions import run_times
@@ -33,8 +34,6 @@
 CROSS_REGION_S = 0.08
 # Least time a rejected caller is asked to wait, seconds.
 PAUSE_S = 0.3
-# Fleet size assumed until members are known; too large only means caution.
-FLEET_UNKNOWN = 32
 OWNERS_CACHE_MAX = 20_000
 
 
@@ -100,6 +99,7 @@
         self._owners = {}
         self._weights = {}
         self._usual_wait = {}
+        self._fleet = fleet_size.FleetSize(cfg.retry_window)
 
     # What is learnt.
 
@@ -159,9 +159,10 @@
         self._owners.clear()
         self._weights.clear()
 
-    def on_members(self, ids):
-        """Take the ids of the live instances."""
+    def on_members(self, ids, now):
+        """Take the ids of the live instances, at monotonic seconds ``now``."""
         self.instances = tuple(sorted(ids))
+        self._fleet.on_members(ids, now)
 
     def on_settings(self, cfg):
         """Take new settings."""
@@ -192,7 +193,7 @@
             returned: whether its caller was rejected before.
             now: monotonic seconds.
         """
-        fleet = len(self.instances) or FLEET_UNKNOWN
+        fleet = self._fleet.assumed(now)
         urgent = returned or route.priority <= self.table.first_priority
         return self._retry_share(service).take(fleet, now, urgent)
 
--- a/src/jasminehold/platform/kv.py
+++ b/src/jasminehold/platform/kv.py
@@ -12,11 +12,6 @@
 
 # Time for an answer beyond the wait that the call itself asks for.
 CALL_TIMEOUT_S = 1.5
-# The store allows waits of at most 30 s.
-WATCH_WAIT_S = 25.0
-# A watch is repeated at once, so that a silent connection is noticed by this
-# time-out only.
-WATCH_MARGIN_S = 1.5
 MAX_CONNS = 4
 # A watch waits on a connection that carries nothing, so only probes show that
 # it has gone silent. A change has to be in force within 2.5 s.
@@ -33,75 +28,115 @@
 
 
 class Range(typing.NamedTuple):
-    """All items under a prefix and the store's revision."""
+    """Items, oldest or first key first, and the revision that they reach."""
 
     items: list
     revision: int
+    more: bool = False
+
+
+def connect(loop, host, port, rng, metrics):
+    """Return the :class:`Store` of an instance that reads for its region."""
+    pool = http.Client(
+        loop,
+        host,
+        port,
+        rng,
+        MAX_CONNS,
+        keepalive=KEEPALIVE,
+        backoff_max_s=BACKOFF_MAX_S,
+        connect_timeout_s=CONNECT_TIMEOUT_S,
+    )
+    return Store(pool, metrics)
 
 
 class Store:
     """Calls to the store; each takes ``done(result, exc)``.
 
+    Nothing is repeated. A write that fails with ``PlatformUnavailable`` had
+    certainly no effect, one that fails with ``OutcomeUnknown`` may have or
+    may get one.
+
     Args:
-        loop: the :class:`~jasminehold.loop.Loop`.
-        host: IP address.
-        port: port.
-        rng: random source for back-off.
-        metrics: counters.
+        pool: :class:`~jasminehold.platform.http.Client` of the address.
+        metrics: counters; ``store_calls_total`` has the labels ``call`` and
+            ``result``.
+        timeout_s: seconds until a call is given up, without its wait.
     """
 
-    def __init__(self, loop, host, port, rng, metrics):
+    def __init__(self, pool, metrics, timeout_s=CALL_TIMEOUT_S):
+        self.pool = pool
         self._metrics = metrics
-        self._http = http.Client(
-            loop,
-            host,
-            port,
-            rng,
-            MAX_CONNS,
-            keepalive=KEEPALIVE,
-            backoff_max_s=BACKOFF_MAX_S,
-            connect_timeout_s=CONNECT_TIMEOUT_S,
-        )
+        self._timeout_s = timeout_s
 
-    def range(self, prefix, done):
-        """Read all items under a prefix: :class:`Range`.
+    def get(self, key, done, timeout_s=None):
+        """Read a key: :class:`~decisions.mirror.Item`, or ``KeyNotFound``."""
 
-        Pages are no snapshot; the result has the first one's revision, so
-        that changes read from there on complete it.
-        """
-        items = []
-        first = None
+        def parse(doc):
+            return wire.decode_items([doc])[0]
 
-        def page(after):
-            query = {'Prefix': prefix}
-            if after:
-                query['after'] = after
-            self._call('GET', 'kv-range', query, None, parse, on_page)
+        self._read('kv-key', {'Key': key}, parse, done, timeout_s)
+
+    def page(self, prefix, after, done, stale=False, timeout_s=None):
+        """Read a page of the items under a prefix: :class:`Range`.
+
+        Args:
+            prefix: prefix of the keys.
+            after: key after which the page begins, '' for the first one.
+            done: callback.
+            stale: whether items that are seconds old will do.
+            timeout_s: seconds until the call is given up.
+        """
+        query = {'Prefix': prefix}
+        if after:
+            query['after'] = after
+        if stale:
+            query['StaleOk'] = 1
 
         def parse(doc):
-            return (
+            return Range(
                 wire.decode_items(doc['items']),
-                bool(doc.get('HasMore')),
                 int(doc['StoreRevision']),
+                bool(doc.get('HasMore')),
             )
 
+        self._read('kv-range', query, parse, done, timeout_s)
+
+    def range(self, prefix, done, stale=False):
+        """Read all items under a prefix: :class:`Range`.
+
+        Pages are no snapshot; the result has the first one's revision, so
+        that changes read from there on complete it.
+        """
+        items = []
+        first = None
+
         def on_page(result, exc):
             if exc is not None:
                 done(None, exc)
                 return
             nonlocal first
-            rows, more, revision = result
-            first = revision if first is None else first
-            items.extend(rows)
-            if more and rows:
-                page(rows[-1].key)
+            first = result.revision if first is None else first
+            items.extend(result.items)
+            if result.more and result.items:
+                self.page(prefix, result.items[-1].key, on_page, stale)
             else:
                 done(Range(items, first), None)
 
-        page('')
+        self.page(prefix, '', on_page, stale)
+
+    def watch(self, prefix, after, wait_s, done, timeout_s=None):
+        """Wait for changes after a revision: :class:`Range` of events.
+
+        An event of a deleted key has the value None.
 
-    def watch(self, prefix, after, wait_s, done):
-        """Wait for changes after a revision: :class:`Range` of events."""
+        Args:
+            prefix: prefix of the keys.
+            after: the last revision already known.
+            wait_s: seconds until an answer without events.
+            done: callback; ``Compacted`` when the revision is not kept.
+            timeout_s: seconds until the call is given up, wait included.
+        """
         query = {
             'Prefix': prefix,
             'after': after,
@@ -112,84 +147,112 @@
             events = wire.decode_items(doc['events'])
             return Range(events, int(doc['StoreRevision']))
 
-        self._call(
-            'GET',
-            'kv-watch',
-            query,
-            None,
-            parse,
-            done,
-            wait_s + WATCH_MARGIN_S,
-        )
+        limit = timeout_s or wait_s + self._timeout_s
+        self._read('kv-watch', query, parse, done, limit)
 
-    def grant(self, ttl_s, done):
-        """Create a lease: its id."""
-        body = {'TtlMs': int(ttl_s * 1000)}
-        self._call(
-            'POST', 'kv-lease', None, body, lambda doc: doc['Lease'], done
-        )
+    def grant(self, ttl, done):
+        """Create a lease of ``ttl`` seconds: its id."""
+        body = {'TtlMs': int(ttl * 1000)}
+        self._write('POST', 'kv-lease', body, lambda doc: doc['Lease'], done)
 
-    def keep(self, lease, done):
-        """Renew a lease; ``KeyNotFound`` when it has ended."""
-        self._call('POST', 'kv-keep/%d' % lease, None, {}, _nothing, done)
+    def renew(self, lease, done):
+        """Renew a lease: its seconds to live; ``KeyNotFound`` when ended."""
+
+        def parse(doc):
+            return doc['TtlMs'] / 1000
 
-    def end(self, lease, done):
+        self._write('POST', 'kv-keep/%d' % lease, {}, parse, done)
+
+    def revoke(self, lease, done):
         """End a lease and remove its keys."""
         target = 'kv-lease-end/%d' % lease
-        self._call('DELETE', target, None, None, _nothing, done)
+        self._write('DELETE', target, None, _nothing, done)
+
+    def put(self, key, value, if_version, done, lease=None):
+        """Write a key: its new revision.
 
-    def put(self, key, value, lease, done):
-        """Write a key without a condition."""
+        Args:
+            key: the key.
+            value: bytes.
+            if_version: revision that the key must have, 0 when it must be
+                absent, None for any.
+            done: callback; ``VersionMismatch`` tells the revision found.
+            lease: id of the lease that the key ends with.
+        """
         row = {
             'Key': key,
             'Value': base64.b64encode(value).decode(),
-            'Lease': lease,
+            'Lease': lease or 0,
         }
-        body = {'ExpectRev': [], 'Puts': [row], 'Deletes': []}
-        self._call('POST', 'kv-txn', None, body, _nothing, done)
-
-    def _call(
-        self, method, name, query, doc, parse, done, timeout=CALL_TIMEOUT_S
-    ):
-        target = '/api/' + name
-        if query:
-            target += '?' + urllib.parse.urlencode(query)
+        self._txn(key, if_version, {'Puts': [row], 'Deletes': []}, done)
+
+    def delete(self, key, if_version, done):
+        """Delete a key; arguments as for :meth:`put`."""
+        self._txn(key, if_version, {'Puts': [], 'Deletes': [key]}, done)
+
+    def _txn(self, key, if_version, body, done):
+        expected = []
+        if if_version is not None:
+            expected = [{'Key': key, 'Revision': if_version}]
+        body = {'ExpectRev': expected, **body}
+        self._write('POST', 'kv-txn', body, lambda doc: doc['Revision'], done)
+
+    def _read(self, name, query, parse, done, timeout_s):
+        target = name + '?' + urllib.parse.urlencode(query)
+        self._call('GET', target, None, parse, done, timeout_s)
+
+    def _write(self, method, target, doc, parse, done):
+        self._call(method, target, doc, parse, done, None)
+
+    def _call(self, method, target, doc, parse, done, timeout_s):
         body = b'' if doc is None else json.dumps(doc).encode()
-        label = name.partition('/')[0]
+        label = target.partition('?')[0].partition('/')[0]
+        is_read = method == 'GET'
+        # An answer that says nothing leaves open what a write did.
+        doubt = errors.OutcomeUnknown
+        if is_read:
+            doubt = errors.PlatformUnavailable
 
         def on_answer(response, exc):
             result = None
-            if exc is not None:
-                kind = errors.PlatformUnavailable
-                if not exc.sent:
-                    kind = errors.NotConnected
-                elif method != 'GET':
-                    kind = errors.OutcomeUnknown
-                exc = kind(str(exc))
+            if exc is None:
+                result, exc = _interpret(response, parse, doubt)
+            elif exc.sent:
+                exc = doubt(str(exc))
             else:
-                result, exc = _interpret(response, parse)
+                exc = errors.NotConnected(str(exc))
             outcome = 'ok' if exc is None else type(exc).__name__
             self._metrics.inc('store_calls_total', call=label, result=outcome)
             done(result, exc)
 
-        self._http.request(method, target, body, timeout, on_answer)
+        self.pool.request(
+            method,
+            '/api/' + target,
+            body,
+            timeout_s or self._timeout_s,
+            on_answer,
+        )
 
 
 def _nothing(doc):
     return None
 
 
-def _interpret(response, parse):
+def _interpret(response, parse, doubt):
+    # Returns (result, exc); ``doubt`` is the class for an unusable answer.
     status = response.status
     if status == 404:
         return None, errors.KeyNotFound()
     if status == 410:
         return None, errors.Compacted()
-    if status == 412:
-        return None, errors.VersionMismatch()
-    if status != 200:
-        return None, errors.PlatformUnavailable('status %d' % status)
     try:
-        return parse(json.loads(response.body or b'{}')), None
+        if status == 412:
+            rows = json.loads(response.body)['items']
+            version = rows[0]['Revision'] if rows else 0
+            return None, errors.VersionMismatch(version=version)
+        if status == 200:
+            return parse(json.loads(response.body or b'{}')), None
     except MALFORMED as exc:
-        return None, errors.PlatformUnavailable('unusable answer: %r' % exc)
+        return None, doubt('unusable answer: %r' % exc)
+    # The store promises that a call that it refuses had no effect.
+    return None, errors.PlatformUnavailable('status %d' % status)
--- a/src/jasminehold/platform/wire.py
+++ b/src/jasminehold/platform/wire.py
@@ -32,6 +32,8 @@
 EVACUATE_PREFIX = 'op/evacuate/'
 UPSTREAM_PREFIX = 'servers/'
 MEMBER_PREFIX = 'jasminehold/members/'
+# Instances that use the product's own interface.
+INSTANCE_PREFIX = 'instances/'
 
 # The keys that the system copies, and those of them under a lease.
 COPIED = (OPERATOR_PREFIX, UPSTREAM_PREFIX, MEMBER_PREFIX)
--- a/src/jasminehold/front/presence.py
+++ b/src/jasminehold/presence.py
@@ -3,7 +3,6 @@
 import json
 
 from jasminehold import errors
-from jasminehold.platform import wire
 
 # The entry of a killed instance has to be gone before the directory may no
 # longer name it, 6 s after its end.
@@ -17,17 +16,18 @@
 
     Args:
         loop: the :class:`~jasminehold.loop.Loop`.
-        store: the :class:`~jasminehold.platform.kv.Store`.
-        name: id of the instance.
+        store: the :class:`~jasminehold.platform.kv.Store`, or a
+            :class:`~jasminehold.platform.client.PlatformClient`.
+        key: key of the entry.
         doc: what the entry says.
         rng: random source.
         log: structured log.
     """
 
-    def __init__(self, loop, store, name, doc, rng, log):
+    def __init__(self, loop, store, key, doc, rng, log):
         self._loop = loop
         self._store = store
-        self._key = wire.MEMBER_PREFIX + name
+        self._key = key
         self._value = json.dumps(doc).encode()
         self._rng = rng
         self._log = log
@@ -47,13 +47,19 @@
             self._log('own entry is missing; registering again')
             self._put()
 
+    def update(self, doc):
+        """Let the entry say something else."""
+        self._value = json.dumps(doc).encode()
+        if self._lease is not None:
+            self._put()
+
     def leave(self):
         """Withdraw the entry."""
         self._leaving = True
         self._written = False
         lease, self._lease = self._lease, None
         if lease is not None:
-            self._store.end(lease, self._on_left)
+            self._store.revoke(lease, self._on_left)
 
     def _on_left(self, result, exc):
         if exc is not None:
@@ -70,14 +76,16 @@
         if exc is not None:
             self._again(exc)
         elif self._leaving:
-            self._store.end(lease, self._on_left)
+            self._store.revoke(lease, self._on_left)
         else:
             self._lease = lease
             self._put()
             self._loop.call_later(RENEW_EVERY_S, self._renew, lease)
 
     def _put(self):
-        self._store.put(self._key, self._value, self._lease, self._on_put)
+        self._store.put(
+            self._key, self._value, None, self._on_put, self._lease
+        )
 
     def _on_put(self, result, exc):
         if exc is None:
@@ -94,7 +102,7 @@
 
     def _renew(self, lease):
         if lease == self._lease:
-            self._store.keep(
+            self._store.renew(
                 lease, lambda result, exc: self._on_kept(lease, exc)
             )
 
--- a/src/jasminehold/standin/kv.py
+++ b/src/jasminehold/standin/kv.py
@@ -1,26 +1,37 @@
 """Stand-in for the platform's store in its published protocol.
 
 Serves ``/api/kv-*``: items, pages, long watches, transactions under
-conditions and leases. Faults are set by :meth:`KvStore.set_faults`:
+conditions and leases. Faults are set by :meth:`KvStore.set_faults`, or by
+``POST /faults`` on the control port, which stays reachable in an outage;
+``GET /stats`` there shows counts:
 
 - ``mode``: ``''``, ``'silent'`` (no answers), ``'busy'`` (503), ``'many'``
-  (429) or ``'reset'``.
+  (429), ``'reset'`` or ``'refuse'`` (closes the port and all connections).
 - ``hosts``: addresses of callers that the mode holds for, None for all.
 - ``slow_s``: seconds before each call runs.
 - ``lose_writes``: number of the next writes that take effect but whose
-  connection is closed.
+  connection is closed; ``lose_probability``: share of such writes.
+- ``late_s``: seconds after which a write of those runs, 0 for at once.
+- ``stale_s``: age of what a read with ``StaleOk`` gets.
+- ``leases``: ``'expire'`` or ``'pause'`` while the mode is set.
+
+Data stay in memory during an outage.
 """
 
 import base64
 import itertools
 import json
+import random
 import urllib.parse
 
+import circuits
 import h11
 
+from jasminehold import loop as loop_module
 from jasminehold.standin import store as store_module
 
 LEASE_CHECK_S = 0.05
+MAX_BODY_BYTES = 2_000_000
 PAGE_ITEMS = 500
 # Changes in one answer to a watch.
 PAGE_EVENTS = 500
@@ -28,7 +39,17 @@
 PREFIX = '/api/kv-'
 # Keys that the system may not write.
 FOREIGN = ('op/', 'servers/')
-FAULTS = {'mode': '', 'hosts': None, 'slow_s': 0.0, 'lose_writes': 0}
+FAULTS = {
+    'mode': '',
+    'hosts': None,
+    'slow_s': 0.0,
+    'lose_writes': 0,
+    'lose_probability': 0.0,
+    'late_s': 0.0,
+    'stale_s': 2.0,
+    'leases': 'expire',
+}
+_ANSWERS = {'busy': 503, 'many': 429}
 
 
 class KvStore:
@@ -38,16 +59,24 @@
         loop: the :class:`~jasminehold.loop.Loop`.
         host: IP address.
         port: port, 0 to let the system choose.
+        control_port: port of faults and counts, 0 to let the system choose,
+            None for none.
+        rng: random source of lost answers.
 
     Attributes:
         port: port bound to.
+        control_port: control port bound to.
         counts: calls by name.
         state: the :class:`~jasminehold.standin.store.Store`.
     """
 
-    def __init__(self, loop, host='127.0.0.1', port=0):
+    def __init__(
+        self, loop, host='127.0.0.1', port=0, control_port=None, rng=None
+    ):
         self.loop = loop
+        self.host = host
         self.counts = {}
+        self._rng = rng or random.Random(1)
         self.state = store_module.Store()
         self.state.revision = 100
         self.faults = dict(FAULTS)
@@ -55,19 +84,45 @@
         self._watches = []
         self._numbers = itertools.count(70_000)
         self._leases = {}
+        self._lagging = {}
+        self._lag_revision = self.state.revision
+        self._told_revision = self.state.revision
         self._listener = loop.listen(host, port, self._on_accept)
         self.port = self._listener.port
+        self._control = None
+        if control_port is not None:
+            self._control = loop.listen(host, control_port, self._on_control)
+            self.control_port = self._control.port
         loop.call_later(LEASE_CHECK_S, self._tick)
 
     # What tests do.
 
     def set_faults(self, **faults):
         """Set faults; those not named end."""
+        unknown = set(faults) - set(FAULTS)
+        if unknown:
+            raise ValueError('unknown fault: %s' % sorted(unknown))
         self.faults = {**FAULTS, **faults}
-        if self.faults['mode'] == 'reset':
+        mode = self.faults['mode']
+        if mode == 'refuse':
+            self._listener.close()
+        elif self._listener.closed:
+            self._listener = self.loop.listen(
+                self.host, self.port, self._on_accept
+            )
+        if mode in ('reset', 'refuse'):
             for conn in list(self._conns):
                 conn.abort()
 
+    def stats(self):
+        """Return the counts of calls and of what is held."""
+        return {
+            'calls': dict(self.counts),
+            'connections': len(self._conns),
+            'watches': len(self._watches),
+            'revision': self.state.revision,
+        }
+
     def put(self, key, doc):
         """Write a key as the operator or a server does.
 
@@ -97,6 +152,8 @@
     def close(self):
         """Stop serving."""
         self._listener.close()
+        if self._control is not None:
+            self._control.close()
         for conn in list(self._conns):
             conn.abort()
 
@@ -108,8 +165,13 @@
         conn.on_data = session.on_data
         conn.on_close = lambda exc: self._conns.discard(conn)
 
+    def _on_control(self, conn):
+        conn.on_data = _Session(_Control(self), conn).on_data
+
     def _tick(self):
         self.loop.call_later(LEASE_CHECK_S, self._tick)
+        if self.faults['mode'] and self.faults['leases'] == 'pause':
+            self.state.postpone(LEASE_CHECK_S)
         self.state.expire(self.loop.now())
         self._notify()
 
@@ -119,13 +181,11 @@
         query = dict(urllib.parse.parse_qsl(url.query, True))
         name, _, number = url.path[len(PREFIX) :].partition('/')
         self.counts[name] = self.counts.get(name, 0) + 1
-        faults = self.faults
-        hosts = faults['hosts']
-        if faults['mode'] and (hosts is None or session.conn.peer[0] in hosts):
-            status = {'busy': 503, 'many': 429}.get(faults['mode'])
+        if self._is_away(session):
+            status = _ANSWERS.get(self.faults['mode'])
             if status is not None:
                 session.reply(status, {})
-            elif faults['mode'] == 'reset':
+            elif self.faults['mode'] == 'reset':
                 session.conn.abort()
             return
         func = getattr(self, '_' + name.replace('-', '_'), None)
@@ -135,6 +195,8 @@
         doc = json.loads(body) if body else {}
 
         def call():
+            if session.conn.closed or self._is_away(session):
+                return
             try:
                 func(session, query, doc, number)
             except store_module.Missing:
@@ -142,11 +204,17 @@
             except (KeyError, ValueError) as exc:
                 session.reply(400, {'Error': repr(exc)})
 
-        if faults['slow_s']:
-            self.loop.call_later(faults['slow_s'], call)
+        if self.faults['slow_s']:
+            self.loop.call_later(self.faults['slow_s'], call)
         else:
             call()
 
+    def _is_away(self, session):
+        hosts = self.faults['hosts']
+        if not self.faults['mode']:
+            return False
+        return hosts is None or session.conn.peer[0] in hosts
+
     def _key(self, session, query, doc, number):
         item = self.state.get(query['Key'])
         if item is None:
@@ -155,6 +223,9 @@
         session.reply(200, {**row, 'StoreRevision': self.state.revision})
 
     def _range(self, session, query, doc, number):
+        if query.get('StaleOk') == '1':
+            self._range_stale(session, query)
+            return
         found, more = self.state.list(
             query.get('Prefix', ''), query.get('after', '')
         )
@@ -171,6 +242,30 @@
             },
         )
 
+    def _range_stale(self, session, query):
+        prefix, after = query.get('Prefix', ''), query.get('after', '')
+        rows = [
+            self._row(event.key, event.value, event.version)
+            for key, event in sorted(self._lagging.items())
+            if key.startswith(prefix) and key > after
+        ]
+        session.reply(
+            200,
+            {
+                'items': rows[:PAGE_ITEMS],
+                'HasMore': len(rows) > PAGE_ITEMS,
+                'StoreRevision': self._lag_revision,
+            },
+        )
+
+    def _catch_up(self, events):
+        for event in events:
+            self._lag_revision = event.version
+            if event.deleted:
+                self._lagging.pop(event.key, None)
+            else:
+                self._lagging[event.key] = event
+
     def _watch(self, session, query, doc, number):
         wait = min(int(query['WaitMs']), MAX_WAIT_MS) / 1000
         due = self.loop.now() + wait
@@ -180,11 +275,24 @@
 
     def _notify(self):
         now = self.loop.now()
+        changes = self.state.since('', self._told_revision)
+        if changes is None:
+            # The history was forgotten; stale reads go on from here.
+            self._told_revision = self._lag_revision = self.state.revision
+        elif changes[0]:
+            # A part, when there are more than one answer holds.
+            self._told_revision = changes[0][-1].version
+            self.loop.call_later(
+                self.faults['stale_s'], self._catch_up, changes[0]
+            )
         waiting, self._watches = self._watches, []
         for watch in waiting:
             session, prefix, after, due = watch
             if session.conn.closed:
                 continue
+            if self._is_away(session):
+                self._watches.append(watch)
+                continue
             found = self.state.since(prefix, after)
             if found is None:
                 session.reply(410, {})
@@ -207,18 +315,50 @@
         if any(key.startswith(FOREIGN) for key in keys):
             session.reply(403, {})
             return
-        for row in puts:
-            lease = row.get('Lease')
-            if lease and lease not in self._leases:
-                raise store_module.Missing()
+        if self.faults['late_s'] and self._loses_answer():
+            self.loop.call_later(self.faults['late_s'], self._run_late, doc)
+            session.conn.abort()
+            return
+        if not self._leases_run(puts):
+            raise store_module.Missing()
         wrong = [
             key
             for key, revision in expected.items()
             if self._revision(key) != revision
         ]
         if wrong:
-            session.reply(412, {'items': []})
+            found = [(key, self.state.get(key)) for key in expected]
+            rows = [
+                self._row(key, item.value, item.version)
+                for key, item in found
+                if item is not None
+            ]
+            session.reply(412, {'items': rows})
             return
+        self._write(puts, deletes)
+        self._confirm(session, {'Revision': self.state.revision})
+
+    def _run_late(self, doc):
+        # A write that was not answered takes effect if its condition holds.
+        expected = {
+            row['Key']: row['Revision'] for row in doc.get('ExpectRev', ())
+        }
+        puts = doc.get('Puts', ())
+        holds = all(
+            self._revision(key) == revision
+            for key, revision in expected.items()
+        )
+        if holds and self._leases_run(puts):
+            self._write(puts, doc.get('Deletes', ()))
+            self._notify()
+
+    def _leases_run(self, puts):
+        leases = [row['Lease'] for row in puts if row.get('Lease')]
+        return all(
+            self.state.runs(self._leases.get(lease)) for lease in leases
+        )
+
+    def _write(self, puts, deletes):
         for row in puts:
             self.state.put(
                 row['Key'],
@@ -229,7 +369,6 @@
         for key in deletes:
             if self.state.get(key) is not None:
                 self.state.delete(key, self._revision(key))
-        self._confirm(session, {'Revision': self.state.revision})
 
     def _lease(self, session, query, doc, number):
         lease = next(self._numbers)
@@ -254,12 +393,17 @@
 
     def _confirm(self, session, doc):
         self._notify()
-        if self.faults['lose_writes'] > 0:
-            self.faults['lose_writes'] -= 1
+        if not self.faults['late_s'] and self._loses_answer():
             session.conn.abort()
         else:
             session.reply(200, doc)
 
+    def _loses_answer(self):
+        if self.faults['lose_writes'] > 0:
+            self.faults['lose_writes'] -= 1
+            return True
+        return self._rng.random() < self.faults['lose_probability']
+
     def _revision(self, key):
         item = self.state.get(key)
         return item.version if item else 0
@@ -284,6 +428,29 @@
         return self._row(event.key, event.value, event.version)
 
 
+class _Control:
+    """What the control port serves."""
+
+    def __init__(self, store):
+        self.loop = store.loop
+        self._store = store
+
+    def handle(self, session, method, target, body):
+        """Run one call."""
+        if target == '/stats':
+            session.reply(200, self._store.stats())
+        elif target == '/faults':
+            try:
+                if method == 'POST':
+                    self._store.set_faults(**json.loads(body))
+            except (TypeError, ValueError) as exc:
+                session.reply(400, {'error': str(exc)})
+                return
+            session.reply(200, self._store.faults)
+        else:
+            session.reply(404, {})
+
+
 class _Session:
     """One connection of a caller; one call at a time."""
 
@@ -301,13 +468,20 @@
 
     def _pump(self):
         while not self.conn.closed:
-            event = self._http.next_event()
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError:
+                self.conn.abort()
+                return
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
             if isinstance(event, h11.Request):
                 self._head, self._body = event, b''
             elif isinstance(event, h11.Data):
                 self._body += bytes(event.data)
+                if len(self._body) > MAX_BODY_BYTES:
+                    self.conn.abort()
+                    return
             elif isinstance(event, h11.EndOfMessage):
                 self._owner.handle(
                     self,
@@ -337,3 +511,22 @@
             return
         self._http.start_next_cycle()
         self._owner.loop.call_soon(self._pump)
+
+
+def run(host='127.0.0.1', port=8500, control_port=8501, seed=1):
+    """Serve the stand-in in this process until it is ended.
+
+    Prints one JSON line with both ports when it listens.
+
+    Args:
+        host: IP address.
+        port: port of the store.
+        control_port: port of faults and counts.
+        seed: seed of lost answers.
+    """
+    root = circuits.Component()
+    loop = loop_module.Loop().register(root)
+    store = KvStore(loop, host, port, control_port, random.Random(seed))
+    ports = {'port': store.port, 'control_port': store.control_port}
+    print(json.dumps(ports), flush=True)
+    root.run()
--- a/src/jasminehold/standin/store.py
+++ b/src/jasminehold/standin/store.py
@@ -134,6 +134,15 @@
         for key in sorted(self._leases.pop(lease)[2]):
             self._remove(key)
 
+    def runs(self, lease):
+        """Return whether a lease has not ended."""
+        return lease in self._leases
+
+    def postpone(self, seconds):
+        """Let all leases end later."""
+        for cell in self._leases.values():
+            cell[0] += seconds
+
     def expire(self, now):
         """End the leases that are past their time."""
         for lease in [
--- a/tests/builders/platform_world.py
+++ b/tests/builders/platform_world.py
@@ -6,7 +6,7 @@
 
 from jasminehold import loop as loop_module
 from jasminehold.platform import client as client_module
-from jasminehold.standin import platform as platform_standin
+from jasminehold.standin import kv
 
 
 class _Faults(circuits.Component):
@@ -25,7 +25,7 @@
         self.root = circuits.Component()
         self._faults = _Faults().register(self.root)
         self.loop = loop_module.Loop().register(self.root)
-        self.standin = platform_standin.Platform(self.loop)
+        self.standin = kv.KvStore(self.loop)
         self.client = self.new_client(seed)
 
     def new_client(self, seed, timeout=1.0):
--- a/tests/builders/processes.py
+++ b/tests/builders/processes.py
@@ -1,5 +1,6 @@
 """A miniature deployment as real processes, with cuts between regions."""
 
+import base64
 import json
 import pathlib
 import socket
@@ -187,11 +188,10 @@
         """Return a document and its version as the platform stores it."""
         port = self.addresses['platform']['port']
         conn = processes.http.client.HTTPConnection(processes.HOST, port)
-        conn.request('GET', '/v1/kv/' + key)
-        answer = conn.getresponse()
-        document = json.loads(answer.read())
+        conn.request('GET', '/api/kv-key?Key=' + key)
+        row = json.loads(conn.getresponse().read())
         conn.close()
-        return document, int(answer.headers['Version'])
+        return json.loads(base64.b64decode(row['Value'])), row['Revision']
 
     def close(self):
         """End the callers, the forwarders and all processes."""
--- a/tests/features/front_rules.feature
+++ b/tests/features/front_rules.feature
@@ -27,6 +27,11 @@
     Then the first keeps 0.4 and gives 0.2 and 0.4 to the others
     And the others keep everything
 
+  Scenario: The fleet's size is never assumed too small for the budget
+    Given 9 instances that learn of each other within 2 s of their start
+    When some are killed and others start at random times for 60 s
+    Then none assumes fewer than those that were known in the last 10 s
+
   Scenario: Parts of the retry budget add up to the fleet's
     Given 9 instances that each repeat as often as they may
     When each has 200 requests in 10 s, unevenly in time
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -15,7 +15,7 @@
 
   Scenario: A call that is never answered has an unknown outcome
     Given an embedded platform
-    When the platform is down by "hang"
+    When the platform is down by "silent"
     Then a put fails with OutcomeUnknown and has no effect
 
   Scenario: A write whose reply is lost is sent once and reported as unknown
@@ -31,3 +31,18 @@
   Scenario: The instance list lags and survives an outage
     Given an embedded platform
     Then a registered instance appears and disappears after the lag
+
+  Scenario: A write that is executed late holds to its condition
+    Given an embedded platform
+    When two writes on the same condition are lost and run 0.5 s late
+    Then only one of them took effect
+
+  Scenario: A value under a lease that ended is not written late
+    Given an embedded platform
+    When a write is lost and runs 0.5 s late, after its lease has ended
+    Then it took no effect
+
+  Scenario: Entries that are no documents are left out of the list
+    Given an embedded platform
+    When the list holds an entry with broken bytes beside a good one
+    Then the list has the good one only
--- a/tests/features/steps/cli_steps.py
+++ b/tests/features/steps/cli_steps.py
@@ -166,7 +166,7 @@
 def then_started(context):
     calls = []
     sys.modules['jasminehold.standin'] = types.ModuleType('standin')
-    for name in ('app', 'standin.platform', 'standin.upstream'):
+    for name in ('app', 'standin.kv', 'standin.upstream'):
         module = types.ModuleType(name)
         module.run = lambda *a, _n=name, **kw: calls.append((_n, a, kw))
         sys.modules['jasminehold.' + name] = module
@@ -176,6 +176,6 @@
     assert cli.main(['stand-in', 'upstream', '--name=u']) == 0
     assert calls[0][0] == 'app' and calls[0][1][0].place == 'sul-1'
     assert calls[1:] == [
-        ('standin.platform', (), {'port': 7}),
+        ('standin.kv', (), {'port': 7}),
         ('standin.upstream', (), {'name': 'u'}),
     ]
--- a/tests/features/steps/front_rules_steps.py
+++ b/tests/features/steps/front_rules_steps.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from jasminehold.decisions import cold_gate
+from jasminehold.decisions import fleet_size
 from jasminehold.decisions import mirror as mirror_module
 from jasminehold.decisions import placement
 from jasminehold.decisions import reading
@@ -116,6 +117,57 @@
     assert context.shares['b']['b'] == context.shares['c']['c'] == 1.0
 
 
+@behave.given(
+    '{count:d} instances that learn of each other within {lag:g} s of their'
+    ' start'
+)
+def given_learning(context, count, lag):
+    context.count, context.lag = count, lag
+
+
+@behave.when(
+    'some are killed and others start at random times for {seconds:g} s'
+)
+def when_churn(context, seconds):
+    rng = random.Random(8)
+    live, events, context.assumed = set(), [], []
+    for name in range(context.count):
+        events.append((rng.random() * 0.3, name, True))
+    for _ in range(30):
+        name, at = rng.randrange(2 * context.count), rng.random() * seconds
+        events.append((at, name, False))
+        events.append((at + rng.uniform(1.0, 12.0), name, True))
+    sizes, known, tells = {}, {}, []
+    for step in range(int(seconds * 10)):
+        now = step / 10
+        for _, name, starts in [e for e in events if now - 0.1 < e[0] <= now]:
+            if starts:
+                live.add(name)
+                sizes[name] = fleet_size.FleetSize(10.0)
+            else:
+                live.discard(name)
+                sizes.pop(name, None)
+                known.pop(name, None)
+            # News reach each of the others by themselves.
+            for other in live:
+                at = now + rng.random() * context.lag
+                tells.append((at, other, frozenset(live)))
+        for at, other, ids in tells:
+            if now - 0.1 < at <= now and other in sizes:
+                sizes[other].on_members(ids, now)
+                known.setdefault(other, {}).update(dict.fromkeys(ids, now))
+        for name, size in sizes.items():
+            times = known.get(name, {}).values()
+            used = sum(now - at < 10.0 for at in times)
+            context.assumed.append((size.assumed(now), used, now))
+
+
+@behave.then('none assumes fewer than those that were known in the last 10 s')
+def then_none_fewer(context):
+    wrong = [item for item in context.assumed if item[0] < item[1]]
+    assert context.assumed and not wrong, wrong[:5]
+
+
 @behave.given('{count:d} instances that each repeat as often as they may')
 def given_retries(context, count):
     context.shares = [
