Add the commands status and completion

status reads the metrics of instances in front of upstreams and shows what each has in force, how old its copy of the store is and what it leaves out; one with an older configuration than the others is marked. The gauges it needs are new. completion prints the script for bash or fish.

--- a/src/jasminehold/cli.py
+++ b/src/jasminehold/cli.py
@@ -15,6 +15,7 @@
 import time
 
 import fire
+from fire import completion as fire_completion
 from fire import decorators
 
 from jasminehold import api_client
@@ -515,11 +516,70 @@
     return Command(run)
 
 
+def status(*addresses, output='table'):
+    """Show what the instances with the metrics ADDRESSES have in force.
+
+    The exit status is 3 when one of them does not answer.
+    """
+
+    def run():
+        if not addresses:
+            raise errors.SettingsError('status: needs an address, IP:port')
+        for address in addresses:
+            try:
+                settings.address(address)
+            except ValueError as exc:
+                raise errors.SettingsError(
+                    '%s: must be IP:port' % address
+                ) from exc
+        module = importlib.import_module('jasminehold.instance_status')
+        found = module.compare([module.fetch(item) for item in addresses])
+        if output == 'json':
+            print(json.dumps([item._asdict() for item in found], indent=2))
+        else:
+            _show_status(found)
+        silent = [item.address for item in found if item.state == 'silent']
+        if silent:
+            raise errors.NotConnected('no answer from ' + ', '.join(silent))
+
+    return Command(run, output)
+
+
+def _show_status(found):
+    headings = ('INSTANCE', 'PLACE', 'STATE', 'CONFIG', 'COPY-AGE')
+    headings += ('UPSTREAMS', 'OUT', 'DRAINING', 'COLD', 'INSTANCES', 'BUSY')
+    headings += ('ERROR',)
+    rows = []
+    for item in found:
+        age = item.copy_age_s
+        row = [item.instance or item.address, item.place, item.state]
+        row += [item.config, '-' if age is None else '%.1fs' % age]
+        row += [item.upstreams, item.left_out, item.draining, item.cold]
+        row += [item.instances, item.in_flight]
+        if item.error:
+            row[3:] = ['-'] * len(row[3:])
+        rows.append([*row, item.error])
+    _table(list(headings), rows)
+
+
+def completion(shell='bash'):
+    """Print the completion script for SHELL, bash or fish."""
+
+    def run():
+        if shell not in ('bash', 'fish'):
+            raise errors.SettingsError('shell: must be bash or fish')
+        print(fire_completion.Script('jasminehold', _commands(), shell=shell))
+
+    return Command(run)
+
+
 def _commands():
     table = {
         'serve': serve,
         'front': front,
         'explain': explain,
+        'status': status,
+        'completion': completion,
         'check-settings': check_settings,
         'apply': apply,
         'get': get,
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -133,7 +133,17 @@
 
     def _on_scrape(self, inbound):
         headers = [(b'content-type', b'text/plain; version=0.0.4')]
-        self.metrics.set('requests_in_flight', len(self.exchanges.exchanges))
+        now = self.loop.now()
+        gauges = self.steering.figures(now)
+        gauges['requests_in_flight'] = len(self.exchanges.exchanges)
+        gauges['instance_leaving'] = int(self.leaving)
+        if self._reader.mirror.as_of is not None:
+            gauges['store_copy_age_seconds'] = self._reader.mirror.age(now)
+        for name, value in gauges.items():
+            self.metrics.set(name, value)
+        self.metrics.set(
+            'instance_info', 1, instance=self.cfg.id, place=self.cfg.place
+        )
         inbound.answer(200, headers, self.metrics.render())
 
     # Life cycle.
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -170,6 +170,28 @@
         self._retries.clear()
         self._forget_owners()
 
+    def figures(self, now):
+        """Return what is believed now as ``{name of a gauge: value}``."""
+        upstreams = self.view.upstreams
+        left_out = [
+            name
+            for name, load in self._loads.items()
+            if name in upstreams and now < load.ejected_until
+        ]
+        return {
+            'configuration_version': self.table.version if self.table else 0,
+            'places_evacuated': len(self.evacuated),
+            'instances_known': len(self.instances),
+            'upstreams_known': len(upstreams),
+            'upstreams_left_out': len(left_out),
+            'upstreams_draining': sum(
+                item.draining for item in upstreams.values()
+            ),
+            'upstreams_cold': sum(
+                now < item.cold_until for item in upstreams.values()
+            ),
+        }
+
     # Requests.
 
     def route(self, host, path):
--- /dev/null
+++ b/src/jasminehold/instance_status.py
@@ -0,0 +1,118 @@
+"""What instances in front of upstreams believe, read from their metrics.
+
+Example:
+    >>> parse('jasminehold_upstreams_known 3')
+    {'upstreams_known': 3.0}
+"""
+
+import http.client
+import re
+import typing
+
+PREFIX = 'jasminehold_'
+TIMEOUT_S = 3.0
+
+_LINE = re.compile(r'^%s(\w+)(?:\{(.*)\})? (\S+)' % PREFIX, re.MULTILINE)
+_LABEL = re.compile(r'(\w+)="([^"]*)"')
+
+
+class Status(typing.NamedTuple):
+    """One instance.
+
+    Attributes:
+        address: address of its metrics.
+        instance: its id, '' when it did not answer.
+        place: its availability zone.
+        state: ``serving``, ``leaving``, ``waiting`` (no configuration yet),
+            ``behind`` (an older configuration than another one here) or
+            ``silent`` (no answer).
+        config: version of the configuration in force, 0 for none.
+        copy_age_s: age of its copy of the store, None before the first read.
+        upstreams: upstreams that it knows.
+        left_out: those of them that it leaves out after failures.
+        draining: those of them that leave.
+        cold: those of them that are cold.
+        instances: live instances that it knows.
+        in_flight: requests that it is working on.
+        error: why it is silent.
+    """
+
+    address: str
+    instance: str = ''
+    place: str = ''
+    state: str = 'silent'
+    config: int = 0
+    copy_age_s: float = None
+    upstreams: int = 0
+    left_out: int = 0
+    draining: int = 0
+    cold: int = 0
+    instances: int = 0
+    in_flight: int = 0
+    error: str = ''
+
+
+def parse(text):
+    """Return ``{name: value}`` of metrics in Prometheus' text format.
+
+    Of a metric with labels, the labels are kept as a dictionary when its
+    name ends with ``_info``, and left out otherwise.
+    """
+    found = {}
+    for name, labels, value in _LINE.findall(text):
+        if name.endswith('_info'):
+            found[name] = dict(_LABEL.findall(labels))
+        elif not labels:
+            found[name] = float(value)
+    return found
+
+
+def fetch(address):
+    """Return the :class:`Status` of the instance with a metrics address."""
+    conn = http.client.HTTPConnection(address, timeout=TIMEOUT_S)
+    try:
+        conn.request('GET', '/metrics')
+        text = conn.getresponse().read().decode()
+    except (OSError, http.client.HTTPException, ValueError) as exc:
+        return Status(address, error=str(exc) or type(exc).__name__)
+    finally:
+        conn.close()
+    found = parse(text)
+    info = found.get('instance_info')
+    if info is None:
+        return Status(address, error='answers, but is no such instance')
+    state = 'serving' if found['configuration_version'] else 'waiting'
+    if found['instance_leaving']:
+        state = 'leaving'
+    return Status(
+        address,
+        info['instance'],
+        info['place'],
+        state,
+        int(found['configuration_version']),
+        found.get('store_copy_age_seconds'),
+        *(
+            int(found[name])
+            for name in (
+                'upstreams_known',
+                'upstreams_left_out',
+                'upstreams_draining',
+                'upstreams_cold',
+                'instances_known',
+                'requests_in_flight',
+            )
+        ),
+    )
+
+
+def compare(statuses):
+    """Mark the instances that use an older configuration than others."""
+    newest = max((item.config for item in statuses), default=0)
+    return [
+        (
+            item._replace(state='behind')
+            if item.state == 'serving' and item.config < newest
+            else item
+        )
+        for item in statuses
+    ]
--- a/tests/features/cli.feature
+++ b/tests/features/cli.feature
@@ -63,3 +63,12 @@
 
   Scenario: Commands of other modules are started with their arguments
     Then serve and stand-in call the run functions of their modules
+
+  Scenario Outline: Completion scripts name the commands
+    When an operator asks for the completion of <shell>
+    Then the script names "check-settings", "explain" and "status"
+
+    Examples:
+      | shell |
+      | bash  |
+      | fish  |
--- a/tests/features/front_control.feature
+++ b/tests/features/front_control.feature
@@ -100,3 +100,10 @@
     When the store is "busy" for 3 s and loses the entry of "u1" meanwhile
     And the entry of "u1" is back 1 s after the store
     Then upstream "u1" was known all the while
+
+  Scenario: The command line shows which instance is behind
+    Given two upstreams of one service behind an instance
+    And a second instance that keeps version 1 while the first has version 9
+    When an operator asks for the status of both and of an unused address
+    Then the first is serving, the second behind and the last silent
+    And the exit status is 3
--- a/tests/features/steps/cli_steps.py
+++ b/tests/features/steps/cli_steps.py
@@ -1,5 +1,7 @@
 """Steps for the command line."""
 
+import contextlib
+import io
 import json
 import os
 import pathlib
@@ -179,3 +181,22 @@
         ('standin.kv', (), {'port': 7}),
         ('standin.upstream', (), {'name': 'u'}),
     ]
+
+
+@behave.then('the exit status is {status:d}')
+def then_exit_status(context, status):
+    assert context.status == status, context.status
+
+
+@behave.when('an operator asks for the completion of {shell}')
+def when_completion(context, shell):
+    out = io.StringIO()
+    with contextlib.redirect_stdout(out):
+        assert cli.main(['completion', shell]) == 0
+    context.printed = out.getvalue()
+
+
+@behave.then('the script names "{first}", "{second}" and "{third}"')
+def then_script(context, first, second, third):
+    for name in (first, second, third):
+        assert name in context.printed, name
--- a/tests/features/steps/front_steps.py
+++ b/tests/features/steps/front_steps.py
@@ -1,5 +1,7 @@
 """Steps for front instances over real sockets."""
 
+import contextlib
+import io
 import json
 import pathlib
 import tempfile
@@ -7,6 +9,7 @@
 
 import behave
 
+from jasminehold import cli
 from jasminehold.standin import caller
 from tests.builders import front_rig
 
@@ -662,3 +665,47 @@
     rig.call(change)
     time.sleep(seconds)
     rig.call(rig.store.set_faults)
+
+
+@behave.given(
+    'a second instance that keeps version {old:d} while the first has version'
+    ' {new:d}'
+)
+def given_behind(context, old, new):
+    rig = context.rig
+    rig.start('i2', 'sul-b', (), 2)
+    rig.wait_ready('i2')
+    # It takes no newer configuration from now on.
+    rig.apps['i2'].steering.on_config = lambda table: False
+    document = front_rig.configuration(new, list(front_rig.RULES))
+    rig.put('op/config', document)
+    first, second = (rig.apps[name].steering for name in ('i1', 'i2'))
+    rig.wait(lambda: first.table.version == new, 'the new configuration')
+    assert second.table.version == old
+
+
+@behave.when(
+    'an operator asks for the status of both and of an unused address'
+)
+def when_status(context):
+    addresses = [
+        '%s:%d' % context.rig.apps[name].cfg.metrics_listen
+        for name in ('i1', 'i2')
+    ]
+    addresses.append('127.0.0.1:%d' % front_rig.free_port())
+    out, err = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        context.status = cli.main(['status', *addresses, '--output', 'json'])
+    context.found = json.loads(out.getvalue())
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        assert cli.main(['status', *addresses]) == context.status
+    assert 'behind' in out.getvalue()
+
+
+@behave.then('the first is serving, the second behind and the last silent')
+def then_states(context):
+    states = [item['state'] for item in context.found]
+    assert states == ['serving', 'behind', 'silent'], context.found
+    first = context.found[0]
+    assert (first['instance'], first['config']) == ('i1', 9), first
+    assert first['upstreams'] == 3 and first['copy_age_s'] < 2, first
