Let the soak step clocks, write late, refuse and evacuate

The store's faults gain late writes, refused connections and leases that pause. Evacuations are a fault with a check of their own, evacuated_gets_nothing.

--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -16,6 +16,7 @@
       | an order that ran was promised not to    | promise_is_true            |
       | an answer names another request          | answer_is_own_and_whole    |
       | a drained upstream got a request         | drained_gets_nothing       |
+      | an evacuated place got a request         | evacuated_gets_nothing     |
       | an instance went back to a configuration | newest_configuration_holds |
       | repeats exceed the budget                | repeats_stay_in_budget     |
       | a planned stop cut a request             | planned_stop_cuts_nothing  |
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -74,6 +74,13 @@
     return record
 
 
+def _evacuated():
+    record = _record([_sent('a')], (20.0, 'u1', 'a', False))
+    record.places['u1'] = 'sul-a'
+    record.evacuations.append(['sul-a', 14.0, 21.0])
+    return record
+
+
 def _back():
     old = _sent('b', path='/gen1/x', begin=21.0, end=21.1)
     return _record([_sent('a', path='/gen2/x'), old])
@@ -104,6 +111,7 @@
     'an order that ran was promised not to': _promised,
     'an answer names another request': _foreign,
     'a drained upstream got a request': _drained,
+    'an evacuated place got a request': _evacuated,
     'an instance went back to a configuration': _back,
     'repeats exceed the budget': _repeats,
     'a planned stop cut a request': _cut,
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -8,6 +8,7 @@
 # Bounds of the users' pages, with one tick of the checks on top.
 DRAIN_S = 2.5
 APPLY_S = 2.5
+EVACUATION_S = 5.0
 SLACK_S = 0.3
 RETRY_RATIO = 0.2
 RETRY_BURST = 50
@@ -66,6 +67,10 @@
         self.troubles = []
         # (at, upstream) of each accepted drain.
         self.drains = []
+        # Place of each upstream.
+        self.places = {}
+        # [place, begin, end] of each evacuation; end is None while it lasts.
+        self.evacuations = []
         # (at, version) of each stored configuration.
         self.versions = []
         # (instance, incarnation, at) of each planned stop.
@@ -133,6 +138,25 @@
                 )
 
 
+def evacuated_gets_nothing(record):
+    """An evacuated place gets nothing once instances had time to hear."""
+    by_id = {sent.id: sent for sent in record.sent}
+    for place, begin, end in record.evacuations:
+        for item in record.arrivals:
+            sent = by_id.get(item.request_id)
+            if record.places.get(item.upstream) != place or sent is None:
+                continue
+            late = item.at > begin + EVACUATION_S + SLACK_S
+            if late and (end is None or item.at < end):
+                if record.in_touch(sent.instance, item.at):
+                    yield '%s reached %s in %s %.1f s after' % (
+                        sent.id,
+                        item.upstream,
+                        place,
+                        item.at - begin,
+                    )
+
+
 def newest_configuration_holds(record):
     """A version is in force soon and an older one never again."""
     newest = {}
@@ -215,6 +239,7 @@
     promise_is_true,
     answer_is_own_and_whole,
     drained_gets_nothing,
+    evacuated_gets_nothing,
     newest_configuration_holds,
     repeats_stay_in_budget,
     planned_stop_cuts_nothing,
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -52,6 +52,11 @@
     upstream_view.DRAINING = 'never'
 
 
+def ignores_evacuations():
+    """Takes evacuated places for any others."""
+    steering.Steering.on_evacuated = lambda self, places: None
+
+
 def goes_back():
     """Now and then finds a route in the configuration before."""
     on_config = steering.Steering.on_config
@@ -116,6 +121,7 @@
     'false_promises': 'promise_is_true',
     'swaps_answers': 'answer_is_own_and_whole',
     'ignores_drains': 'drained_gets_nothing',
+    'ignores_evacuations': 'evacuated_gets_nothing',
     'goes_back': 'newest_configuration_holds',
     'repeats_without_end': 'repeats_stay_in_budget',
     'stops_at_once': 'planned_stop_cuts_nothing',
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -23,11 +23,23 @@
 
 import fire  # noqa: E402
 
+from tests.builders import front_rig  # noqa: E402
 from tests.soak import callers  # noqa: E402
 from tests.soak import checks  # noqa: E402
 from tests.soak import world as world_module  # noqa: E402
 
-STORE_MODES = ('silent', 'busy', 'many', 'reset')
+STORE_FAULTS = (
+    {'mode': 'silent'},
+    {'mode': 'busy'},
+    {'mode': 'many'},
+    {'mode': 'reset'},
+    {'mode': 'refuse'},
+    {'mode': 'silent', 'leases': 'pause'},
+    {'slow_s': 0.4, 'lose_writes': 2},
+    {'lose_writes': 3, 'late_s': 1.5},
+)
+# Part of the seeds whose instances have clocks that step.
+CLOCKS_PART = 0.5
 # Time in which faults are over at the end of a run.
 CALM_S = 6.0
 
@@ -52,6 +64,7 @@
                 self._stop,
                 self._configure,
                 self._drain,
+                self._evacuate,
                 self._crash,
                 self._forget,
                 self._reload,
@@ -76,9 +89,7 @@
     def _store(self):
         begin = time.monotonic()
         world = self.world
-        faults = {'mode': self._rng.choice(STORE_MODES)}
-        if self._rng.random() < 0.3:
-            faults = {'slow_s': 0.4, 'lose_writes': 2}
+        faults = self._rng.choice(STORE_FAULTS)
         world.on_loop(world.store.set_faults, **faults)
 
         def end():
@@ -149,6 +160,13 @@
             self.world.drain(self._rng.choice(left))
             self.world.add_upstream('u%d' % len(names))
 
+    def _evacuate(self):
+        if self.world.evacuated:
+            return
+        place = self._rng.choice(sorted(front_rig.PLACES))
+        self.world.evacuate(place)
+        self._later(4.0, 9.0, self.world.take_back)
+
     def _crash(self):
         world = self.world
         name = self._rng.choice(sorted(world.upstreams))
@@ -173,6 +191,8 @@
     program = ('jasminehold',)
     if planted:
         program = ('tests.soak.planted', planted)
+    elif rng.random() < CLOCKS_PART:
+        program = ('tests.soak.clocks', str(seed))
     folder = ROOT / 'out' / 'soak' / str(seed)
     world = world_module.World(folder, instances, upstreams, program)
     threads = []
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -104,6 +104,7 @@
         self.store = kv.KvStore(self.loop)
         self.upstreams = {}
         self.version = 0
+        self.evacuated = None
         self._thread = threading.Thread(target=self.root.run, daemon=True)
         self._thread.start()
         for index in range(upstreams):
@@ -129,6 +130,7 @@
             places = sorted(front_rig.PLACES)
             place = places[len(self.upstreams) % len(places)]
             item.place = place
+            self.record.places[name] = place
             self.store.put('servers/' + name, item.entry('loja', place))
 
         self.on_loop(add)
@@ -157,6 +159,18 @@
         self.on_loop(self.store.put, 'servers/' + name, entry)
         self.record.drains.append((time.monotonic(), name))
 
+    def evacuate(self, place):
+        """Ask that nothing more is sent to a place."""
+        self.evacuated = place
+        self.on_loop(self.store.put, 'op/evacuate/' + place, {})
+        self.record.evacuations.append([place, time.monotonic(), None])
+
+    def take_back(self):
+        """End the evacuation."""
+        self.record.evacuations[-1][2] = time.monotonic()
+        place, self.evacuated = self.evacuated, None
+        self.on_loop(self.store.delete, 'op/evacuate/' + place)
+
     def trouble(self, name, begin):
         """Record that an instance, or all (None), was disturbed till now."""
         self.record.troubles.append((name, begin, time.monotonic()))
