Keep the environment's list of running instances

The list that confirms an instance gone must never drop a running one (docs/design.md, contact). The stand-in lists processes by their connection again, now as keys that the one client reads.

--- a/src/jasminehold/app.py
+++ b/src/jasminehold/app.py
@@ -40,10 +40,9 @@
 from jasminehold.peers import link
 from jasminehold.peers import mesh as mesh_module
 from jasminehold.platform import client as platform_client
-from jasminehold.platform import wire
-from jasminehold import presence
 from jasminehold.proxy import hooks as hooks_module
 from jasminehold.proxy import server as proxy_server
+from jasminehold.standin import registration
 from jasminehold.steering import lookups
 from jasminehold.steering import picker as picker_module
 from jasminehold.steering import probes
@@ -318,15 +317,13 @@
             'role': 'entry',
             'state': 'live',
         }
-        self._entry = entry
-        self._presence = presence.Presence(
-            self.loop,
-            self.client,
-            wire.INSTANCE_PREFIX + cfg.id,
-            entry,
-            self.rng,
-            _log,
-        )
+        self.registrations = [
+            registration.Registration(
+                self.loop, tuple(address), entry, self.rng
+            )
+            for address in cfg.platform[:1]
+            if cfg.register
+        ]
 
     def _build_api(self):
         writes = store.Port(
@@ -353,8 +350,6 @@
         for address in self.cfg.peers:
             self.mesh.add_seed(*address)
         self.agent.set_state(membership.LIVE)
-        if self.cfg.register:
-            self._presence.start()
         self._read_list()
         self.loop.call_later(reports.PERIOD_S, self._send_reports)
         self.loop.call_later(PURGE_EVERY_S, self._purge)
@@ -389,7 +384,8 @@
         self.leaving = True
         _log('instance leaving', instance=self.cfg.id)
         self.agent.set_state(membership.LEAVING)
-        self._presence.update({**self._entry, 'state': 'leaving'})
+        for entry in self.registrations:
+            entry.set_state('leaving')
         self._update_view()
         self.loop.call_later(self.cfg.drain_bound, self._overdue)
         # Callers keep a look-up answer for its time to live.
@@ -401,7 +397,6 @@
         self.proxy.drain(self._release)
 
     def _release(self):
-        self._presence.leave()
         self.duties.release_all(lambda result, exc: self._await_loans())
 
     def _await_loans(self):
@@ -417,6 +412,8 @@
 
     def _finish(self, event):
         _log(event, instance=self.cfg.id, status=self.exit_status)
+        for entry in self.registrations:
+            entry.close()
         self.mesh.stop()
         self.stop()
 
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -17,6 +17,7 @@
 from jasminehold.front import directory
 from jasminehold.front import exchange
 from jasminehold.front import peering
+from jasminehold.front import presence
 from jasminehold.front import reader
 from jasminehold.front import steering as steering_module
 from jasminehold.front import upstream_conn
@@ -25,7 +26,6 @@
 from jasminehold import metrics as metrics_module
 from jasminehold.platform import kv
 from jasminehold.platform import wire
-from jasminehold import presence
 
 # Parts of the descriptors that callers and upstreams may use.
 CALLERS_PART = 0.6
--- a/src/jasminehold/presence.py
+++ b/src/jasminehold/front/presence.py
@@ -16,8 +16,7 @@
 
     Args:
         loop: the :class:`~jasminehold.loop.Loop`.
-        store: the :class:`~jasminehold.platform.kv.Store`, or a
-            :class:`~jasminehold.platform.client.PlatformClient`.
+        store: the :class:`~jasminehold.platform.kv.Store`.
         key: key of the entry.
         doc: what the entry says.
         rng: random source.
@@ -47,12 +46,6 @@
             self._log('own entry is missing; registering again')
             self._put()
 
-    def update(self, doc):
-        """Let the entry say something else."""
-        self._value = json.dumps(doc).encode()
-        if self._lease is not None:
-            self._put()
-
     def leave(self):
         """Withdraw the entry."""
         self._leaving = True
--- a/src/jasminehold/standin/kv.py
+++ b/src/jasminehold/standin/kv.py
@@ -16,6 +16,12 @@
 - ``leases``: ``'expire'`` or ``'pause'`` while the mode is set.
 
 Data stay in memory during an outage.
+
+``POST /api/instances`` is no part of the protocol. It lists the process that
+sends it under ``instances/`` for as long as its connection lasts, because the
+kernel keeps the connection of a paused process open and closes that of a dead
+one. After an outage, which may cut the connections itself, a process has
+``REJOIN_S`` to register again, so that a running one is never dropped.
 """
 
 import base64
@@ -32,11 +38,13 @@
 
 LEASE_CHECK_S = 0.05
 MAX_BODY_BYTES = 2_000_000
+REJOIN_S = 10.0
 PAGE_ITEMS = 500
 # Changes in one answer to a watch.
 PAGE_EVENTS = 500
 MAX_WAIT_MS = 30_000
 PREFIX = '/api/kv-'
+REGISTER_PATH = '/api/instances'
 # Keys that the system may not write.
 FOREIGN = ('op/', 'servers/')
 FAULTS = {
@@ -83,6 +91,7 @@
         self._conns = set()
         self._watches = []
         self._numbers = itertools.count(70_000)
+        self._registered = {}
         self._leases = {}
         self._lagging = {}
         self._lag_revision = self.state.revision
@@ -163,7 +172,33 @@
         self._conns.add(conn)
         session = _Session(self, conn)
         conn.on_data = session.on_data
-        conn.on_close = lambda exc: self._conns.discard(conn)
+        conn.on_close = lambda exc: self._on_close(session)
+
+    def _on_close(self, session):
+        self._conns.discard(session.conn)
+        for name, number in session.registered.items():
+            self._unregister(name, number, 0.0)
+
+    def _unregister(self, name, number, grace_s):
+        if self.faults['mode']:
+            self.loop.call_later(
+                LEASE_CHECK_S, self._unregister, name, number, REJOIN_S
+            )
+        elif grace_s:
+            self.loop.call_later(grace_s, self._unregister, name, number, 0.0)
+        elif self._registered.get(name) == number:
+            del self._registered[name]
+            self.delete('instances/' + name)
+
+    def _register(self, session, body):
+        entry = json.loads(body)
+        name, number = entry['id'], next(self._numbers)
+        session.registered[name] = self._registered[name] = number
+        item = self.state.get('instances/' + name)
+        # A repeat must not restart the lag of the list.
+        if item is None or json.loads(item.value) != entry:
+            self.put('instances/' + name, entry)
+        session.reply(200, {})
 
     def _on_control(self, conn):
         conn.on_data = _Session(_Control(self), conn).on_data
@@ -188,6 +223,9 @@
             elif self.faults['mode'] == 'reset':
                 session.conn.abort()
             return
+        if url.path == REGISTER_PATH:
+            self._register(session, body)
+            return
         func = getattr(self, '_' + name.replace('-', '_'), None)
         if not url.path.startswith(PREFIX) or func is None:
             session.reply(404, {})
@@ -456,6 +494,7 @@
 
     def __init__(self, owner, conn):
         self.conn = conn
+        self.registered = {}
         self._owner = owner
         self._http = h11.Connection(h11.SERVER)
         self._head = None
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -1,14 +1,11 @@
 """Steps for the platform's client and stand-in."""
 
-import random
-
 import behave
 from builders import platform_world
 
 from jasminehold import errors
-from jasminehold import logs
 from jasminehold.platform import http
-from jasminehold import presence
+from jasminehold.standin import registration
 
 
 @behave.given('an embedded platform')
@@ -141,15 +138,9 @@
     world = context.world
     world.standin.set_faults(stale_s=0.3)
     entry = {'id': 'i1', 'state': 'live'}
-    registered = presence.Presence(
-        world.loop,
-        world.client,
-        'instances/i1',
-        entry,
-        random.Random(1),
-        logs.get('test'),
+    registered = registration.Registration(
+        world.loop, ('127.0.0.1', world.standin.port), entry
     )
-    registered.start()
     world.run_for(0.1)
     assert world.call('instances')[0] == []
     world.run_for(0.5)
@@ -160,7 +151,7 @@
     world.run_for(1.0)
     assert world.call('instances')[0] == [entry], 'a running one was dropped'
     world.run_for(2.5)
-    registered.leave()
+    registered.close()
     world.run_for(0.1)
     assert world.call('instances')[0] == [entry]
     world.run_for(0.5)
