--- a/src/jasminehold/steering/picker.py
+++ b/src/jasminehold/steering/picker.py
@@ -179,7 +179,7 @@
         now = self._loop.now()
         state = self._state(req.service)
         slots = self._slots(req.service, now)
-        self._borrow(req.service, now)
+        self._borrow(req.service, tried, now)
         self._numbers += 1
         ident = self._numbers
         offer = state.admission.offer(
@@ -459,12 +459,17 @@
                 total += self._holder.free(limit_id, now)[1]
         return max(total, 1) if usable else 0
 
-    def _borrow(self, service, now):
+    def _borrow(self, service, tried, now):
+        # The slots of a lost upstream are spare everywhere, and of no use to
+        # a request that it refused.
+        health = self._state(service).health
         ids = [
             limit_table.upstream_slots(name)
             for name, upstream in self._tables.upstreams.items()
             if upstream.service == service
             and name not in self._tables.drained.upstreams
+            and name not in tried
+            and health.weight(name, now)
         ]
         short = 1 + len(self._state(service).waiting)
         self._want_loan(service, ids, short)
@@ -500,7 +505,7 @@
             found = self._pick(req, tried, now, False)
             if _overloaded(found):
                 state.admission.restore(waiting)
-                self._borrow(service, now)
+                self._borrow(service, tried, now)
                 return
             del state.waiting[waiting.ident]
             state.in_flight.change(-1, now)
--- a/tests/features/routing.feature
+++ b/tests/features/routing.feature
@@ -58,3 +58,8 @@
 
   Scenario: A movement needs the share of its source
     Then a movement without a traffic split holds and says so
+
+  Scenario: A waiting retry borrows slots that it can use
+    Given an instance without free slots
+    When a request that tried "u" waits while "v" refuses connections
+    Then loans are asked for the slots of "w" only
--- a/tests/features/steps/routing_steps.py
+++ b/tests/features/steps/routing_steps.py
@@ -314,8 +314,9 @@
     known.services['s'] = tables.Service(
         's', frozenset((b'GET',)), (), 5.0, (), 0.1, None
     )
-    known.upstreams['u'] = tables.Upstream('u', 's', 'p', '10.0.0.1', 80)
-    known.by_place['s', 'p'] = [known.upstreams['u']]
+    for name in ('u', 'v', 'w'):
+        known.upstreams[name] = tables.Upstream(name, 's', 'p', '10.0.0.1', 80)
+    known.by_place['s', 'p'] = list(known.upstreams.values())
     known.place_region['p'] = 'r'
     # In contact and with rates, so that the request waits for a slot only.
     owner = holder.Holder('one')
@@ -323,6 +324,7 @@
     shares['rate:region/r'] = {'one': 9}
     plan = {'region': 'r', 'version': 1, 'witnesses': ['one']}
     owner.apply({**plan, 'shares': shares}, context.now)
+    context.loans = []
     context.picker = picker.Picker(
         loop,
         types.SimpleNamespace(place='p', region='r'),
@@ -331,12 +333,31 @@
         metrics.Metrics(),
         random.Random(1),
         lambda *args: None,
-        lambda *args: None,
+        lambda group, ids, count: context.loans.append(set(ids)),
     )
+    context.picker.on_tables()
 
 
 @behave.when('one request waits for {count:d} dispatch periods')
 def when_waits(context, count):
+    _wait(context, (), count)
+
+
+@behave.when(
+    'a request that tried "{tried}" waits while "{lost}" refuses connections'
+)
+def when_tried_waits(context, tried, lost):
+    context.picker.note_result(lost, 'connect', 0.0, context.now)
+    _wait(context, (tried,), 5)
+
+
+@behave.then('loans are asked for the slots of "{name}" only')
+def then_loans(context, name):
+    assert context.loans
+    assert all(ids == {'slots:' + name} for ids in context.loans)
+
+
+def _wait(context, tried, count):
     req = types.SimpleNamespace(
         service='s',
         method=b'GET',
@@ -345,8 +366,8 @@
         fingerprint=b'f',
     )
     req.plan = context.picker.route(req)
-    context.picker.pick(req, (), context.now)
-    context.picker.wait_for_target(req, (), 5.0, lambda found: None)
+    context.picker.pick(req, tried, context.now)
+    context.picker.wait_for_target(req, tried, 5.0, lambda found: None)
     for _ in range(count):
         context.now += 0.02
         due, context.timers = context.timers, []
