--- /dev/null
+++ b/src/jasminehold/standin/http_server.py
@@ -0,0 +1,82 @@
+"""HTTP/1.1 connections of the stand-ins."""
+
+import json
+
+import h11
+
+MAX_BODY_BYTES = 2_000_000
+_JSON = (b'content-type', b'application/json')
+
+
+class ServerConn:
+    """One connection; a request is handed over whole, one at a time.
+
+    Args:
+        loop: the :class:`~jasminehold.loop.Loop`.
+        conn: its accepted :class:`~jasminehold.loop.Conn`; the owner sets
+            ``on_close``.
+        on_request: called with this connection, the request's head and body.
+
+    Attributes:
+        conn: the connection.
+    """
+
+    def __init__(self, loop, conn, on_request):
+        self.conn = conn
+        self._loop = loop
+        self._on_request = on_request
+        self._http = h11.Connection(h11.SERVER)
+        self._head = None
+        self._body = bytearray()
+        conn.on_data = self._on_data
+
+    def _on_data(self, data):
+        self._http.receive_data(data)
+        self._pump()
+
+    def _pump(self):
+        while not self.conn.closed:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError:
+                self.conn.abort()
+                return
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Request):
+                self._head, self._body = event, bytearray()
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+                if len(self._body) > MAX_BODY_BYTES:
+                    self.conn.abort()
+                    return
+            elif isinstance(event, h11.EndOfMessage):
+                self._on_request(self, self._head, bytes(self._body))
+            else:
+                self.conn.close()
+                return
+
+    def answer(self, status, headers, body):
+        """Send a whole answer and go on.
+
+        Args:
+            status: HTTP status.
+            headers: list of ``(name, value)``, without the length.
+            body: bytes.
+        """
+        if self.conn.closed:
+            return
+        headers = headers + [(b'content-length', b'%d' % len(body))]
+        send = self._http.send
+        out = send(h11.Response(status_code=status, headers=headers))
+        out += send(h11.Data(data=body)) + send(h11.EndOfMessage())
+        self.conn.write(out)
+        if self._http.our_state is h11.MUST_CLOSE:
+            self.conn.close()
+            return
+        self._http.start_next_cycle()
+        self._loop.call_soon(self._pump)
+
+    def reply(self, status, doc):
+        """Send a JSON answer and go on."""
+        self.answer(status, [_JSON], json.dumps(doc).encode())
--- a/src/jasminehold/standin/kv.py
+++ b/src/jasminehold/standin/kv.py
@@ -31,13 +31,12 @@
 import urllib.parse
 
 import circuits
-import h11
 
 from jasminehold import loop as loop_module
+from jasminehold.standin import http_server
 from jasminehold.standin import store as store_module
 
 LEASE_CHECK_S = 0.05
-MAX_BODY_BYTES = 2_000_000
 REJOIN_S = 10.0
 PAGE_ITEMS = 500
 # Changes in one answer to a watch.
@@ -170,14 +169,14 @@
 
     def _on_accept(self, conn):
         self._conns.add(conn)
-        session = _Session(self, conn)
-        conn.on_data = session.on_data
+        session = http_server.ServerConn(self.loop, conn, self._handle)
         conn.on_close = lambda exc: self._on_close(session)
 
     def _on_close(self, session):
         self._conns.discard(session.conn)
-        for name, number in session.registered.items():
-            self._unregister(name, number, 0.0)
+        for name, (number, owner) in list(self._registered.items()):
+            if owner is session:
+                self._unregister(name, number, 0.0)
 
     def _unregister(self, name, number, grace_s):
         if self.faults['mode']:
@@ -186,14 +185,14 @@
             )
         elif grace_s:
             self.loop.call_later(grace_s, self._unregister, name, number, 0.0)
-        elif self._registered.get(name) == number:
+        elif self._registered.get(name, (0,))[0] == number:
             del self._registered[name]
             self.delete('instances/' + name)
 
     def _register(self, session, body):
         entry = json.loads(body)
         name, number = entry['id'], next(self._numbers)
-        session.registered[name] = self._registered[name] = number
+        self._registered[name] = (number, session)
         item = self.state.get('instances/' + name)
         # A repeat must not restart the lag of the list.
         if item is None or json.loads(item.value) != entry:
@@ -201,7 +200,21 @@
         session.reply(200, {})
 
     def _on_control(self, conn):
-        conn.on_data = _Session(_Control(self), conn).on_data
+        http_server.ServerConn(self.loop, conn, self._handle_control)
+
+    def _handle_control(self, session, head, body):
+        if head.target == b'/stats':
+            session.reply(200, self.stats())
+        elif head.target == b'/faults':
+            try:
+                if head.method == b'POST':
+                    self.set_faults(**json.loads(body))
+            except (TypeError, ValueError) as exc:
+                session.reply(400, {'error': str(exc)})
+                return
+            session.reply(200, self.faults)
+        else:
+            session.reply(404, {})
 
     def _tick(self):
         self.loop.call_later(LEASE_CHECK_S, self._tick)
@@ -210,9 +223,8 @@
         self.state.expire(self.loop.now())
         self._notify()
 
-    def handle(self, session, method, target, body):
-        """Run one call."""
-        url = urllib.parse.urlsplit(target)
+    def _handle(self, session, head, body):
+        url = urllib.parse.urlsplit(head.target.decode())
         query = dict(urllib.parse.parse_qsl(url.query, True))
         name, _, number = url.path[len(PREFIX) :].partition('/')
         self.counts[name] = self.counts.get(name, 0) + 1
@@ -466,92 +478,6 @@
         return self._row(event.key, event.value, event.version)
 
 
-class _Control:
-    """What the control port serves."""
-
-    def __init__(self, store):
-        self.loop = store.loop
-        self._store = store
-
-    def handle(self, session, method, target, body):
-        """Run one call."""
-        if target == '/stats':
-            session.reply(200, self._store.stats())
-        elif target == '/faults':
-            try:
-                if method == 'POST':
-                    self._store.set_faults(**json.loads(body))
-            except (TypeError, ValueError) as exc:
-                session.reply(400, {'error': str(exc)})
-                return
-            session.reply(200, self._store.faults)
-        else:
-            session.reply(404, {})
-
-
-class _Session:
-    """One connection of a caller; one call at a time."""
-
-    def __init__(self, owner, conn):
-        self.conn = conn
-        self.registered = {}
-        self._owner = owner
-        self._http = h11.Connection(h11.SERVER)
-        self._head = None
-        self._body = b''
-
-    def on_data(self, data):
-        """Take bytes."""
-        self._http.receive_data(data)
-        self._pump()
-
-    def _pump(self):
-        while not self.conn.closed:
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError:
-                self.conn.abort()
-                return
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            if isinstance(event, h11.Request):
-                self._head, self._body = event, b''
-            elif isinstance(event, h11.Data):
-                self._body += bytes(event.data)
-                if len(self._body) > MAX_BODY_BYTES:
-                    self.conn.abort()
-                    return
-            elif isinstance(event, h11.EndOfMessage):
-                self._owner.handle(
-                    self,
-                    self._head.method.decode(),
-                    self._head.target.decode(),
-                    self._body,
-                )
-            else:
-                self.conn.close()
-                return
-
-    def reply(self, status, doc):
-        """Send a JSON answer and go on."""
-        if self.conn.closed:
-            return
-        body = json.dumps(doc).encode()
-        headers = [
-            ('Content-Type', 'application/json'),
-            ('Content-Length', str(len(body))),
-        ]
-        send = self._http.send
-        out = send(h11.Response(status_code=status, headers=headers))
-        out += send(h11.Data(data=body)) + send(h11.EndOfMessage())
-        self.conn.write(out)
-        if self._http.our_state is h11.MUST_CLOSE:
-            self.conn.close()
-            return
-        self._http.start_next_cycle()
-        self._owner.loop.call_soon(self._pump)
-
-
 def run(host='127.0.0.1', port=8500, control_port=8501, seed=1):
     """Serve the stand-in in this process until it is ended.
 
--- a/src/jasminehold/standin/sealed.py
+++ b/src/jasminehold/standin/sealed.py
@@ -20,7 +20,7 @@
 import collections
 import json
 
-import h11
+from jasminehold.standin import http_server
 
 FAULTY_STATUS = 500
 
@@ -84,7 +84,12 @@
             served.conn.abort()
 
     def _on_accept(self, conn):
-        self.conns.add(_Served(self, conn))
+        served = http_server.ServerConn(self.loop, conn, self._on_request)
+        self.conns.add(served)
+        conn.on_close = lambda exc: self.conns.discard(served)
+
+    def _on_request(self, served, head, body):
+        self.submit(_Work(served, head, body))
 
     def submit(self, work):
         """Take a whole request."""
@@ -165,7 +170,7 @@
             work.raw(200, headers, None, body)
             end = work.served.conn.close
             if fault == 'cut':
-                end = work.served.reset
+                end = work.served.conn.reset
             self.loop.call_later(0.02, end)
         elif fault == 'foreign':
             work.raw(200, headers, 5, b'other', b'another-request')
@@ -178,12 +183,12 @@
 
 
 class _Work:
-    def __init__(self, served, head):
+    def __init__(self, served, head, body):
         self.served = served
         self.head = head
         self.values = dict(head.headers)
         self.id = self.values.get(b'x-request-id', b'').decode()
-        self.body = b''
+        self.body = body
         self.running = False
 
     def answer(self, status, headers, body):
@@ -200,53 +205,3 @@
         if length is not None:
             lines.append(b'content-length: %d' % length)
         self.served.conn.write(b'\r\n'.join(lines) + b'\r\n\r\n' + body)
-
-
-class _Served:
-    """One connection of a caller."""
-
-    def __init__(self, upstream, conn):
-        self.conn = conn
-        self._upstream = upstream
-        self._http = h11.Connection(h11.SERVER)
-        self._work = None
-        conn.on_data = self._on_data
-        conn.on_close = lambda exc: upstream.conns.discard(self)
-
-    def _on_data(self, data):
-        self._http.receive_data(data)
-        self._pump()
-
-    def _pump(self):
-        while not self.conn.closed:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            if isinstance(event, h11.Request):
-                self._work = _Work(self, event)
-            elif isinstance(event, h11.Data):
-                self._work.body += bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                self._upstream.submit(self._work)
-            else:
-                self.conn.close()
-                return
-
-    def answer(self, status, headers, body):
-        """Send a whole answer and go on."""
-        if self.conn.closed:
-            return
-        headers = headers + [(b'content-length', b'%d' % len(body))]
-        send = self._http.send
-        out = send(h11.Response(status_code=status, headers=headers))
-        out += send(h11.Data(data=body)) + send(h11.EndOfMessage())
-        self.conn.write(out)
-        if self._http.our_state is h11.MUST_CLOSE:
-            self.conn.close()
-            return
-        self._http.start_next_cycle()
-        self._upstream.loop.call_soon(self._pump)
-
-    def reset(self):
-        """Close with a reset."""
-        self.conn.reset()
--- a/tests/run.py
+++ b/tests/run.py
@@ -114,7 +114,12 @@
         features, end = json.JSONDecoder().raw_decode(output[start:])
     except ValueError:
         return output[-4000:]
-    lines = [output[start + end :][-2000:]]
+    rest = output[start + end :]
+    lines = [rest[-2000:]]
+    # A step that passed and a clean-up that failed leave no error message.
+    cleanup = rest.find('CLEANUP-ERROR')
+    if cleanup >= 0:
+        lines.append(rest[cleanup : cleanup + 3000])
     for feature in features:
         for element in feature.get('elements', []):
             for step in element.get('steps', []):
