Take the tree of news back

Suspects ask for their permit before a slot is free, so that a new request does not take the slot first.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -119,9 +119,9 @@
     figures['movement state'] = status.get('held_by', '')[:17]
     fleet.take('i4').signal(signal.SIGKILL)
     time.sleep(2)
-    fleet.platform_faults(down='refuse')
+    fleet.platform_faults(mode='refuse')
     time.sleep(OUTAGE_S)
-    fleet.platform_faults(down='')
+    fleet.platform_faults(mode='')
     begin = time.monotonic()
     processes.wait_until(
         lambda: _accepts(fleet, changed), 15, 'changes after the outage'
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -354,8 +354,9 @@
         for name, one in self.instances.items():
             self._fetch('http://%s:7100/metrics' % one['host'], name + '.prom')
         for region in self.deployment.places:
-            url = 'http://%s0.1:8500/v1/kv/state/plan/%s' % (self.net, region)
-            self._fetch(url, 'plan-%s.json' % region)
+            # The plan is base64 in the field Value of the answer.
+            url = 'http://%s0.1:8500/api/kv-key?Key=state/plan/%s'
+            self._fetch(url % (self.net, region), 'plan-%s.json' % region)
 
     def _fetch(self, url, name):
         try:
--- a/src/jasminehold/control/isolation.py
+++ b/src/jasminehold/control/isolation.py
@@ -4,9 +4,9 @@
 from jasminehold import logs
 
 ASK_TIMEOUT_S = 0.5
-# A permit that no suspect used by then is given back. A waiting suspect tries
-# every 20 ms, so that one still unused after a few tries is not needed.
-UNUSED_S = 0.1
+# A permit that no suspect used by then is given back; by then a slot is free
+# wherever requests take less time.
+UNUSED_S = 0.3
 
 _log = logs.get('isolation')
 
--- a/src/jasminehold/decisions/mirror.py
+++ b/src/jasminehold/decisions/mirror.py
@@ -116,21 +116,6 @@
         self.revision = max(reached, revision)
         return changed
 
-    def difference(self, items, revision):
-        """Return what a whole list changes, as events for :meth:`apply`.
-
-        Args:
-            items: list of :class:`Item`, all that the store holds.
-            revision: the store's revision before the list was read.
-        """
-        listed = {item.key for item in items}
-        gone = [
-            Item(key, None, revision)
-            for key, known in self.items.items()
-            if key not in listed and known.revision <= revision
-        ]
-        return [item for item in items if item.revision > self.revision] + gone
-
     def on_steady_peer(self, since):
         """Note that a peer's copy has been fresh since a time.
 
--- a/src/jasminehold/decisions/reading.py
+++ b/src/jasminehold/decisions/reading.py
@@ -6,7 +6,7 @@
 falls silent, the next one takes its place by itself.
 """
 
-from jasminehold.decisions import spread
+from jasminehold.decisions import hashing
 
 # A leaving upstream must get nothing more 2.5 s after the store took its
 # report; the last rank's threshold, one call and one message fit into that.
@@ -32,7 +32,10 @@
         own: id of the instance.
         members: ids, with or without its own.
     """
-    return spread.order(set(members) | {own}).index(own)
+    order = sorted(
+        set(members) | {own}, key=lambda name: hashing.number('reader', name)
+    )
+    return order.index(own)
 
 
 def threshold_s(own_rank):
--- a/src/jasminehold/front/peering.py
+++ b/src/jasminehold/front/peering.py
@@ -8,16 +8,15 @@
 
 from jasminehold.decisions import mirror as mirror_module
 from jasminehold.decisions import reading
-from jasminehold.decisions import spread
 from jasminehold import errors
 from jasminehold.peers import link
 from jasminehold.peers import mesh as mesh_module
 
 SNAPSHOT_TIMEOUT_S = 1.0
-# Least time between two questions for a copy, which may be of a megabyte.
 SNAPSHOT_EVERY_S = 0.5
-# A link that is no longer in the tree is closed after this time without use.
-IDLE_CLOSE_S = 5.0
+# Instances of other regions that each one keeps a link to, so that a region
+# without the store still gets a copy.
+FAR_PEERS = 1
 KEY_ID = 'k1'
 
 
@@ -32,7 +31,7 @@
 
 
 class Peering:
-    """Streams to instances of the own region, and to seeds at the start.
+    """Streams to the instances of the own region and a few others.
 
     Args:
         loop: the :class:`~jasminehold.loop.Loop`.
@@ -49,20 +48,19 @@
         self.reader = None
         self._loop = loop
         self._cfg = cfg
-        self._rng = rng
         self._region = cfg.places[cfg.place]
         self._log = log
         self._members = {}
-        self._near = frozenset()
-        self._passes_on = False
+        self._near = ()
         self._rank = 0
         self._leaving = False
         self._asked_at = 0.0
         key = bytes.fromhex(cfg.peer_key) if cfg.peer_key else derive_key(cfg)
         ring = link.KeyRing([(KEY_ID, key)])
         self.mesh = mesh_module.Mesh(
-            loop, cfg.id, ring, self._address_of, rng, metrics, IDLE_CLOSE_S
+            loop, cfg.id, ring, self._address_of, rng, metrics
         )
+        self.mesh.on_up = self._on_up
         self.mesh.handle('news', self._on_news)
         self.mesh.handle('snapshot', self._on_snapshot)
 
@@ -72,7 +70,6 @@
         for address in self._cfg.seeds:
             if address != self._cfg.peer_listen:
                 self.mesh.add_seed(*address)
-        self._loop.call_later(SNAPSHOT_EVERY_S, self._ask_first_copy)
 
     def leave(self):
         """Leave the reading of the store to the others."""
@@ -86,16 +83,20 @@
         """Take ``{id: member document}`` of the live instances."""
         self._members = members
         own = self._cfg.id
-        region = {
-            name: doc['place']
+        near = [
+            name
             for name, doc in members.items()
-            if doc['region'] == self._region
-        }
-        region[own] = self._cfg.place
-        self._rank = reading.rank(own, region)
-        self._passes_on = spread.is_tree(region)
-        self._near = spread.neighbours(own, region)
-        self.mesh.set_peers(self._near)
+            if doc['region'] == self._region and name != own
+        ]
+        far = sorted(set(members) - set(near) - {own})
+        start = reading.rank(own, near)
+        chosen = [
+            far[(start + step) % len(far)]
+            for step in range(min(FAR_PEERS, len(far)))
+        ]
+        self._near = tuple(near)
+        self._rank = reading.rank(own, near)
+        self.mesh.set_peers(near + chosen)
 
     def _address_of(self, name):
         doc = self._members.get(name)
@@ -106,57 +107,43 @@
 
     # The copy of the store.
 
-    def tell_news(self, events, before, revision, as_of, teller=None):
-        """Tell the instances next to this one in the region.
+    def tell_news(self, events, before, revision):
+        """Tell the own region what this instance read.
 
         Args:
-            events: list of items, oldest first.
+            events: list of items; None when all was read anew.
             before: revision after which they begin.
             revision: revision that they lead to.
-            as_of: monotonic seconds at which the store said so.
-            teller: id of the instance that told this one.
         """
         now = self._loop.now()
+        copy = self.reader.mirror
         message = {
             'type': 'news',
-            'before': before,
+            'before': revision if events is None else before,
             'revision': revision,
-            'age': int((now - as_of) * 1000),
-            'steady': int((now - self.reader.mirror.steady_since) * 1000),
-            'items': [list(item) for item in events],
+            'age': int(copy.age(now) * 1000),
+            'steady': int((now - copy.steady_since) * 1000),
+            'items': [list(item) for item in events or ()],
         }
         for name in self._near:
-            if name != teller and self.mesh.is_connected(name):
+            if self.mesh.is_connected(name):
                 self.mesh.send(name, message)
 
     def _on_news(self, sender, message, reply):
         now = self._loop.now()
-        events = _items(message['items'])
-        before, revision = message['before'], message['revision']
-        as_of = now - message['age'] / 1000
-        copy = self.reader.mirror
-        # News that came along another way are not passed on again.
-        is_new = as_of > (copy.as_of or 0.0) or revision > copy.revision
-        steady_since = now - message['steady'] / 1000
-        if self.reader.take_told(
-            events, before, revision, as_of, steady_since
-        ):
-            if is_new and self._passes_on:
-                self.tell_news(events, before, revision, as_of, sender)
-        elif self.reader.reads_store:
-            self.reader.catch_up()
-        else:
+        taken = self.reader.take_told(
+            _items(message['items']),
+            message['before'],
+            message['revision'],
+            now - message['age'] / 1000,
+            now - message['steady'] / 1000,
+        )
+        if not taken:
             self._ask_snapshot(sender)
 
-    def _ask_first_copy(self):
-        # The store answers within milliseconds. An instance that still knows
-        # nothing by now does not reach it.
-        if self.reader.mirror.revision:
-            return
-        self._loop.call_later(SNAPSHOT_EVERY_S, self._ask_first_copy)
-        linked = self.mesh.connected()
-        if linked:
-            self._ask_snapshot(self._rng.choice(linked))
+    def _on_up(self, name):
+        if not self.reader.mirror.revision:
+            self._ask_snapshot(name)
 
     def _ask_snapshot(self, name):
         now = self._loop.now()
--- a/src/jasminehold/front/reader.py
+++ b/src/jasminehold/front/reader.py
@@ -32,8 +32,8 @@
         store: the :class:`~jasminehold.platform.kv.Store`.
         rank: ``() -> int``, this instance's rank as a reader.
         on_change: called with the set of changed keys.
-        on_news: called with ``(events, before, revision, as_of)`` after an
-            own read, for the peers.
+        on_news: called with ``(events, before, revision)`` after an own
+            read, for the peers.
         rng: random source.
         log: structured log.
 
@@ -51,8 +51,6 @@
         self._rng = rng
         self._log = log
         self._busy = False
-        self._behind = False
-        self._failed = False
         self._not_before = 0.0
         self._lost = False
         self._lead = time.clock_gettime(time.CLOCK_BOOTTIME) - loop.now()
@@ -73,11 +71,9 @@
         if age > OUTAGE_S and not self._lost and self.mirror.revision:
             self._lost = True
             self._log('store lost', level='warning', age_s=round(age, 2))
-        threshold = reading.threshold_s(self._rank()) - TICK_S / 2
-        due = self._behind or age >= threshold
+        due = age >= reading.threshold_s(self._rank()) - TICK_S / 2
         if due and not self._busy and now >= self._not_before:
             self._busy = True
-            self._behind = False
             # After an outage the history to catch up with would take many
             # answers; the present state takes one or two.
             if self.mirror.revision and age < OUTAGE_S:
@@ -107,16 +103,10 @@
                 for item in result.items
                 if item.key.startswith(wire.COPIED)
             ]
-            before = self.mirror.revision
-            events = self.mirror.difference(items, result.revision)
-            news = [item for item in events if self._is_news(item)]
             changed = self.mirror.replace(
                 items, result.revision, sent_at, self._loop.now()
             )
-            # Without an earlier copy the difference would be everything,
-            # which the peers have read by themselves.
-            if before:
-                self._on_news(news, before, result.revision, sent_at)
+            self._on_news(None, 0, self.mirror.revision)
             self._tell(changed)
 
         self._store.range('', done)
@@ -135,9 +125,6 @@
             if len(result.items) >= PAGE_EVENTS:
                 # Part of the changes; what it leads to is older than now.
                 as_of = self.mirror.as_of
-                if as_of is None:
-                    self._read_all(self._loop.now())
-                    return
                 self.take(result.items, before, result.revision, as_of)
                 self._read_changes(self._loop.now())
                 return
@@ -153,18 +140,9 @@
         changed = self.mirror.apply(
             events, before, revision, as_of, self._loop.now()
         )
-        self._on_news(news, before, revision, as_of)
+        self._on_news(news, before, self.mirror.revision)
         self._tell(changed or set())
 
-    def catch_up(self):
-        """Read soon: a peer knows of changes that the copy lacks."""
-        self._behind = True
-
-    @property
-    def reads_store(self):
-        """Whether the last own read of the store succeeded."""
-        return not self._failed
-
     def take_told(self, items, before, revision, as_of, steady_since):
         """Take changes that a peer read; returns False when some are missing.
 
@@ -214,7 +192,6 @@
 
     def _finish_read(self):
         self._busy = False
-        self._failed = False
         self._regained()
 
     def _regained(self):
@@ -224,7 +201,6 @@
 
     def _on_failed(self, exc):
         self._busy = False
-        self._failed = True
         sent = not isinstance(exc, errors.NotConnected)
         pause = reading.retry_s(self._rank(), sent, self._rng)
         self._not_before = self._loop.now() + pause
--- a/src/jasminehold/peers/mesh.py
+++ b/src/jasminehold/peers/mesh.py
@@ -66,25 +66,13 @@
         address_of: ``func(instance_id) -> (host, port) or None``.
         rng: ``random.Random`` for the jitter.
         metrics: the :class:`metrics.Metrics`.
-        idle_close_s: seconds without use after which a link that is not
-            wanted is closed.
 
     Attributes:
         on_up: called with an instance id when its first link is ready.
         on_down: called with an instance id when its last link closed.
     """
 
-    def __init__(
-        self,
-        loop,
-        own_id,
-        ring,
-        address_of,
-        rng,
-        metrics,
-        idle_close_s=IDLE_CLOSE_S,
-    ):
-        self._idle_close_s = idle_close_s
+    def __init__(self, loop, own_id, ring, address_of, rng, metrics):
         self.own_id = own_id
         self.loop = loop
         self.on_up = lambda instance_id: None
@@ -461,7 +449,7 @@
             if instance_id in self._wanted:
                 self._open(instance_id)
             elif link is not None and link.initiated:
-                if now - peer.used_at > self._idle_close_s:
+                if now - peer.used_at > IDLE_CLOSE_S:
                     link.close()
             elif not (peer.links or peer.connecting or peer.queue):
                 if peer.timer is not None:
--- a/src/jasminehold/steering/picker.py
+++ b/src/jasminehold/steering/picker.py
@@ -386,15 +386,17 @@
         )
 
     def _want_permit(self, req, tried, now):
-        names = [
-            item.name
+        found = [
+            item
             for option in self._options(req)
             for item in self._candidates(req, option, tried, now)
-            if item.free > 0
-            and item.weight > 0
-            and self.blame.may_share(item.name)
+            if item.weight > 0 and self.blame.may_share(item.name)
         ]
-        self._isolation.want(names, req.plan.timeout_s)
+        free = [item.name for item in found if item.free > 0]
+        # With the permit at hand, a suspect takes the next slot that becomes
+        # free; asking then, it would lose the slot to a new request.
+        used = [item.name for item in found if item.share > 0]
+        self._isolation.want(free or used, req.plan.timeout_s)
 
     def _candidate(self, upstream, now):
         holder = self._holder
--- a/tests/features/steps/claims_steps.py
+++ b/tests/features/steps/claims_steps.py
@@ -443,4 +443,4 @@
     statuses = [result.status for _, result in results]
     assert statuses.count(Status.GRANTED) == 40, statuses
     assert statuses.count(Status.TAKEN) == 40, statuses
-    assert context.world.standin.store.get('claims/0/head')
+    assert context.world.standin.state.get('claims/0/head')
--- a/tests/features/steps/processes_steps.py
+++ b/tests/features/steps/processes_steps.py
@@ -162,7 +162,7 @@
 @behave.when('the platform is down and instance {name} starts')
 def when_starts(context, name):
     fleet = context.fleet
-    fleet.platform_faults(down='refuse')
+    fleet.platform_faults(mode='refuse')
     fleet.start_instance(name, dict(fleet._where)[name])
     context.name = name
 
