--- a/src/jasminehold/decisions/retry_share.py
+++ b/src/jasminehold/decisions/retry_share.py
@@ -1,6 +1,23 @@
 """An instance's share of the fleet's budget for repeated sends."""
 
 import collections
+import typing
+
+
+class Use(typing.NamedTuple):
+    """What an instance counts of one service in the window.
+
+    Attributes:
+        requests: callers' requests.
+        repeats: repeats that were taken.
+        allowed: repeats that it may take, not a whole number.
+        instances: size of the fleet that the burst is divided by.
+    """
+
+    requests: int
+    repeats: int
+    allowed: float
+    instances: int
 
 
 class RetryShare:
@@ -42,18 +59,24 @@
             now: monotonic seconds.
             urgent: whether the reserved part may be used.
         """
-        self._trim(self._requests, now)
-        self._trim(self._repeats, now)
-        allowed = self.USED * (
-            self._ratio * len(self._requests) + self._burst / max(instances, 1)
-        )
+        use = self.use(instances, now)
+        allowed = use.allowed
         if not urgent:
             allowed *= 1.0 - self.RESERVED
-        if len(self._repeats) + 1 > allowed:
+        if use.repeats + 1 > allowed:
             return False
         self._repeats.append(now)
         return True
 
+    def use(self, instances, now):
+        """Return the :class:`Use`; arguments as for :meth:`take`."""
+        self._trim(self._requests, now)
+        self._trim(self._repeats, now)
+        requests = len(self._requests)
+        burst = self._burst / max(instances, 1)
+        allowed = self.USED * (self._ratio * requests + burst)
+        return Use(requests, len(self._repeats), allowed, instances)
+
     def _trim(self, times, now):
         while times and times[0] <= now - self._window_s:
             times.popleft()
--- a/src/jasminehold/explain.py
+++ b/src/jasminehold/explain.py
@@ -156,6 +156,8 @@
                 send.get('end'),
             )
         )
+        if send.get('repeat'):
+            told.append('    repeat: %s' % _rest(send['repeat']))
     for owner in fields.get('owners') or ():
         told.append(
             '  not sent to %s: load %s, wait %s s, answer expected in %s s'
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -141,6 +141,9 @@
             gauges['store_copy_age_seconds'] = self._reader.mirror.age(now)
         for name, value in gauges.items():
             self.metrics.set(name, value)
+        for service, use in self.steering.retry_uses(now).items():
+            for name, value in use._asdict().items():
+                self.metrics.set('retry_%s' % name, value, service=service)
         self.metrics.set(
             'instance_info', 1, instance=self.cfg.id, place=self.cfg.place
         )
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -261,13 +261,22 @@
 
     def _may_repeat(self, now):
         left = self._deadline - now
-        return (
-            self._sends < self._route.max_attempts + FLIPS_MAX
-            and left > LAST_SEND_PART * self._route.aim_s
-            and self._steering.may_repeat(
-                self._route, self._service, self._returned, now
-            )
+        if self._sends >= self._route.max_attempts + FLIPS_MAX:
+            return False
+        if left <= LAST_SEND_PART * self._route.aim_s:
+            return False
+        granted, use = self._steering.may_repeat(
+            self._route, self._service, self._returned, now
+        )
+        self._port.metrics.inc(
+            'repeats_total',
+            service=self._service,
+            outcome='granted' if granted else 'over_budget',
         )
+        told = dict(use._asdict(), granted=granted)
+        told['allowed'] = round(use.allowed, 1)
+        self._attempts[-1]['repeat'] = told
+        return granted
 
     def _pause(self):
         return steering_module.PAUSE_S * (0.75 + 0.5 * self._port.rng.random())
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -207,7 +207,11 @@
         return name
 
     def may_repeat(self, route, service, returned, now):
-        """Take one repeat out of the budget; returns whether it is there.
+        """Take one repeat out of the budget.
+
+        Returns:
+            Whether it is there, and the
+            :class:`~decisions.retry_share.Use` that decided.
 
         Args:
             route: the request's route.
@@ -217,7 +221,17 @@
         """
         fleet = self._fleet.assumed(now)
         urgent = returned or route.priority <= self.table.first_priority
-        return self._retry_share(service).take(fleet, now, urgent)
+        share = self._retry_share(service)
+        use = share.use(fleet, now)
+        return share.take(fleet, now, urgent), use
+
+    def retry_uses(self, now):
+        """Return ``{service: decisions.retry_share.Use}``."""
+        fleet = self._fleet.assumed(now)
+        return {
+            service: share.use(fleet, now)
+            for service, share in self._retries.items()
+        }
 
     def returned(self, route, told_s):
         """Return whether a caller that waits this long came back.
--- a/tests/features/steps/explain_steps.py
+++ b/tests/features/steps/explain_steps.py
@@ -28,6 +28,7 @@
         'finish_s': 0.4,
         'entry_age_s': 1.0,
         'end': 'connect: refused',
+        'repeat': {'requests': 40, 'repeats': 9, 'granted': False},
     }
     first = [
         '  4.0 front-1 ' + _line(4, 'upstream left out', upstream='u1'),
@@ -60,7 +61,13 @@
 @behave.then('it names the upstreams, what was expected there and the outcome')
 def then_names(context):
     told = '\n'.join(context.story)
-    for part in ('front-1: not_run (shed)', 'u1', 'load 2.5', 'refused'):
+    for part in (
+        'front-1: not_run (shed)',
+        'u1',
+        'load 2.5',
+        'refused',
+        'requests=40, repeats=9, granted=False',
+    ):
         assert part in told, told
 
 
