--- a/tests/builders/front_values.py
+++ b/tests/builders/front_values.py
@@ -1,7 +1,29 @@
 """Values that the rules of a front instance work on."""
 
+import json
+
 from jasminehold.decisions import route_table
 from jasminehold.decisions import upstream_view
+from jasminehold.front import cfg as cfg_module
+
+
+def cfg(**changes):
+    """Return a checked :class:`~cfg_module.Cfg`."""
+    values = {
+        'id': 'i1',
+        'place': 'sul-a',
+        'places': {'sul-a': 'sul'},
+        'internal_ports': [7660, 7675],
+        'store': '192.0.2.9:80',
+        'retry_ratio': 0.2,
+        'retry_burst': 64,
+    }
+    for port, name in enumerate(
+        ('caller', 'ready', 'directory', 'peer', 'metrics'), 8000
+    ):
+        values['%s_listen' % name] = '192.0.2.8:%d' % port
+    values.update(changes)
+    return cfg_module.parse(json.dumps(values))
 
 
 def route(host='shop.example', prefix='/a/', **changes):
--- a/tests/run.py
+++ b/tests/run.py
@@ -101,7 +101,8 @@
             status = element.get('status', 'failed')
             if status not in ('passed', 'skipped'):
                 status = 'failed'
-            results.append((element['name'], status))
+            # An example's name ends with a space.
+            results.append((element['name'].strip(), status))
     return results
 
 
