Keep a cold upstream's bound while views of the fleet differ

Senders that were cut off went on beside the two that the others chose after the leases had ended (24 requests in a second for a bound of 21.5), and instances that started together each took themselves for a sender until they knew each other (72).

A sender whose list of members may be outdated now uses 0.3 of the bound instead of 0.65 with its like, and a new process waits for 2 s until the members that started with it are known.

--- a/src/jasminehold/decisions/cold_gate.py
+++ b/src/jasminehold/decisions/cold_gate.py
@@ -11,6 +11,9 @@
 # Part of the bound that is used; the rest covers a sender whose view of the
 # fleet differs for a moment.
 USED = 0.65
+# The same of senders whose list of the fleet is old: the others may have
+# chosen two more, and both together must keep the bound.
+USED_UNSURE = 0.3
 
 
 def senders(upstream_id, instances):
@@ -31,16 +34,18 @@
     def __init__(self):
         self._sent = collections.deque()
 
-    def admits(self, bound, now):
+    def admits(self, bound, sure, now):
         """Return whether one more request keeps this sender's part.
 
         Args:
             bound: requests a second that the whole fleet may send.
+            sure: whether the list of the fleet that chose the senders is new.
             now: monotonic seconds.
         """
         while self._sent and self._sent[0] <= now - WINDOW_S:
             self._sent.popleft()
-        part = max(int(bound * USED / SENDERS), 1)
+        used = USED if sure else USED_UNSURE
+        part = max(int(bound * used / SENDERS), 1)
         return len(self._sent) < part
 
     def on_sent(self, now):
--- a/src/jasminehold/decisions/fleet_size.py
+++ b/src/jasminehold/decisions/fleet_size.py
@@ -4,6 +4,9 @@
 # all that started together are listed yet, and an earlier process of this
 # instance may have used its part. Too large only means caution.
 UNKNOWN = 32
+# Time in which instances that start together learn of each other, seconds: an
+# entry is written at the start and read within 1.45 s by the last rank.
+LEARN_S = 2.0
 
 
 class FleetSize:
@@ -41,6 +44,10 @@
         known = max(len(self._members) + len(self._left), 1)
         return max(known, UNKNOWN) if self._since > begin else known
 
+    def complete(self, now):
+        """Return whether members that started with this one are known."""
+        return self._since is not None and now - self._since >= LEARN_S
+
     def part(self, own, age_s, now):
         """Return an instance's part of the sum, share 0 to 1.
 
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -12,6 +12,7 @@
 from jasminehold.decisions import upstream_load
 from jasminehold.decisions import upstream_view
 from jasminehold import errors
+from jasminehold.front import presence
 
 Kind = errors.Kind
 
@@ -35,6 +36,9 @@
 # Least time a rejected caller is asked to wait, seconds.
 PAUSE_S = 0.3
 OWNERS_CACHE_MAX = 20_000
+# Age of the list of members up to which none of them can have lapsed, and for
+# a window of the cold before.
+MEMBERS_SURE_S = presence.LEASE_S - presence.RENEW_EVERY_S - cold_gate.WINDOW_S
 
 
 class Choice(typing.NamedTuple):
@@ -343,10 +347,13 @@
         if now >= upstream.cold_until:
             return True
         name = upstream.entry.id
+        if not self._fleet.complete(now):
+            return False
         if self._cfg.id not in cold_gate.senders(name, self.instances):
             return False
         gate = self._gates.setdefault(name, cold_gate.ColdGate())
-        return gate.admits(self._cold_bound(service), now)
+        sure = self.copy_age(now) <= MEMBERS_SURE_S
+        return gate.admits(self._cold_bound(service), sure, now)
 
     def _cold_bound(self, service):
         declared = self.table.services.get(service)
--- a/tests/builders/front_values.py
+++ b/tests/builders/front_values.py
@@ -1,10 +1,12 @@
 """Values that the rules of a front instance work on."""
 
 import json
+import random
 
 from jasminehold.decisions import route_table
 from jasminehold.decisions import upstream_view
 from jasminehold.front import cfg as cfg_module
+from jasminehold.front import steering as steering_module
 
 
 def cfg(**changes):
@@ -61,3 +63,20 @@
     }
     values.update(changes)
     return upstream_view.Entry(**values)
+
+
+def steering(name, cold_per_s):
+    """Return the :class:`~steering_module.Steering` of an instance.
+
+    Args:
+        name: its id.
+        cold_per_s: requests a second that a cold upstream of the service
+            takes from the fleet.
+    """
+    found = steering_module.Steering(
+        cfg(id=name), random.Random(1), lambda *args, **kwargs: None
+    )
+    service = route_table.Service('loja', 100, cold_per_s, 30.0)
+    limits = route_table.CallerLimits()
+    found.on_config(route_table.RouteTable(1, [route()], [service], limits))
+    return found
--- a/tests/builders/retry_fleet.py
+++ b/tests/builders/retry_fleet.py
@@ -12,8 +12,7 @@
 # Repeats are tried for in this many of the requests, so that a fleet uses
 # its budget up within a few seconds.
 TRIES_A_REQUEST = 2
-# Time in which instances that start together learn of each other, seconds.
-LEARN_S = 2.0
+LEARN_S = fleet_size.LEARN_S
 
 
 class RetryFleet:
--- a/tests/features/front_rules.feature
+++ b/tests/features/front_rules.feature
@@ -50,6 +50,17 @@
     When the bound is 8.15 requests a second
     Then at most 8 requests arrive in any second and some do in each
 
+  # Guards against senders that each took another fleet for the whole one.
+  Scenario Outline: A cold upstream keeps its bound while <event>
+    Given 12 instances that send to a cold upstream as often as they may
+    When the bound is 21.5 requests a second and <event>
+    Then at most 21 requests arrive in any second and some do in each
+
+    Examples:
+      | event                                              |
+      | both its senders are cut off                       |
+      | all start and learn of each other only in 1.5 s    |
+
   Scenario: Readers follow each other when one falls silent
     Given 21 instances of a region that know each other
     When all hear the first reader
--- a/tests/features/steps/front_rules_steps.py
+++ b/tests/features/steps/front_rules_steps.py
@@ -228,11 +228,66 @@
                 known = context.names + ['gone']
             if name not in cold_gate.senders('u1', known):
                 continue
-            if gates[name].admits(bound, now):
+            if gates[name].admits(bound, True, now):
                 gates[name].on_sent(now)
                 context.sent.append(now)
 
 
+def _cut_off(context, names, tells):
+    # The senders know nothing newer than 10 s; the others drop them when
+    # their leases end.
+    cut = sorted(cold_gate.senders('u1', names))
+    rest = [name for name in names if name not in cut]
+    for item in tells.values():
+        item.on_members(names, -20.0)
+    context.fresh_until = {name: 10.0 for name in cut}
+    context.events = [(12.5, name, rest) for name in rest]
+
+
+def _start(context, names, tells):
+    rng = random.Random(4)
+    context.fresh_until = {}
+    context.events = []
+    for index, name in enumerate(names):
+        context.events.append((10.0, name, [name]))
+        known = rng.sample(names, index) + [name]
+        context.events.append((10.5, name, known))
+        context.events.append((11.5, name, names))
+
+
+COLD_EVENTS = {
+    'both its senders are cut off': _cut_off,
+    'all start and learn of each other only in 1.5 s': _start,
+}
+
+
+@behave.when('the bound is {bound:g} requests a second and {event}')
+def when_bound_and(context, bound, event):
+    service = front_values.route().targets[0][0]
+    names = context.names
+    rigs = {name: front_values.steering(name, bound) for name in names}
+    COLD_EVENTS[event](context, names, rigs)
+    context.sent, now = [], 10.0
+    entry = front_values.entry('u1', cold_s=30.0)
+    while now < 18.0:
+        for at, name, known in context.events:
+            if now - 0.01 < at <= now:
+                rigs[name].on_members(known, now)
+        for name, rig in rigs.items():
+            until = context.fresh_until.get(name, now)
+            rig.copy_age = lambda at, until=until: max(at - until, 0.0)
+            if 'u1' not in rig.view.upstreams:
+                rig.on_entries([entry], now)
+            found = rig.pick(
+                front_values.route(), service, 'k', 'r', (), None, 9.0, now
+            )
+            if isinstance(found, steering.Choice):
+                rig.on_sent(found, now)
+                found.load.on_end()
+                context.sent.append(now)
+        now += 0.01
+
+
 @behave.then(
     'at most {most:d} requests arrive in any second and some do in each'
 )
@@ -240,7 +295,9 @@
     for begin in context.sent:
         count = sum(begin <= at < begin + 1 for at in context.sent)
         assert count <= most, count
-    for second in range(5):
+    last = int(max(context.sent))
+    assert last - min(context.sent) >= 4
+    for second in range(int(min(context.sent)), last):
         assert any(second <= at < second + 1 for at in context.sent)
 
 
