--- a/src/jasminehold/decisions/cold_gate.py
+++ b/src/jasminehold/decisions/cold_gate.py
@@ -14,6 +14,9 @@
 # The same of senders whose list of the fleet is old: the others may have
 # chosen two more, and both together must keep the bound.
 USED_UNSURE = 0.3
+# The same of a new process, which may not know the senders that started with
+# it: the least part, one request a second.
+USED_NEW = 0.0
 
 
 def senders(upstream_id, instances):
@@ -34,17 +37,16 @@
     def __init__(self):
         self._sent = collections.deque()
 
-    def admits(self, bound, sure, now):
+    def admits(self, bound, used, now):
         """Return whether one more request keeps this sender's part.
 
         Args:
             bound: requests a second that the whole fleet may send.
-            sure: whether the list of the fleet that chose the senders is new.
+            used: part of the bound that the senders use, share 0 to 1.
             now: monotonic seconds.
         """
         while self._sent and self._sent[0] <= now - WINDOW_S:
             self._sent.popleft()
-        used = USED if sure else USED_UNSURE
         part = max(int(bound * used / SENDERS), 1)
         return len(self._sent) < part
 
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -347,13 +347,19 @@
         if now >= upstream.cold_until:
             return True
         name = upstream.entry.id
-        if not self._fleet.complete(now):
-            return False
         if self._cfg.id not in cold_gate.senders(name, self.instances):
             return False
         gate = self._gates.setdefault(name, cold_gate.ColdGate())
-        sure = self.copy_age(now) <= MEMBERS_SURE_S
-        return gate.admits(self._cold_bound(service), sure, now)
+        return gate.admits(
+            self._cold_bound(service), self._cold_used(now), now
+        )
+
+    def _cold_used(self, now):
+        if not self._fleet.complete(now):
+            return cold_gate.USED_NEW
+        if self.copy_age(now) > MEMBERS_SURE_S:
+            return cold_gate.USED_UNSURE
+        return cold_gate.USED
 
     def _cold_bound(self, service):
         declared = self.table.services.get(service)
--- a/tests/features/steps/front_rules_steps.py
+++ b/tests/features/steps/front_rules_steps.py
@@ -228,7 +228,7 @@
                 known = context.names + ['gone']
             if name not in cold_gate.senders('u1', known):
                 continue
-            if gates[name].admits(bound, True, now):
+            if gates[name].admits(bound, cold_gate.USED, now):
                 gates[name].on_sent(now)
                 context.sent.append(now)
 
