--- a/tests/features/steps/front_rules_steps.py
+++ b/tests/features/steps/front_rules_steps.py
@@ -233,26 +233,28 @@
                 context.sent.append(now)
 
 
-def _cut_off(context, names, tells):
-    # The senders know nothing newer than 10 s; the others drop them when
-    # their leases end.
-    cut = sorted(cold_gate.senders('u1', names))
+def _cut_off(context, instances):
+    # The senders hear nothing after 10 s; the others drop them when their
+    # leases end.
+    names = list(instances)
+    cut = cold_gate.senders('u1', names)
     rest = [name for name in names if name not in cut]
-    for item in tells.values():
+    for item in instances.values():
         item.on_members(names, -20.0)
-    context.fresh_until = {name: 10.0 for name in cut}
-    context.events = [(12.5, name, rest) for name in rest]
+    for name in cut:
+        instances[name].copy_age = lambda now: max(now - 10.0, 0.0)
+    context.lists = [(12.5, name, rest) for name in rest]
 
 
-def _start(context, names, tells):
+def _start(context, instances):
+    names = list(instances)
     rng = random.Random(4)
-    context.fresh_until = {}
-    context.events = []
+    context.lists = []
     for index, name in enumerate(names):
-        context.events.append((10.0, name, [name]))
-        known = rng.sample(names, index) + [name]
-        context.events.append((10.5, name, known))
-        context.events.append((11.5, name, names))
+        some = rng.sample(names, index)
+        context.lists.append((10.0, name, [name]))
+        context.lists.append((10.5, name, some + [name]))
+        context.lists.append((11.5, name, names))
 
 
 COLD_EVENTS = {
@@ -263,29 +265,30 @@
 
 @behave.when('the bound is {bound:g} requests a second and {event}')
 def when_bound_and(context, bound, event):
-    service = front_values.route().targets[0][0]
-    names = context.names
-    rigs = {name: front_values.steering(name, bound) for name in names}
-    COLD_EVENTS[event](context, names, rigs)
-    context.sent, now = [], 10.0
+    instances = {
+        name: front_values.steering(name, bound) for name in context.names
+    }
+    COLD_EVENTS[event](context, instances)
     entry = front_values.entry('u1', cold_s=30.0)
-    while now < 18.0:
-        for at, name, known in context.events:
+    for item in instances.values():
+        item.on_entries([entry], 10.0)
+    context.sent = []
+    for step in range(1000, 1800):
+        now = step / 100
+        for at, name, members in context.lists:
             if now - 0.01 < at <= now:
-                rigs[name].on_members(known, now)
-        for name, rig in rigs.items():
-            until = context.fresh_until.get(name, now)
-            rig.copy_age = lambda at, until=until: max(at - until, 0.0)
-            if 'u1' not in rig.view.upstreams:
-                rig.on_entries([entry], now)
-            found = rig.pick(
-                front_values.route(), service, 'k', 'r', (), None, 9.0, now
-            )
-            if isinstance(found, steering.Choice):
-                rig.on_sent(found, now)
-                found.load.on_end()
-                context.sent.append(now)
-        now += 0.01
+                instances[name].on_members(members, now)
+        for item in instances.values():
+            _send_cold(context, item, now)
+
+
+def _send_cold(context, instance, now):
+    route = front_values.route()
+    found = instance.pick(route, 'loja', 'k', 'r', (), None, 9.0, now)
+    if isinstance(found, steering.Choice):
+        instance.on_sent(found, now)
+        found.load.on_end()
+        context.sent.append(now)
 
 
 @behave.then(
