--- a/tests/features/steps/peer_links_steps.py
+++ b/tests/features/steps/peer_links_steps.py
@@ -228,8 +228,9 @@
     ):
         closed = _raw(context, data)
         assert context.fleet.run_until(lambda: closed, 1.0) is not None, data
-    assert context.fleet.metrics['b'].total('peer_handshakes_failed') == 8
-    assert context.b.connected() == ['a']
+    failed = context.fleet.metrics['b'].total('peer_handshakes_failed')
+    assert failed == 8, failed
+    assert context.b.connected() == ['a'], context.b.connected()
 
 
 @behave.then(
@@ -237,8 +238,10 @@
 )
 def then_timeout(context):
     closed = _raw(context, b'')
-    assert context.fleet.run_until(lambda: closed, 4.0) > 2.5
-    assert context.fleet.closed_for('b', 'handshake timed out') == 1
+    seconds = context.fleet.run_until(lambda: closed, 4.0)
+    assert seconds is not None and seconds > 2.5, seconds
+    timed_out = context.fleet.closed_for('b', 'handshake timed out')
+    assert timed_out == 1, timed_out
 
 
 def _refused(payload):
