Log the content digest and the caller of a request whose send was lost

Cause: no log line told whether two requests had the same content, so copies of a request that crashes upstreams could not be told from ordinary requests. Change: 'request ended' has a digest of method, host, target and body if a send was lost, and the caller's address. The digest is the one of the product's own interface, moved to decisions/request_digest.py.

--- a/src/jasminehold/front/caller.py
+++ b/src/jasminehold/front/caller.py
@@ -34,12 +34,14 @@
         target: path and query, bytes.
         headers: list of ``(lower-case name, value)``, bytes.
         body: complete body, bytes.
+        peer: the caller's IP address.
         arrived_at: monotonic seconds at which the request was complete.
         on_disconnect: called when the caller disconnects before the
             response was sent.
     """
 
     def __init__(self, conn, http, event, now):
+        self.peer = conn.peer
         self.method = bytes(event.method)
         self.target = bytes(event.target)
         self.headers = list(event.headers)
@@ -119,9 +121,13 @@
     Args:
         port: the :class:`CallerPort`.
         conn: the :class:`~jasminehold.loop.Conn`.
+
+    Attributes:
+        peer: the caller's IP address.
     """
 
     def __init__(self, port, conn):
+        self.peer = conn.peer[0]
         self._port = port
         self._conn = conn
         self._queue = []
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -2,6 +2,7 @@
 
 import h11
 
+from jasminehold.decisions import request_digest
 from jasminehold import errors
 from jasminehold.front import steering as steering_module
 from jasminehold.front import upstream_conn
@@ -287,6 +288,13 @@
         self._attempts[-1]['repeat'] = dict(usage, granted=granted)
         return granted
 
+    def _content_digest(self):
+        inbound = self._inbound
+        host = self._header_values.get(b'host', b'')
+        return request_digest.of_request(
+            (inbound.method, host, inbound.target), (inbound.body,)
+        )
+
     def _retry_after_s(self):
         return steering_module.MIN_RETRY_AFTER_S * (
             0.75 + 0.5 * self._context.rng.random()
@@ -358,6 +366,7 @@
         metrics.inc('requests_total', route=route, outcome=outcome)
         metrics.observe('request_seconds', seconds, route=route)
         table = self._steering.table
+        content = self._content_digest().hex() if self._crashes else ''
         self._context.log(
             'request ended',
             id=(self._id or b'').decode('latin-1'),
@@ -365,6 +374,8 @@
             service=self._service,
             config=table.version if table else None,
             object=self._key,
+            content=content,
+            peer=self._inbound.peer,
             outcome=outcome,
             reason=reason,
             returned=self._caller_retry,
--- a/src/jasminehold/proxy/exchange.py
+++ b/src/jasminehold/proxy/exchange.py
@@ -12,6 +12,7 @@
 import h11
 
 from jasminehold.decisions import request
+from jasminehold.decisions import request_digest
 from jasminehold import errors
 from jasminehold.proxy import hooks as hooks_module
 
@@ -263,12 +264,9 @@
         self._server.exchange_ended(self)
 
     def _begin_sending(self):
-        digest = hashlib.blake2b(digest_size=8)
-        for part in (self._head.method, self._head.target):
-            digest.update(b'%d:' % len(part) + part)
-        for chunk in self._body_chunks:
-            digest.update(chunk)
-        self._request_digest = digest.digest()
+        self._request_digest = request_digest.of_request(
+            (self._head.method, self._head.target), self._body_chunks
+        )
         self._req = self._req._replace(fingerprint=self._request_digest)
         self.on_event(Event.START)
 
--- a/src/jasminehold/standin/sealed.py
+++ b/src/jasminehold/standin/sealed.py
@@ -17,6 +17,8 @@
 - ``encoded``: the response has a ``Content-Encoding``.
 - ``bare``: the response has no ``X-Server-Seal``.
 - ``error``: executed, then 500.
+- ``crash``: executed; all connections are closed without a response, and the
+  upstream accepts new ones at once.
 """
 
 import collections
@@ -44,6 +46,7 @@
         arrivals: number of received requests.
         headers_by_id: headers of the last request by request id.
         cancelled: ids of requests whose connection closed during execution.
+        crashes: monotonic seconds of each crash.
         on_event: called with the name of this upstream, a request id and
             whether it executes, on each arrival and each start.
     """
@@ -58,6 +61,7 @@
         self.arrivals = 0
         self.headers_by_id = {}
         self.cancelled = set()
+        self.crashes = []
         self.on_event = lambda name, request_id, ran: None
         self.conns = set()
         self._running = 0
@@ -128,8 +132,16 @@
         self.runs[req.id] += 1
         self.on_event(self.name, req.id, True)
         req.running = True
+        if self._fault(req) == 'crash':
+            self._crash()
         self.loop.call_later(self.work_s, self._finish, req)
 
+    def _crash(self):
+        self.crashes.append(self.loop.now())
+        self._waiting.clear()
+        for session in list(self.conns):
+            session.conn.reset()
+
     def _finish(self, req):
         self._running -= 1
         if req.session.conn.closed:
