--- /dev/null
+++ b/tests/builders/crashing_requests.py
@@ -0,0 +1,123 @@
+"""Callers of front instances, one of whose requests crashes upstreams."""
+
+import threading
+import time
+
+from jasminehold.standin import caller
+from tests.builders import front_rig
+
+UPSTREAMS = tuple('u%d' % number for number in range(1, 7))
+PLACES = ('sul-a', 'sul-b', 'norte-a', 'sul-a')
+# Bound of the users' pages: how often a request may be sent on later than this
+# many seconds after it has crashed the third upstream.
+STABILITY_S = 3.0
+ARRIVALS_MAX = 3
+PAUSE_S = 0.25
+
+
+def start_fleet(rig):
+    """Start an instance for each of ``PLACES``; returns their names."""
+    names = []
+    for number, place in enumerate(PLACES):
+        name = 'i%d' % number
+        seeds = [app.cfg.peer_listen for app in rig.apps.values()][:2]
+        rig.start(name, place, seeds, seed=number)
+        names.append(name)
+    for name in names:
+        rig.wait_ready(name)
+    rig.wait(lambda: all(_knows_all(rig, name) for name in names), 'members')
+    return names
+
+
+def _knows_all(rig, name):
+    return set(rig.apps[name].steering.instances) >= set(rig.apps)
+
+
+class OrdinaryCallers:
+    """Callers whose requests crash nothing; use as a context manager.
+
+    Args:
+        rig: the :class:`front_rig.FrontRig`.
+        names: instances that they send to in turn.
+        count: number of callers.
+        path: path of all requests; each has its own if None.
+
+    Attributes:
+        replies: list of ``(monotonic seconds of the answer, Reply)``.
+    """
+
+    def __init__(self, rig, names, count=3, path=None):
+        self.replies = []
+        self._rig = rig
+        self._names = names
+        self._path = path
+        self._stopped = False
+        self._threads = [
+            threading.Thread(target=self._run, args=(number,), daemon=True)
+            for number in range(count)
+        ]
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        self._stopped = True
+        for thread in self._threads:
+            thread.join(10)
+
+    def _run(self, number):
+        count = 0
+        while not self._stopped:
+            count += 1
+            path = self._path or '/browse/ordinary-%d-%d' % (number, count)
+            name = self._names[count % len(self._names)]
+            reply = self._rig.ask(
+                path, name=name, Cookie='X-Affinity-Key=%d' % (count % 9)
+            )
+            self.replies.append((time.monotonic(), reply))
+            time.sleep(0.02)
+
+
+def send_copies(rig, names, method, seconds, source='127.0.0.1'):
+    """Send a crashing request to one instance after the other.
+
+    Args:
+        rig: the :class:`front_rig.FrontRig`.
+        names: instances, in turn.
+        method: its method.
+        seconds: for how long copies are sent.
+        source: the caller's address.
+
+    Returns:
+        List of ``(monotonic seconds at its sending, Reply)``.
+    """
+    path = '/order/broken' if method == 'POST' else '/browse/broken'
+    replies = []
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        headers = front_rig.request_headers(
+            {'X_Fault': 'crash', 'Cookie': 'X-Affinity-Key=7'}
+        )
+        port = rig.apps[names[len(replies) % len(names)]].cfg.caller_listen
+        client = caller.Client(port.port, source=source)
+        begin = time.monotonic()
+        try:
+            reply = client.request(method, path, headers, b'broken')
+        finally:
+            client.close()
+        replies.append((begin, reply))
+        time.sleep(PAUSE_S)
+    return replies
+
+
+def crash_times(rig):
+    """Return the times of all crashes, in order."""
+    return sorted(at for item in rig.upstreams.values() for at in item.crashes)
+
+
+def late_crashes(rig):
+    """Return how many upstreams crashed when copies had to be stopped."""
+    times = crash_times(rig)
+    return sum(at > times[2] + STABILITY_S for at in times[3:])
