Stop requests that crash upstreams on all instances

Cause: the memory of losses ended with the exchange. Each copy has a new id and began anew, with one or two more upstreams lost. Change: losses are reported by content digest, and by that and the caller, to arbiters chosen by hash, which count crashes with the existing rule crash_suspects. Two crashes make a digest suspect on all instances: no retry after a loss, and successes clear it. Copies get 503 with the time left. Why it works: whichever instance gets a copy, its loss counts at the same arbiters, and the state is with all instances within a round trip, far below the 3 s that the bound allows.

--- a/src/jasminehold/decisions/crash_suspects.py
+++ b/src/jasminehold/decisions/crash_suspects.py
@@ -139,6 +139,14 @@
             cleared=True,
         )
 
+    def crashes(self, fingerprint, now):
+        """Return the crashes that count as ``[(upstream, time)]``."""
+        record = self._records.get(fingerprint)
+        if record is None:
+            return []
+        self._trim(record, now)
+        return list(record.crashes)
+
     def verdict(self, fingerprint, now):
         """Return the :class:`Verdict` on a request about to be sent."""
         record = self._records.get(fingerprint)
--- a/src/jasminehold/errors.py
+++ b/src/jasminehold/errors.py
@@ -37,6 +37,7 @@
     ANSWER_LOST = 'answer_lost'
     KEY_REUSED = 'key_reused'
     POISON = 'poison'
+    QUARANTINED = 'quarantined'
     UPSTREAM_FAILED = 'upstream_failed'
     INTERNAL = 'internal'
 
@@ -125,6 +126,9 @@
     Kind.POISON: Answer(
         422, Run.UNKNOWN, False, 'This request crashed upstreams; refused.'
     ),
+    Kind.QUARANTINED: Answer(
+        503, Run.NOT_RUN, True, 'Requests like this one crash upstreams.'
+    ),
     Kind.UPSTREAM_FAILED: Answer(
         502, Run.UNKNOWN, True, 'The upstream failed; a repeat is safe.'
     ),
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -14,6 +14,7 @@
 from jasminehold import errors
 from jasminehold.front import caller
 from jasminehold.front import cfg as cfg_module
+from jasminehold.front import crash_guard
 from jasminehold.front import directory
 from jasminehold.front import exchange
 from jasminehold.front import peering
@@ -101,6 +102,15 @@
             _log,
         )
         self._peering.reader = self._reader
+        self.crash_guard = crash_guard.CrashGuard(
+            self.loop,
+            self._peering.mesh,
+            self.cfg.id,
+            self.store,
+            self.metrics,
+            _log,
+        )
+        self._peering.on_link_up = self.crash_guard.on_link_up
         self.steering.copy_age = self._reader.replica.age
         self._decoder = reader.Decoder(self.metrics, _log)
 
@@ -110,7 +120,13 @@
             self.loop, self.metrics, int(files * UPSTREAM_FILES_FRACTION)
         )
         self.exchanges = exchange.ExchangeContext(
-            self.loop, self.steering, pool, self.metrics, self.rng, _log
+            self.loop,
+            self.steering,
+            pool,
+            self.crash_guard,
+            self.metrics,
+            self.rng,
+            _log,
         )
         answers = directory.Directory(
             lambda: self._members,
@@ -137,6 +153,7 @@
         headers = [(b'content-type', b'text/plain; version=0.0.4')]
         now = self.loop.now()
         gauges = self.steering.gauge_values(now)
+        gauges.update(self.crash_guard.gauge_values())
         gauges['requests_in_flight'] = len(self.exchanges.exchanges)
         gauges['instance_leaving'] = int(self.leaving)
         if self._reader.replica.as_of is not None:
@@ -258,6 +275,10 @@
             self.steering.on_entries(entries, copy.as_of)
         if any(key.startswith(wire.MEMBER_PREFIX) for key in keys):
             self._on_members(copy.with_prefix(wire.MEMBER_PREFIX))
+        if any(key.startswith(wire.QUARANTINE_PREFIX) for key in keys):
+            self.crash_guard.on_stored(
+                copy.with_prefix(wire.QUARANTINE_PREFIX)
+            )
 
     def _on_members(self, items):
         members = self._decoder.members(items)
@@ -266,6 +287,7 @@
         self._members = members
         self.steering.on_members(members, self.loop.now())
         self._peering.on_members(members)
+        self.crash_guard.on_members(members)
         self._registration.on_members(items)
 
 
--- /dev/null
+++ b/src/jasminehold/front/crash_guard.py
@@ -0,0 +1,265 @@
+"""Stops requests that crash upstreams, on all instances.
+
+An instance that loses a request reports it to the request's arbiters, which
+count the crashes. The arbiters tell all instances which requests to watch and
+which to reject. A quarantine is also written to the store, so that it outlives
+the processes; while the store is down, instances tell it to those that start.
+
+Messages on the streams between instances:
+``crash_notice``: a loss or a success of a request, to its arbiters.
+``crash_verdicts``: states of requests, to all instances.
+"""
+
+import json
+import time
+
+from jasminehold.decisions import crash_suspects
+from jasminehold.decisions import quarantine
+from jasminehold.platform import wire
+
+State = quarantine.State
+
+# Two copies in flight at one upstream are lost in one crash. Their instances
+# notice it within a round trip; copies of one caller follow one another more
+# slowly.
+SAME_CRASH_S = 0.3
+RULES = crash_suspects.CrashSuspectsConfig(
+    crashes_to_quarantine=3, same_crash_s=SAME_CRASH_S
+)
+# Crashes from which on all instances report a success of the request.
+CRASHES_TO_SUSPECT = 2
+EXPIRE_EVERY_S = 10.0
+STORE_RETRY_S = 1.0
+RELEASED = 'released'
+
+
+class CrashGuard:
+    """Reports lost requests and knows which ones to reject.
+
+    Args:
+        loop: the :class:`~jasminehold.loop.Loop`.
+        mesh: the :class:`~jasminehold.peers.mesh.Mesh`.
+        own_id: id of this instance.
+        store: the :class:`~jasminehold.platform.kv.Store`.
+        metrics: counters.
+        log: structured log.
+    """
+
+    def __init__(self, loop, mesh, own_id, store, metrics, log):
+        self._loop = loop
+        self._mesh = mesh
+        self._own_id = own_id
+        self._store = store
+        self._metrics = metrics
+        self._log = log
+        self._members = ()
+        self._stored = frozenset()
+        # Crashes that this instance counts as an arbiter, and the states that
+        # it announced.
+        self._crashes = crash_suspects.CrashSuspects(RULES)
+        self._announced = {}
+        self._known = quarantine.Quarantine(RULES.keep_s, RULES.max_records)
+        mesh.handle('crash_notice', self._on_notice)
+        mesh.handle('crash_verdicts', self._on_verdicts)
+        loop.call_later(EXPIRE_EVERY_S, self._expire)
+
+    # Requests.
+
+    @property
+    def active(self):
+        """Whether any request is known, so that digests are needed."""
+        return bool(self._known)
+
+    def quarantine_s(self, digests):
+        """Return for how many seconds a request is quarantined, else 0."""
+        return self._known.seconds_left(digests, self._loop.now())
+
+    def is_suspect(self, digests):
+        """Return whether a request must not be sent again after a loss."""
+        now = self._loop.now()
+        return any(
+            self._known.state(digest, now)
+            in (State.SUSPECT, State.QUARANTINED)
+            for digest in digests
+        )
+
+    def on_lost(self, digests, upstream):
+        """Report that an upstream disconnected with a request in flight.
+
+        Args:
+            digests: digests of the request.
+            upstream: id of the upstream.
+        """
+        now = self._loop.now()
+        self._metrics.inc('crash_reports_total')
+        for digest in digests:
+            self._known.watch(digest, now)
+            self._report(digest, upstream, 0.0, False)
+
+    def on_answered(self, digests, sent_at):
+        """Report that a request ran without a crash, if it is known.
+
+        Args:
+            digests: digests of the request.
+            sent_at: monotonic seconds at which it was sent.
+        """
+        now = self._loop.now()
+        for digest in digests:
+            state = self._known.state(digest, now)
+            if state is State.WATCHED:
+                self._known.release(digest)
+            if state is not None:
+                self._report(digest, '', now - sent_at, True)
+
+    def _report(self, digest, upstream, age_s, cleared):
+        notice = crash_suspects.CrashNotice(
+            fingerprint=digest,
+            upstream=upstream,
+            age_s=age_s,
+            cleared=cleared,
+        )
+        message = {'type': 'crash_notice', 'notice': notice}
+        for name in self._arbiters(digest):
+            if name == self._own_id:
+                self._count(notice)
+            else:
+                self._mesh.send(name, message)
+
+    def _arbiters(self, digest):
+        return quarantine.arbiters(digest, self._members, self._own_id)
+
+    # Counting as an arbiter.
+
+    def _on_notice(self, sender, message, reply):
+        self._count(message['notice'])
+
+    def _count(self, notice):
+        now = self._loop.now()
+        digest = notice['fingerprint']
+        self._crashes.merge(notice, now)
+        self._announce(digest, self._crashes.crashes(digest, now))
+
+    def _announce(self, digest, crashes):
+        state = RELEASED
+        if len(crashes) >= RULES.crashes_to_quarantine:
+            state = State.QUARANTINED.value
+        elif len(crashes) >= CRASHES_TO_SUSPECT:
+            state = State.SUSPECT.value
+        if self._announced.get(digest, RELEASED) == state:
+            return
+        self._announced[digest] = state
+        if state == RELEASED:
+            del self._announced[digest]
+        self._log(
+            'crashing request ' + state,
+            content=digest.hex(),
+            upstreams=[upstream for upstream, _ in crashes],
+        )
+        verdict = [digest, state, RULES.keep_s]
+        self._apply(*verdict)
+        message = {'type': 'crash_verdicts', 'verdicts': [verdict]}
+        for name in self._members:
+            if name != self._own_id:
+                self._mesh.send(name, message)
+        if state == State.QUARANTINED.value:
+            # The arbiters write one after the other, if the key is missing.
+            rank = self._arbiters(digest).index(self._own_id)
+            self._loop.call_later(rank * STORE_RETRY_S, self._write, digest)
+        elif self._key(digest) in self._stored:
+            self._store.delete(self._key(digest), None, self._on_deleted)
+
+    # States, from arbiters, from peers at their start and from the store.
+
+    def on_members(self, ids):
+        """Set the ids of the live instances."""
+        self._members = tuple(ids)
+
+    def on_link_up(self, name):
+        """Tell an instance that may have just started what is known."""
+        verdicts = [
+            [digest, state.value, left]
+            for digest, state, left in self._known.shared(self._loop.now())
+        ]
+        if verdicts:
+            self._mesh.send(
+                name, {'type': 'crash_verdicts', 'verdicts': verdicts}
+            )
+
+    def _on_verdicts(self, sender, message, reply):
+        for digest, state, seconds in message['verdicts']:
+            self._apply(digest, state, float(seconds))
+
+    def _apply(self, digest, state, seconds):
+        if state == RELEASED:
+            self._known.release(digest)
+        else:
+            self._known.put(digest, State(state), seconds, self._loop.now())
+
+    def on_stored(self, items):
+        """Apply the quarantines in the store.
+
+        A key that is missing releases nothing: it may have been removed with
+        its lease during an outage.
+
+        Args:
+            items: ``{key: Item}`` under :data:`wire.QUARANTINE_PREFIX`.
+        """
+        self._stored = frozenset(items)
+        for key, item in items.items():
+            try:
+                digest = bytes.fromhex(key[len(wire.QUARANTINE_PREFIX) :])
+                left = float(json.loads(item.value)['until']) - time.time()
+            except (LookupError, TypeError, ValueError) as exc:
+                self._log(
+                    'quarantine skipped', level='warning', key=key, error=exc
+                )
+                continue
+            if left > 0:
+                self._apply(digest, State.QUARANTINED.value, left)
+
+    def gauge_values(self):
+        """Return the current ``{gauge name: value}``."""
+        return {
+            'requests_suspect': self._known.count(State.SUSPECT),
+            'requests_quarantined': self._known.count(State.QUARANTINED),
+        }
+
+    @staticmethod
+    def _key(digest):
+        return wire.QUARANTINE_PREFIX + digest.hex()
+
+    def _write(self, digest):
+        now = self._loop.now()
+        left = self._known.seconds_left([digest], now)
+        if not left or self._key(digest) in self._stored:
+            return
+        value = json.dumps({'until': round(time.time() + left, 1)}).encode()
+
+        def on_lease(lease, exc):
+            if exc is not None:
+                on_failed(exc)
+                return
+            self._store.put(self._key(digest), value, None, on_written, lease)
+
+        def on_written(revision, exc):
+            if exc is not None:
+                on_failed(exc)
+
+        def on_failed(exc):
+            self._log('quarantine not stored', level='warning', error=exc)
+            self._loop.call_later(STORE_RETRY_S, self._write, digest)
+
+        self._store.grant(left, on_lease)
+
+    def _on_deleted(self, revision, exc):
+        if exc is not None:
+            self._log('quarantine not deleted', level='warning', error=exc)
+
+    def _expire(self):
+        self._loop.call_later(EXPIRE_EVERY_S, self._expire)
+        now = self._loop.now()
+        self._known.expire(now)
+        self._crashes.expire(now)
+        for digest in list(self._announced):
+            if not self._crashes.crashes(digest, now):
+                del self._announced[digest]
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -45,6 +45,7 @@
         self._context = port
         self._loop = port.loop
         self._steering = port.steering
+        self._crash_guard = port.crash_guard
         self._inbound = inbound
         self._header_values = dict(inbound.headers)
         self._id = self._header_values.get(wire.REQUEST_ID)
@@ -68,6 +69,7 @@
         self._owners = ()
         self._ended = False
         self._last_failure = None
+        self._cached_digests = None
 
     def start(self):
         """Match the route and send the request, or answer with an error."""
@@ -101,6 +103,12 @@
 
     def _start_attempt(self):
         now = self._loop.now()
+        quarantine_s = 0.0
+        if self._crash_guard.active:
+            quarantine_s = self._crash_guard.quarantine_s(self._digests())
+        if quarantine_s:
+            self._end_quarantined(quarantine_s)
+            return
         remaining_s = self._deadline - now
         found = self._steering.pick(
             self._route,
@@ -194,6 +202,9 @@
 
     def _on_answer(self, answer, exc):
         now = self._loop.now()
+        if isinstance(exc, upstream_conn.Disconnected):
+            upstream = self._choice.upstream.entry.id
+            self._crash_guard.on_lost(self._digests(), upstream)
         if self._ended:
             # The caller has disconnected: send nothing more for it.
             self._release('after the caller left')
@@ -214,6 +225,8 @@
             self._on_loss(ValueError('response is not from the upstream'), now)
             return
         seconds = now - self._sent_at
+        if self._crash_guard.active:
+            self._crash_guard.on_answered(self._digests(), self._sent_at)
         choice = self._release('%d' % answer.status)
         if answer.status >= 500:
             self._steering.on_failed(choice, 'error', now)
@@ -258,6 +271,7 @@
         if (
             self._route.idempotent
             and self._crashes < CRASHES_MAX
+            and not self._crash_guard.is_suspect(self._digests())
             and self._allow_retry(now)
         ):
             self._start_attempt()
@@ -288,12 +302,27 @@
         self._attempts[-1]['repeat'] = dict(usage, granted=granted)
         return granted
 
-    def _content_digest(self):
-        inbound = self._inbound
-        host = self._header_values.get(b'host', b'')
-        return request_digest.of_request(
-            (inbound.method, host, inbound.target), (inbound.body,)
-        )
+    def _digests(self):
+        # Of the content, and of the content from this caller: requests of
+        # other callers may share the content without crashing anything.
+        if self._cached_digests is None:
+            inbound = self._inbound
+            host = self._header_values.get(b'host', b'')
+            content = request_digest.of_request(
+                (inbound.method, host, inbound.target), (inbound.body,)
+            )
+            self._cached_digests = (
+                content,
+                request_digest.of_request((content, inbound.peer.encode())),
+            )
+        return self._cached_digests
+
+    def _end_quarantined(self, seconds):
+        self._context.metrics.inc('requests_quarantined_total')
+        if self._last_failure is not None:
+            self._end_failed('quarantined')
+        else:
+            self._fail(Kind.QUARANTINED, seconds, 'quarantined')
 
     def _retry_after_s(self):
         return steering_module.MIN_RETRY_AFTER_S * (
@@ -366,7 +395,7 @@
         metrics.inc('requests_total', route=route, outcome=outcome)
         metrics.observe('request_seconds', seconds, route=route)
         table = self._steering.table
-        content = self._content_digest().hex() if self._crashes else ''
+        digests = self._cached_digests
         self._context.log(
             'request ended',
             id=(self._id or b'').decode('latin-1'),
@@ -374,7 +403,7 @@
             service=self._service,
             config=table.version if table else None,
             object=self._key,
-            content=content,
+            content=digests[0].hex() if digests else '',
             peer=self._inbound.peer,
             outcome=outcome,
             reason=reason,
@@ -393,10 +422,11 @@
         exchanges: set of the exchanges in flight.
     """
 
-    def __init__(self, loop, steering, pool, metrics, rng, log):
+    def __init__(self, loop, steering, pool, crash_guard, metrics, rng, log):
         self.loop = loop
         self.steering = steering
         self.pool = pool
+        self.crash_guard = crash_guard
         self.metrics = metrics
         self.rng = rng
         self.log = log
--- a/src/jasminehold/front/peering.py
+++ b/src/jasminehold/front/peering.py
@@ -43,10 +43,13 @@
 
     Attributes:
         reader: the :class:`~jasminehold.front.reader.StoreReader`.
+        on_link_up: called with the id of an instance after its first link
+            is ready.
     """
 
     def __init__(self, loop, cfg, rng, metrics, log):
         self.reader = None
+        self.on_link_up = lambda name: None
         self._loop = loop
         self._cfg = cfg
         self._region = cfg.places[cfg.place]
@@ -145,6 +148,7 @@
     def _on_up(self, name):
         if not self.reader.replica.revision:
             self._request_snapshot(name)
+        self.on_link_up(name)
 
     def _request_snapshot(self, name):
         now = self._loop.now()
--- a/src/jasminehold/front/upstream_conn.py
+++ b/src/jasminehold/front/upstream_conn.py
@@ -33,6 +33,10 @@
     kind = errors.Kind.UPSTREAM_FAILED
 
 
+class Disconnected(ResponseError):
+    """Raised when an upstream closes the connection without a response."""
+
+
 class Response:
     """A complete response of an upstream.
 
@@ -77,6 +81,7 @@
         self._head = None
         self._chunks = []
         self._size = 0
+        self._response_begun = False
         self._ended = False
         conn.on_data = self._on_data
         conn.on_close = self._on_close
@@ -106,6 +111,7 @@
         self._request = request
         self._request_id = request_id
         self._done = done
+        self._response_begun = False
         out = self._http.send(request)
         if body:
             out += self._http.send(h11.Data(data=body))
@@ -122,6 +128,7 @@
             self._pool.metrics.inc('upstream_stray_bytes_total')
             self._conn.abort()
             return
+        self._response_begun = True
         try:
             self._http.receive_data(data)
             self._process_events()
@@ -147,8 +154,12 @@
     def _fail(self, exc):
         done, self._done = self._done, None
         self._conn.abort()
-        if done is not None:
-            done(None, exc)
+        if done is None:
+            return
+        # A path that was cut ends with a time-out.
+        if not self._response_begun and not isinstance(exc, TimeoutError):
+            exc = Disconnected(str(exc))
+        done(None, exc)
 
     def _process_events(self):
         while self._done is not None:
--- a/src/jasminehold/peers/messages.py
+++ b/src/jasminehold/peers/messages.py
@@ -190,6 +190,23 @@
     upstream: str
 
 
+class CrashNotice(typing.TypedDict):
+    """A loss or a success of a request, sent to its arbiters.
+
+    ``notice`` is a :class:`~decisions.crash_suspects.CrashNotice`.
+    """
+
+    type: str
+    notice: typing.Dict[str, typing.Any]
+
+
+class CrashVerdicts(typing.TypedDict):
+    """States of requests, each as ``[digest, state, seconds left]``."""
+
+    type: str
+    verdicts: typing.List[typing.List[typing.Any]]
+
+
 class Leave(typing.TypedDict):
     """Last message of an instance that shuts down gracefully."""
 
--- a/src/jasminehold/platform/wire.py
+++ b/src/jasminehold/platform/wire.py
@@ -32,11 +32,17 @@
 EVACUATE_PREFIX = 'op/evacuate/'
 UPSTREAM_PREFIX = 'servers/'
 MEMBER_PREFIX = 'jasminehold/members/'
+QUARANTINE_PREFIX = 'jasminehold/quarantine/'
 # Entries of instances that use the product's own API.
 INSTANCE_PREFIX = 'instances/'
 
 # Prefixes of the keys that instances copy, and of those under a lease.
-COPIED_PREFIXES = (OPERATOR_PREFIX, UPSTREAM_PREFIX, MEMBER_PREFIX)
+COPIED_PREFIXES = (
+    OPERATOR_PREFIX,
+    UPSTREAM_PREFIX,
+    MEMBER_PREFIX,
+    QUARANTINE_PREFIX,
+)
 LEASED_PREFIXES = (UPSTREAM_PREFIX, MEMBER_PREFIX)
 
 # The platform's upstream states.
--- a/tests/builders/crashing_requests.py
+++ b/tests/builders/crashing_requests.py
@@ -80,7 +80,9 @@
             time.sleep(0.02)
 
 
-def send_copies(rig, names, method, seconds, source='127.0.0.1'):
+def send_copies(
+    rig, names, method, seconds, source='127.0.0.1', body=b'broken'
+):
     """Send a crashing request to one instance after the other.
 
     Args:
@@ -89,6 +91,7 @@
         method: its method.
         seconds: for how long copies are sent.
         source: the caller's address.
+        body: their body.
 
     Returns:
         List of ``(monotonic seconds at its sending, Reply)``.
@@ -104,7 +107,7 @@
         client = caller.Client(port.port, source=source)
         begin = time.monotonic()
         try:
-            reply = client.request(method, path, headers, b'broken')
+            reply = client.request(method, path, headers, body)
         finally:
             client.close()
         replies.append((begin, reply))
--- a/tests/builders/front_rig.py
+++ b/tests/builders/front_rig.py
@@ -212,6 +212,11 @@
         thread.start()
         return app
 
+    def stop_instance(self, name):
+        """Stop an instance; it may be started again under its name."""
+        self.apps.pop(name).stop()
+        self._threads.pop(name).join(10)
+
     @staticmethod
     def _address():
         return cfg_module.settings.Address('127.0.0.1', free_port())
--- a/tests/features/front_crashers.feature
+++ b/tests/features/front_crashers.feature
@@ -13,3 +13,27 @@
       | method |
       | GET    |
       | POST   |
+
+  Scenario: A quarantine outlives all processes
+    Given four instances in front of six upstreams
+    And a POST that crashes upstreams was stopped
+    When all instances start again
+    Then no copy of it reaches an upstream
+
+  Scenario: An instance that starts during a store outage learns a quarantine
+    Given four instances in front of six upstreams
+    And a POST that crashes upstreams was stopped
+    When one instance starts again while the store is down
+    Then no copy of it reaches an upstream
+
+  # Guards against one caller that has a popular page refused to all others.
+  Scenario: Requests of other callers with the same content go on
+    Given four instances in front of six upstreams
+    When one caller's copies of a popular request crash upstreams for 5 s
+    Then its copies are stopped
+    And the other callers are answered once they are
+
+  Scenario: Lost answers between successes quarantine nothing
+    Given four instances in front of six upstreams
+    When a request is answered between 4 rounds of lost answers
+    Then it is answered at each instance
--- a/tests/features/steps/front_crashers_steps.py
+++ b/tests/features/steps/front_crashers_steps.py
@@ -4,6 +4,7 @@
 
 import behave
 
+from jasminehold.platform import wire
 from tests.builders import crashing_requests
 from tests.builders import front_rig
 
@@ -65,3 +66,98 @@
     assert len(later) > 20, len(later)
     failed = [reply for reply in later if reply.status != 200]
     assert not failed, failed
+
+
+@behave.given('a POST that crashes upstreams was stopped')
+def given_stopped(context):
+    context.method = 'POST'
+    context.copies = crashing_requests.send_copies(
+        context.rig, context.names, 'POST', 3.0
+    )
+    then_rejected(context)
+
+
+@behave.when('all instances start again')
+def when_all_restart(context):
+    rig = context.rig
+    rig.wait(lambda: _stored_quarantines(rig), 'a stored quarantine')
+    for name in context.names:
+        rig.stop_instance(name)
+    context.names = crashing_requests.start_fleet(rig)
+
+
+def _stored_quarantines(rig):
+    app = next(iter(rig.apps.values()))
+    return app._reader.replica.with_prefix(wire.QUARANTINE_PREFIX)
+
+
+@behave.when('one instance starts again while the store is down')
+def when_one_restarts(context):
+    rig = context.rig
+    rig.call(rig.store.set_faults, mode='refuse')
+    name = context.names[0]
+    rig.stop_instance(name)
+    seeds = [rig.apps[other].cfg.peer_listen for other in context.names[1:]]
+    rig.start(name, 'sul-a', seeds)
+    rig.wait_ready(name)
+    context.names = [name]
+
+
+@behave.then('no copy of it reaches an upstream')
+def then_none_arrives(context):
+    before = len(crashing_requests.crash_times(context.rig))
+    copies = crashing_requests.send_copies(
+        context.rig, context.names, context.method, 1.5
+    )
+    assert all(reply.status == 503 for _, reply in copies), copies
+    assert len(crashing_requests.crash_times(context.rig)) == before
+
+
+@behave.when(
+    "one caller's copies of a popular request crash upstreams for {seconds:g}"
+    ' s'
+)
+def when_popular(context, seconds):
+    others = crashing_requests.OrdinaryCallers(
+        context.rig, context.names, path='/browse/broken'
+    )
+    with others:
+        context.copies = crashing_requests.send_copies(
+            context.rig, context.names, 'GET', seconds, '127.0.0.2', b''
+        )
+    context.ordinary = others.replies
+
+
+@behave.then('its copies are stopped')
+def then_copies_stopped(context):
+    last = [reply.status for _, reply in context.copies[-4:]]
+    assert last == [503] * 4, last
+    assert not crashing_requests.late_crashes(context.rig)
+
+
+@behave.then('the other callers are answered once they are')
+def then_others(context):
+    stopped_at = crashing_requests.crash_times(context.rig)[-1]
+    later = [reply for at, reply in context.ordinary if at > stopped_at + 1.0]
+    assert len(later) > 20, len(later)
+    assert all(reply.status == 200 for reply in later), later
+
+
+@behave.when('a request is answered between {count:d} rounds of lost answers')
+def when_lost_between(context, count):
+    rig = context.rig
+    for turn in range(count):
+        name = context.names[turn % len(context.names)]
+        lost = rig.ask('/browse/same', name=name, X_Fault='lost')
+        assert lost.status == 502, lost
+        time.sleep(crashing_requests.PAUSE_S)
+        answered = rig.ask('/browse/same', name=context.names[0])
+        assert answered.status == 200, answered
+        time.sleep(crashing_requests.PAUSE_S)
+
+
+@behave.then('it is answered at each instance')
+def then_each_instance(context):
+    for name in context.names:
+        reply = context.rig.ask('/browse/same', name=name)
+        assert reply.status == 200, reply
