--- a/src/jasminehold/standin/sealed.py
+++ b/src/jasminehold/standin/sealed.py
@@ -47,6 +47,8 @@
         headers_by_id: headers of the last request by request id.
         cancelled: ids of requests whose connection closed during execution.
         crashes: monotonic seconds of each crash.
+        limit: requests a second that the responses name as the limit of all
+            callers together, None for no limit.
         on_event: called with the name of this upstream, a request id and
             whether it executes, on each arrival and each start.
     """
@@ -62,6 +64,7 @@
         self.headers_by_id = {}
         self.cancelled = set()
         self.crashes = []
+        self.limit = None
         self.on_event = lambda name, request_id, ran: None
         self.conns = set()
         self._running = 0
@@ -96,7 +99,7 @@
         conn.on_close = lambda exc: self.conns.discard(session)
 
     def _on_request(self, session, head, body):
-        self.submit(_Request(session, head, body))
+        self.submit(_Request(self, session, head, body))
 
     def submit(self, req):
         """Execute, queue or reject a complete request."""
@@ -200,7 +203,8 @@
 
 
 class _Request:
-    def __init__(self, session, head, body):
+    def __init__(self, upstream, session, head, body):
+        self.upstream = upstream
         self.session = session
         self.head = head
         self.headers = dict(head.headers)
@@ -211,6 +215,8 @@
     def send_response(self, status, headers, body):
         """Send a complete response."""
         headers = headers + [(b'x-request-id', self.id.encode())]
+        if self.upstream.limit is not None:
+            headers.append((b'server-limit', b'%g' % self.upstream.limit))
         self.session.send_response(status, headers, body)
 
     def send_raw(self, status, headers, length, body, request_id=None):
--- a/tests/builders/crashing_requests.py
+++ b/tests/builders/crashing_requests.py
@@ -7,7 +7,6 @@
 from tests.builders import front_rig
 
 UPSTREAMS = tuple('u%d' % number for number in range(1, 7))
-PLACES = ('sul-a', 'sul-b', 'norte-a', 'sul-a')
 # Bound of the users' pages: how often a request may be sent on later than this
 # many seconds after it has crashed the third upstream.
 STABILITY_S = 3.0
@@ -15,24 +14,6 @@
 PAUSE_S = 0.25
 
 
-def start_fleet(rig):
-    """Start an instance for each of ``PLACES``; returns their names."""
-    names = []
-    for number, place in enumerate(PLACES):
-        name = 'i%d' % number
-        seeds = [app.cfg.peer_listen for app in rig.apps.values()][:2]
-        rig.start(name, place, seeds, seed=number)
-        names.append(name)
-    for name in names:
-        rig.wait_ready(name)
-    rig.wait(lambda: all(_knows_all(rig, name) for name in names), 'members')
-    return names
-
-
-def _knows_all(rig, name):
-    return set(rig.apps[name].steering.instances) >= set(rig.apps)
-
-
 class OrdinaryCallers:
     """Callers whose requests crash nothing; use as a context manager.
 
--- a/tests/builders/front_rig.py
+++ b/tests/builders/front_rig.py
@@ -17,6 +17,7 @@
 from jasminehold.standin import kv
 from jasminehold.standin import sealed
 
+FLEET_PLACES = ('sul-a', 'sul-b', 'norte-a', 'sul-a')
 PLACES = {'sul-a': 'sul', 'sul-b': 'sul', 'norte-a': 'norte'}
 WAIT_S = 8.0
 
@@ -221,6 +222,21 @@
     def _address():
         return cfg_module.settings.Address('127.0.0.1', free_port())
 
+    def start_fleet(self, places=FLEET_PLACES):
+        """Start an instance for each place; returns their names.
+
+        When this returns, each has routes and knows all others.
+        """
+        names = ['i%d' % number for number in range(len(places))]
+        for number, (name, place) in enumerate(zip(names, places)):
+            seeds = [app.cfg.peer_listen for app in self.apps.values()][:2]
+            self.start(name, place, seeds, seed=number)
+        for name in names:
+            self.wait_ready(name)
+            steering = self.apps[name].steering
+            self.wait(lambda: set(steering.instances) >= set(names), 'members')
+        return names
+
     def wait(self, check, what='condition'):
         """Wait until a check holds."""
         end = time.monotonic() + WAIT_S
--- a/tests/features/steps/front_crashers_steps.py
+++ b/tests/features/steps/front_crashers_steps.py
@@ -16,7 +16,7 @@
 def given_fleet(context):
     context.rig = front_rig.FrontRig(crashing_requests.UPSTREAMS, 0.05)
     context.add_cleanup(context.rig.stop)
-    context.names = crashing_requests.start_fleet(context.rig)
+    context.names = context.rig.start_fleet()
 
 
 @behave.when(
@@ -83,7 +83,7 @@
     rig.wait(lambda: _stored_quarantines(rig), 'a stored quarantine')
     for name in context.names:
         rig.stop_instance(name)
-    context.names = crashing_requests.start_fleet(rig)
+    context.names = rig.start_fleet()
 
 
 def _stored_quarantines(rig):
--- /dev/null
+++ b/tests/features/steps/front_limits_steps.py
@@ -0,0 +1,110 @@
+"""Steps for limits that upstreams name to front instances."""
+
+import time
+
+import behave
+
+from tests.builders import front_rig
+from tests.builders import limited_upstreams
+
+UPSTREAMS = ('u1', 'u2', 'u3', 'u4')
+AT_ONCE_S = 0.25
+# Requests in flight when a limit begins may still fail for it.
+ANSWERED_PART = 0.95
+# Time in which the rate of an upstream is taken.
+RATE_S = 3.0
+
+
+@behave.given(
+    'four instances in front of four upstreams and {count:d} callers'
+)
+def given_callers(context, count):
+    context.rig = front_rig.FrontRig(UPSTREAMS)
+    context.add_cleanup(context.rig.stop)
+    context.callers = limited_upstreams.SteadyCallers(
+        context.rig, context.rig.start_fleet(), count
+    )
+    context.callers.__enter__()
+    context.add_cleanup(context.callers.__exit__)
+    time.sleep(RATE_S)
+
+
+def _set_limit(context, names, limit):
+    for name in names:
+        context.rig.upstreams[name].limit = limit
+
+
+@behave.when(
+    'an upstream names a limit of {limit:g} a second for {seconds:g} s'
+)
+def when_one_limited(context, limit, seconds):
+    _limit(context, UPSTREAMS[:1], limit, seconds)
+
+
+@behave.when(
+    'all upstreams name a limit of {limit:g} a second for {seconds:g} s'
+)
+def when_all_limited(context, limit, seconds):
+    _limit(context, UPSTREAMS, limit, seconds)
+
+
+def _limit(context, names, limit, seconds):
+    context.limited, context.limit = names, limit
+    context.limited_at = time.monotonic()
+    _set_limit(context, names, limit)
+    time.sleep(seconds)
+    _set_limit(context, names, None)
+    context.ended_at = time.monotonic()
+
+
+@behave.then('no 4 s hold more requests than it allows')
+def then_limit_holds(context):
+    begin = context.limited_at + limited_upstreams.STABILITY_S
+    for name in context.limited:
+        times = context.callers.arrivals[name]
+        most = limited_upstreams.most_in_window(
+            [at for at in times if begin <= at < context.ended_at]
+        )
+        allowed = limited_upstreams.allowed(context.limit)
+        assert 0 < most <= allowed, (name, most, allowed)
+
+
+@behave.then('nearly all requests are answered')
+def then_answered(context):
+    statuses = [
+        reply.status
+        for at, _, reply in context.callers.replies
+        if context.limited_at <= at < context.ended_at
+    ]
+    assert len(statuses) > 100, len(statuses)
+    part = statuses.count(200) / len(statuses)
+    assert part >= ANSWERED_PART, part
+
+
+@behave.then('it gets as many requests as before within {seconds:g} s')
+def then_ended(context, seconds):
+    time.sleep(seconds + RATE_S)
+    times = context.callers.arrivals[context.limited[0]]
+
+    def count(begin):
+        return sum(begin <= at < begin + RATE_S for at in times)
+
+    before = count(context.limited_at - RATE_S)
+    during = count(context.ended_at - RATE_S)
+    after = count(context.ended_at + seconds)
+    assert during < before / 2 < after, (before, during, after)
+
+
+@behave.then('requests that are not answered are rejected at once with a time')
+def then_rejected(context):
+    begin = context.limited_at + 1.0
+    rejected = [
+        (seconds, reply)
+        for at, seconds, reply in context.callers.replies
+        if begin <= at < context.ended_at and reply.status != 200
+    ]
+    assert len(rejected) > 100, len(rejected)
+    for seconds, reply in rejected:
+        assert reply.status == 503, reply
+        assert seconds < AT_ONCE_S, seconds
+        assert 0.2 < float(reply.headers['retry-after']) < 30, reply
