Log the limit that an upstream's response names

Change: platform/wire.py decodes the header; a send in 'request ended' has the limit that its response named. Nothing acts on it yet.

--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -180,13 +180,16 @@
         )
         conn.send(request, body, self._id, self._on_answer)
 
-    def _release(self, outcome):
+    def _release(self, outcome, limit=None):
         choice, self._choice = self._choice, None
         self._conn = None
         choice.load.on_end()
-        self._attempts.append(
-            dict(choice.why, upstream=choice.upstream.entry.id, end=outcome)
+        attempt = dict(
+            choice.why, upstream=choice.upstream.entry.id, end=outcome
         )
+        if limit is not None:
+            attempt['limit'] = limit
+        self._attempts.append(attempt)
         return choice
 
     def _on_connect_failed(self, exc):
@@ -216,8 +219,11 @@
         report = wire.decode_load(load) if load else None
         if report is not None:
             self._choice.load.on_report(report[0], report[1], now)
+        limit = answer.get(wire.LIMIT)
+        if limit is not None:
+            limit = wire.decode_limit(limit)
         if answer.status == 421 or answer.get(wire.NOT_EXECUTED) is not None:
-            self._on_not_run(answer, report, now)
+            self._on_not_run(answer, report, limit, now)
             return
         sealed = answer.get(wire.SEAL) is not None
         whole = answer.get(b'content-encoding') is None
@@ -227,7 +233,7 @@
         seconds = now - self._sent_at
         if self._crash_guard.active:
             self._crash_guard.on_answered(self._digests(), self._sent_at)
-        choice = self._release('%d' % answer.status)
+        choice = self._release('%d' % answer.status, limit)
         if answer.status >= 500:
             self._steering.on_failed(choice, 'error', now)
             if self._route.idempotent and self._allow_retry(now):
@@ -240,11 +246,11 @@
             )
         self._deliver(answer)
 
-    def _on_not_run(self, answer, report, now):
+    def _on_not_run(self, answer, report, limit, now):
         reason = 'misdirected' if answer.status == 421 else 'shed'
         if reason == 'shed' and report is None:
             self._choice.load.on_full(now)
-        choice = self._release(reason)
+        choice = self._release(reason, limit)
         self._may_have_run = self._crashes > 0
         if report is not None and report[0] < report[2]:
             # The upstream rejects at random while it has free slots; as the
--- a/src/jasminehold/platform/wire.py
+++ b/src/jasminehold/platform/wire.py
@@ -20,6 +20,7 @@
 EXPECT_INSTANCE = b'x-expect-instance'
 SEAL = b'x-server-seal'
 LOAD = b'x-server-load'
+LIMIT = b'server-limit'
 NOT_EXECUTED = b'x-not-executed'
 AFFINITY_COOKIE = 'X-Affinity-Key'
 
@@ -218,6 +219,14 @@
     return tuple(int(part) for part in parts)
 
 
+def decode_limit(value):
+    """Return the requests per second of a limit header, or None."""
+    try:
+        return _number(float(value))
+    except (TypeError, ValueError):
+        return None
+
+
 def object_key(headers):
     """Return the affinity key from the ``Cookie`` header, or ''."""
     for name, value in headers:
