Keep to the limits that upstreams state, over all instances

What callers saw: nothing at once. Cause: no module read the limit; every instance that was told sent on. Change: decisions/stated_limits.py chooses a few senders by hash among the instances of the upstream's region, which use parts of the limit that add up; other instances use other upstreams. Responses begin, change and end a limit, and limit_news.py tells the others. Instances with an outdated member list and new processes use less or nothing. A request that fits no upstream is rejected at once with the time until one takes a request again. Why it works: the parts are of a sum, not of an instance, so no floor of one request for each instance is left; each sender holds back a single request, and there are few of them; two sets of senders together stay in the bound.

--- a/bench/model.py
+++ b/bench/model.py
@@ -245,8 +245,11 @@
             item = steering_module.Steering(cfg, rng, _silent)
             item.on_config(table)
             # The fleet has run for a while when its callers come.
-            ids = [other for _, other in names]
-            item.on_members(ids, -cfg.retry_window)
+            regions = {
+                other: self.dep.places[other_place]
+                for other_place, other in names
+            }
+            item.on_members(regions, -cfg.retry_window)
             item.on_entries(entries, 0.0)
             found.setdefault(self.dep.places[place], []).append(item)
         return found
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -17,6 +17,7 @@
 from jasminehold.front import crash_guard
 from jasminehold.front import directory
 from jasminehold.front import exchange
+from jasminehold.front import limit_news
 from jasminehold.front import peering
 from jasminehold.front import reader
 from jasminehold.front import registration
@@ -110,10 +111,17 @@
             self.metrics,
             _log,
         )
-        self._peering.on_link_up = self.crash_guard.on_link_up
+        self.limit_news = limit_news.LimitNews(
+            self.loop, self._peering.mesh, self.steering, self.metrics, _log
+        )
+        self._peering.on_link_up = self._on_link_up
         self.steering.copy_age = self._reader.replica.age
         self._decoder = reader.Decoder(self.metrics, _log)
 
+    def _on_link_up(self, name):
+        self.crash_guard.on_link_up(name)
+        self.limit_news.on_link_up(name)
+
     def _build_path(self):
         files = max(self.cfg.max_files - FILES_RESERVED, FILES_RESERVED)
         pool = upstream_conn.UpstreamPool(
@@ -124,6 +132,7 @@
             self.steering,
             pool,
             self.crash_guard,
+            self.limit_news,
             self.metrics,
             self.rng,
             _log,
@@ -285,7 +294,8 @@
         if set(members) != set(self._members):
             _log('members changed', members=sorted(members))
         self._members = members
-        self.steering.on_members(members, self.loop.now())
+        regions = {name: doc['region'] for name, doc in members.items()}
+        self.steering.on_members(regions, self.loop.now())
         self._peering.on_members(members)
         self.crash_guard.on_members(members)
         self._registration.on_members(items)
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -222,7 +222,12 @@
         limit = answer.get(wire.LIMIT)
         if limit is not None:
             limit = wire.decode_limit(limit)
-        if answer.status == 421 or answer.get(wire.NOT_EXECUTED) is not None:
+        executed = answer.get(wire.NOT_EXECUTED) is None
+        if answer.status != 421:
+            complete = executed and answer.get(wire.SEAL) is not None
+            entry = self._choice.upstream.entry
+            self._context.limit_news.on_response(entry, limit, complete)
+        if answer.status == 421 or not executed:
             self._on_not_run(answer, report, limit, now)
             return
         sealed = answer.get(wire.SEAL) is not None
@@ -428,11 +433,14 @@
         exchanges: set of the exchanges in flight.
     """
 
-    def __init__(self, loop, steering, pool, crash_guard, metrics, rng, log):
+    def __init__(
+        self, loop, steering, pool, crash_guard, limit_news, metrics, rng, log
+    ):
         self.loop = loop
         self.steering = steering
         self.pool = pool
         self.crash_guard = crash_guard
+        self.limit_news = limit_news
         self.metrics = metrics
         self.rng = rng
         self.log = log
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -8,6 +8,7 @@
 from jasminehold.decisions import retry_token_bucket
 from jasminehold.decisions import run_times
 from jasminehold.decisions import selection
+from jasminehold.decisions import stated_limits
 from jasminehold.decisions import upstream_load
 from jasminehold.decisions import upstream_view
 from jasminehold.decisions import weighted_round_robin
@@ -35,6 +36,8 @@
 CROSS_REGION_S = 0.08
 # Minimum ``Retry-After`` for rejected callers, before jitter.
 MIN_RETRY_AFTER_S = 0.3
+# Maximum ``Retry-After`` where the limits of all upstreams are used up.
+MAX_LIMIT_RETRY_AFTER_S = 5.0
 OWNERS_CACHE_MAX = 20_000
 # Maximum age of the member list at which no member's lease can have expired,
 # also not during the preceding window of the cold start limiter.
@@ -91,6 +94,8 @@
 
     Attributes:
         copy_age: ``now -> seconds``, the age of the store copy.
+        instances: ids of the live instances.
+        limits: the :class:`~decisions.stated_limits.StatedLimits`.
     """
 
     def __init__(self, cfg, rng, log):
@@ -99,6 +104,9 @@
         self.view = upstream_view.UpstreamView()
         self.evacuated = frozenset()
         self.instances = ()
+        self.limits = stated_limits.StatedLimits(rng)
+        self._instance_regions = {}
+        self._limit_senders = {}
         self._cfg = cfg
         self._rng = rng
         self._log = log
@@ -144,6 +152,8 @@
             self._loads.pop(key, None)
             self._cold_limiters.pop(key, None)
             self._misdirected.pop(key, None)
+            self.limits.remove(_limit_key(upstream.entry))
+            self._limit_senders.pop(key, None)
             for times in self._run_times.values():
                 times.remove_upstream(key)
             self._log('upstream left', upstream=key, as_of=round(as_of, 3))
@@ -157,6 +167,9 @@
                 born=entry.born_ms,
                 cold_s=entry.cold_s,
             )
+        if self.limits.items():
+            known = map(_limit_key, entries)
+            self.limits.keep(set(known), as_of)
         if joined or left or self._usable_ids() != before:
             self._clear_owner_cache()
 
@@ -171,10 +184,17 @@
         self._owner_cache.clear()
         self._weight_cache.clear()
 
-    def on_members(self, ids, now):
-        """Update the ids of live instances, at monotonic seconds ``now``."""
-        self.instances = tuple(sorted(ids))
-        self._fleet.on_members(ids, now)
+    def on_members(self, regions, now):
+        """Update the live instances.
+
+        Args:
+            regions: ``{id: region}``.
+            now: monotonic seconds.
+        """
+        self.instances = tuple(sorted(regions))
+        self._instance_regions = dict(regions)
+        self._limit_senders.clear()
+        self._fleet.on_members(regions, now)
 
     def on_settings(self, cfg):
         """Apply new settings."""
@@ -197,6 +217,7 @@
             'instances_known': len(self.instances),
             'upstreams_known': len(upstreams),
             'upstreams_left_out': len(left_out),
+            'upstreams_limited': len(self.limits.limited()),
             'upstreams_draining': sum(
                 item.draining for item in upstreams.values()
             ),
@@ -282,7 +303,10 @@
             left_s: seconds until the request's deadline.
             now: monotonic seconds.
         """
-        upstreams = self._usable(route, service, tried, only, now)
+        upstreams, limited = self._usable(route, service, tried, only, now)
+        if not upstreams and limited:
+            pause = self._limit_retry_after_s(limited, now)
+            return Refusal(Kind.OVERLOADED, pause, 'limits reached')
         if not upstreams:
             return Refusal(
                 Kind.OVERLOADED, MIN_RETRY_AFTER_S, 'no usable upstream'
@@ -332,8 +356,10 @@
         )
 
     def _usable(self, route, service, tried, only, now):
+        # Returns usable upstreams by id, and the list of those that only
+        # their own limit excludes.
         homes = route.home_regions
-        usable, held = {}, {}
+        usable, held, limited = {}, {}, []
         for name, upstream in self.view.upstreams.items():
             entry = upstream.entry
             if (
@@ -347,10 +373,73 @@
                 or not self._admits_cold(upstream, service, now)
             ):
                 continue
+            if not self._admits_limited(upstream, now):
+                limited.append(upstream)
+                continue
             load = self._loads.get(name)
             ejected = load is not None and now < load.ejected_until
             (held if ejected else usable)[name] = upstream
-        return usable or held
+        return usable or held, limited
+
+    def _admits_limited(self, upstream, now):
+        key = _limit_key(upstream.entry)
+        if self.limits.limit(key) is None:
+            return True
+        rate = self._limit_rate(upstream, now)
+        return self.limits.admits(key, rate, now)
+
+    def _limit_rate(self, upstream, now):
+        if not self._fleet.startup_peers_known(now):
+            return 0.0
+        return stated_limits.instance_rate(
+            self._cfg.id,
+            self._limit_sender_order(upstream.entry),
+            self.limits.statement(_limit_key(upstream.entry)),
+            self.copy_age(now) > MEMBERS_CERTAIN_AGE_S,
+            now,
+        )
+
+    def _limit_sender_order(self, entry):
+        order = self._limit_senders.get(entry.id)
+        if order is None:
+            # Callers of its own region use an upstream most.
+            region = self._region(entry.place)
+            near = [
+                name
+                for name, place in self._instance_regions.items()
+                if place == region
+            ]
+            order = stated_limits.sender_order(
+                entry.id, near or self.instances
+            )
+            self._limit_senders[entry.id] = order
+        return order
+
+    def limit_sender(self, key):
+        """Return the first sender of a limited upstream, None if unknown.
+
+        Args:
+            key: its :class:`~decisions.stated_limits.Key`.
+        """
+        upstream = self.view.upstreams.get(key.id)
+        order = self._limit_sender_order(upstream.entry) if upstream else ()
+        return order[0] if order and order[0] != self._cfg.id else None
+
+    def _limit_retry_after_s(self, limited, now):
+        # When one of the upstreams takes a request from this instance again,
+        # or, where it does not send to them, from the fleet.
+        waits = []
+        total = 0.0
+        for upstream in limited:
+            key = _limit_key(upstream.entry)
+            total += self.limits.limit(key)
+            waits.append(
+                self.limits.wait_s(key, self._limit_rate(upstream, now), now)
+            )
+        own = [wait for wait in waits if wait is not None]
+        wait = min(own) if own else 1.0 / max(total, stated_limits.PROBE_PER_S)
+        wait = min(max(wait, MIN_RETRY_AFTER_S), MAX_LIMIT_RETRY_AFTER_S)
+        return wait * (0.75 + 0.5 * self._rng.random())
 
     def _region(self, place):
         return self._cfg.places.get(place, '')
@@ -458,6 +547,7 @@
         """Record that a request was sent to an upstream."""
         choice.load.on_sent()
         name = choice.upstream.entry.id
+        self.limits.on_sent(_limit_key(choice.upstream.entry), now)
         if now < choice.upstream.cold_until:
             self._cold_limiters.setdefault(
                 name, cold_start_limiter.ColdStartLimiter()
@@ -510,6 +600,10 @@
     return cfg.retry_ratio, cfg.retry_burst, cfg.retry_window
 
 
+def _limit_key(entry):
+    return stated_limits.Key(entry.id, entry.born_ms)
+
+
 def _identity(entry):
     # Identifies one run of an upstream process.
     return entry.born_ms, entry.host, entry.port
--- a/src/jasminehold/peers/messages.py
+++ b/src/jasminehold/peers/messages.py
@@ -207,6 +207,16 @@
     verdicts: typing.List[typing.List[typing.Any]]
 
 
+class UpstreamLimits(typing.TypedDict):
+    """Limits that upstreams stated, also as a request and its reply.
+
+    Each is ``[id, born_ms, requests a second or None, age in seconds]``.
+    """
+
+    type: str
+    limits: typing.List[typing.List[typing.Any]]
+
+
 class Leave(typing.TypedDict):
     """Last message of an instance that shuts down gracefully."""
 
--- a/tests/features/steps/front_limits_steps.py
+++ b/tests/features/steps/front_limits_steps.py
@@ -4,10 +4,13 @@
 
 import behave
 
+from jasminehold.decisions import stated_limits
 from tests.builders import front_rig
+from tests.builders import limited_fleet
 from tests.builders import limited_upstreams
 
 UPSTREAMS = ('u1', 'u2', 'u3', 'u4')
+SEED = 22
 AT_ONCE_S = 0.25
 # Requests in flight when a limit begins may still fail for it.
 ANSWERED_PART = 0.95
@@ -108,3 +111,90 @@
         assert reply.status == 503, reply
         assert seconds < AT_ONCE_S, seconds
         assert 0.2 < float(reply.headers['retry-after']) < 30, reply
+
+
+@behave.given('{count:d} instances whose callers all want one upstream')
+def given_fleet(context, count):
+    context.fleet = limited_fleet.LimitedFleet(count, SEED)
+
+
+@behave.given('{count:d} instances of which {part:g} want one upstream')
+def given_part(context, count, part):
+    context.fleet = limited_fleet.LimitedFleet(count, SEED, part)
+
+
+@behave.when('it names a limit of {limit:g} a second and {event}')
+def when_event(context, limit, event):
+    fleet = context.fleet
+    fleet.play(2.0)
+    fleet.limit = limit
+    context.begin = fleet.now + limited_upstreams.STABILITY_S
+    fleet.play(2.0)
+    EVENTS[event](fleet)
+    fleet.play(10.0)
+
+
+def _restart_in_turn(fleet):
+    for name in fleet.names:
+        fleet.restart(name)
+        fleet.play(0.5)
+
+
+def _restart_all(fleet):
+    for _ in range(3):
+        for name in fleet.names:
+            fleet.restart(name)
+        fleet.play(5.0)
+
+
+def _cut_half(fleet):
+    fleet.cut_off(fleet.names[::2])
+    fleet.play(9.0)
+    fleet.heal()
+
+
+def _cut_senders(fleet):
+    order = stated_limits.sender_order(limited_fleet.KEY.id, fleet.names)
+    count = 1 + int(stated_limits.SENDERS_PER_RATE * fleet.limit)
+    fleet.cut_off(order[:count])
+    fleet.play(9.0)
+    fleet.heal()
+
+
+EVENTS = {
+    'nothing else happens': lambda fleet: None,
+    'one process after another starts again': _restart_in_turn,
+    'all processes start again every 5 s': _restart_all,
+    'half of the instances are cut off for 9 s': _cut_half,
+    'all its senders are cut off for 9 s': _cut_senders,
+}
+
+
+@behave.then('no 4 s hold more requests from told instances than it allows')
+def then_told(context):
+    excess = context.fleet.excess(context.begin)
+    assert excess <= 0, excess
+
+
+@behave.then('some arrive')
+def then_some(context):
+    fleet = context.fleet
+    late = [at for at in fleet.arrivals if at > fleet.now - 8.0]
+    assert late, 'nothing arrived in the last 8 s'
+
+
+@behave.when('it names a limit of {limit:g} a second for {seconds:g} s')
+def when_limited_for(context, limit, seconds):
+    context.fleet.play(2.0)
+    context.fleet.limit = limit
+    context.fleet.play(seconds)
+    context.fleet.limit = None
+
+
+@behave.then('its end is known to all within {seconds:g} s')
+def then_end_known(context, seconds):
+    fleet = context.fleet
+    end = fleet.now + seconds
+    while fleet.now < end and fleet.limited_count():
+        fleet.play(0.5)
+    assert not fleet.limited_count(), fleet.limited_count()
--- a/tests/features/steps/front_rules_steps.py
+++ b/tests/features/steps/front_rules_steps.py
@@ -247,7 +247,7 @@
     cut = cold_start_limiter.senders('u1', names)
     rest = [name for name in names if name not in cut]
     for item in instances.values():
-        item.on_members(names, -20.0)
+        item.on_members(dict.fromkeys(names, 'sul'), -20.0)
     for name in cut:
         instances[name].copy_age = lambda now: max(now - 10.0, 0.0)
     context.lists = [(12.5, name, rest) for name in rest]
@@ -284,7 +284,8 @@
         now = step / 100
         for at, name, members in context.lists:
             if now - 0.01 < at <= now:
-                instances[name].on_members(members, now)
+                regions = dict.fromkeys(members, 'sul')
+                instances[name].on_members(regions, now)
         for item in instances.values():
             _send_cold(context, item, now)
 
--- a/tests/features/steps/retry_budget_steps.py
+++ b/tests/features/steps/retry_budget_steps.py
@@ -118,7 +118,7 @@
     route = front_values.route()
     limits = route_table.CallerLimits()
     item.on_config(route_table.RouteTable(1, [route], [], limits))
-    item.on_members([cfg.id], 0.0)
+    item.on_members({cfg.id: cfg.places[cfg.place]}, 0.0)
     for step in range(100):
         context.now = 20.0 + step / 100
         service = item.service(route, context.now)
