Tell instances every 2 s that an upstream's limit holds

Cause: others heard of a limit only when it changed. After 5 s they took the upstream for idle and doubled the number of senders, while the first senders went on with their full parts. In the model 80 instances under a limit of 1 a second sent 2.05 a second and exceeded the bound by 1, 300 under 3 by 3. Change: whoever hears a response first tells the others, every 2 s. Responses without a limit are told once, when a limit ends.

--- a/src/jasminehold/decisions/stated_limits.py
+++ b/src/jasminehold/decisions/stated_limits.py
@@ -31,8 +31,11 @@
 IDLE_S = 5.0
 # Requests that a sender may hold back, in seconds of its rate; one at least.
 BURST_S = 0.25
-# Change of a limit that other instances are told of.
-NEWS_FRACTION = 0.1
+# Time after which other instances are told again that a limit holds, so that
+# all agree on when the upstream responded last.
+TELL_EVERY_S = 2.0
+# Change of a limit that they are told at once.
+CHANGE_FRACTION = 0.1
 # Time for which a statement of an upstream that is not known, or no longer, is
 # kept: news of it may come before its entry.
 UNKNOWN_KEEP_S = 60.0
@@ -108,7 +111,7 @@
     def __init__(self, rng):
         self._rng = rng
         self._statements = {}
-        # Limits that other instances were last told.
+        # Statements that all instances were last told, by any of them.
         self._told = {}
         self._buckets = {}
 
@@ -121,7 +124,8 @@
             at: monotonic seconds at which the upstream stated it.
 
         Returns:
-            Whether the limit began, ended or changed noticeably.
+            Whether the limit began, ended or changed noticeably since the
+            instances were told.
         """
         known = self._statements.get(key)
         if known is None and per_s is None:
@@ -132,13 +136,30 @@
         if per_s is None:
             self._buckets.pop(key, None)
         told = self._told.get(key)
-        if told is None or per_s is None:
-            news = told is not per_s
-        else:
-            news = abs(per_s - told) > NEWS_FRACTION * told
-        if news:
-            self._told[key] = per_s
-        return news
+        told_per_s = told.per_s if told is not None else None
+        if per_s is None or told_per_s is None:
+            return per_s is not told_per_s
+        return abs(per_s - told_per_s) > CHANGE_FRACTION * told_per_s
+
+    def merge(self, key, per_s, at):
+        """Apply what another instance told all others; see :meth:`state`."""
+        changed = self.state(key, per_s, at)
+        known = self._statements.get(key)
+        if known is not None and known.at == at:
+            self.mark_told(key)
+        return changed
+
+    def must_tell(self, key):
+        """Return whether other instances must hear that a limit holds."""
+        told = self._told.get(key)
+        known = self._statements[key]
+        if known.per_s is None:
+            return False
+        return told is None or known.at - told.at >= TELL_EVERY_S
+
+    def mark_told(self, key):
+        """Record that all instances were told the current statement."""
+        self._told[key] = self._statements[key]
 
     def remove(self, key):
         """Forget an upstream that left."""
--- a/src/jasminehold/front/limit_news.py
+++ b/src/jasminehold/front/limit_news.py
@@ -47,8 +47,13 @@
         if per_s is None and not complete:
             return
         key = stated_limits.Key(entry.id, entry.born_ms)
-        if self._limits.state(key, per_s, self._loop.now()):
+        if per_s is None and self._limits.statement(key) is None:
+            return
+        changed = self._limits.state(key, per_s, self._loop.now())
+        if changed:
             self._on_change(key, per_s)
+        if changed or self._limits.must_tell(key):
+            self._limits.mark_told(key)
             message = self._message([key])
             for name in self._steering.instances:
                 self._mesh.send(name, message)
@@ -78,7 +83,7 @@
         for name, born_ms, per_s, age_s in message['limits']:
             key = stated_limits.Key(str(name), int(born_ms))
             per_s = None if per_s is None else float(per_s)
-            if self._limits.state(key, per_s, now - max(float(age_s), 0.0)):
+            if self._limits.merge(key, per_s, now - max(float(age_s), 0.0)):
                 self._on_change(key, per_s)
             keys.append(key)
         return keys
--- a/tests/builders/limited_fleet.py
+++ b/tests/builders/limited_fleet.py
@@ -146,15 +146,17 @@
             return
         if self.limit is not None:
             one.told_at = one.told_at or self.now
-        if one.limits.state(KEY, self.limit, self.now):
-            statement = one.limits.statement(KEY)
+        changed = one.limits.state(KEY, self.limit, self.now)
+        known = one.limits.statement(KEY)
+        if changed or (known is not None and one.limits.must_tell(KEY)):
+            one.limits.mark_told(KEY)
             for other in self._names:
                 if (other in self.cut) == (one.name in self.cut):
-                    self._at(NEWS_S, self._tell, other, one.name, statement)
+                    self._at(NEWS_S, self._tell, other, one.name, known)
 
     def _tell(self, name, sender, statement):
         if statement is not None and name != sender:
-            self._instances[name].limits.state(KEY, *statement)
+            self._instances[name].limits.merge(KEY, *statement)
 
     def _at(self, delay_s, func, *args):
         event = (self.now + delay_s, next(self._numbers), func, args)
--- a/tests/features/front_limits.feature
+++ b/tests/features/front_limits.feature
@@ -40,6 +40,8 @@
       | 9     | 2     | half of the instances are cut off for 9 s |
       | 9     | 40    | half of the instances are cut off for 9 s |
       | 80    | 0.5   | nothing else happens                      |
+      | 80    | 1     | nothing else happens for 40 s             |
+      | 300   | 3     | nothing else happens for 40 s             |
       | 80    | 1     | half of the instances are cut off for 9 s |
       | 80    | 10    | one process after another starts again    |
       | 80    | 100   | half of the instances are cut off for 9 s |
--- a/tests/features/steps/front_limits_steps.py
+++ b/tests/features/steps/front_limits_steps.py
@@ -163,6 +163,7 @@
 
 EVENTS = {
     'nothing else happens': lambda fleet: None,
+    'nothing else happens for 40 s': lambda fleet: fleet.play(30.0),
     'one process after another starts again': _restart_in_turn,
     'all processes start again every 5 s': _restart_all,
     'half of the instances are cut off for 9 s': _cut_half,
