Let other regions use a limited upstream that its own leaves idle

Cause: only instances of the upstream's region could become senders, so a service with all upstreams in one region, all limited, took nothing from callers elsewhere even if its own region had none. Change: the other instances follow the near ones in the order of senders, and get their turn when no response has come for some seconds. Measured: 6 other instances get no part at 4 s without a response and all get one at 20 s, the sum stays below the limit (front_limits.feature).

--- a/src/jasminehold/decisions/stated_limits.py
+++ b/src/jasminehold/decisions/stated_limits.py
@@ -58,38 +58,54 @@
     at: float
 
 
-def sender_order(upstream_id, instances):
-    """Return instances in the order in which they become senders.
+class Senders(typing.NamedTuple):
+    """Instances in the order in which they become senders of an upstream.
+
+    Attributes:
+        order: ids, those whose callers use the upstream most first.
+        near: how many of them do; the others send only if these are idle.
+    """
+
+    order: typing.Tuple[str, ...]
+    near: int
+
+
+def senders(upstream_id, near, others):
+    """Return the :class:`Senders` of an upstream.
 
     Args:
         upstream_id: id of the upstream.
-        instances: ids of the instances that may send.
+        near: ids of the instances whose callers use it most, may be empty.
+        others: ids of the other instances.
     """
-    return sorted(
-        instances, key=lambda name: hashing.number('limit', upstream_id, name)
-    )
+
+    def rank(name):
+        return hashing.number('limit', upstream_id, name)
+
+    order = (*sorted(near, key=rank), *sorted(others, key=rank))
+    return Senders(order, len(near) or len(order))
 
 
-def instance_rate(own, order, statement, stale, now):
+def instance_rate(own, found, statement, stale, now):
     """Return the requests per second that an instance may send.
 
     Args:
         own: id of the instance.
-        order: instances in the order of :func:`sender_order`.
-        statement: the upstream's :class:`Statement`, with a limit.
+        found: the upstream's :class:`Senders`.
+        statement: its :class:`Statement`, with a limit.
         stale: whether the list of instances may be outdated.
         now: monotonic seconds.
     """
     per_s = max(statement.per_s, PROBE_PER_S)
+    fraction, idle = FRACTION, 0
+    count = 1 + int(SENDERS_PER_RATE * statement.per_s)
     if stale:
         fraction = STALE_FRACTION
         count = 1 + int(STALE_SENDERS_PER_RATE * statement.per_s)
     else:
-        fraction = FRACTION
         idle = min(int(max(now - statement.at, 0.0) / IDLE_S), 32)
-        count = (1 + int(SENDERS_PER_RATE * statement.per_s)) << idle
-    count = min(count, len(order))
-    if own not in order[:count]:
+    count = min(min(count, found.near) << idle, len(found.order))
+    if own not in found.order[:count]:
         return 0.0
     return fraction * per_s / count
 
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -393,27 +393,23 @@
             return 0.0
         return stated_limits.instance_rate(
             self._cfg.id,
-            self._limit_sender_order(upstream.entry),
+            self._senders_of(upstream.entry),
             self.limits.statement(_limit_key(upstream.entry)),
             self.copy_age(now) > MEMBERS_CERTAIN_AGE_S,
             now,
         )
 
-    def _limit_sender_order(self, entry):
-        order = self._limit_senders.get(entry.id)
-        if order is None:
+    def _senders_of(self, entry):
+        found = self._limit_senders.get(entry.id)
+        if found is None:
             # Callers of its own region use an upstream most.
             region = self._region(entry.place)
-            near = [
-                name
-                for name, place in self._instance_regions.items()
-                if place == region
-            ]
-            order = stated_limits.sender_order(
-                entry.id, near or self.instances
-            )
-            self._limit_senders[entry.id] = order
-        return order
+            near, others = [], []
+            for name, place in self._instance_regions.items():
+                (near if place == region else others).append(name)
+            found = stated_limits.senders(entry.id, near, others)
+            self._limit_senders[entry.id] = found
+        return found
 
     def limit_sender(self, key):
         """Return the first sender of a limited upstream, None if unknown.
@@ -422,7 +418,7 @@
             key: its :class:`~decisions.stated_limits.Key`.
         """
         upstream = self.view.upstreams.get(key.id)
-        order = self._limit_sender_order(upstream.entry) if upstream else ()
+        order = self._senders_of(upstream.entry).order if upstream else ()
         return order[0] if order and order[0] != self._cfg.id else None
 
     def _limit_retry_after_s(self, limited, now):
--- a/tests/builders/limited_fleet.py
+++ b/tests/builders/limited_fleet.py
@@ -23,8 +23,8 @@
 
 
 @functools.lru_cache(maxsize=64)
-def _sender_order(listed):
-    return stated_limits.sender_order(KEY.id, listed)
+def _senders(listed):
+    return stated_limits.senders(KEY.id, listed, ())
 
 
 class _Instance:
@@ -126,7 +126,7 @@
             if self.now - one.started_at >= DISCOVERY_S:
                 rate = stated_limits.instance_rate(
                     one.name,
-                    _sender_order(one.listed),
+                    _senders(one.listed),
                     limits.statement(KEY),
                     self.now - one.listed_at > STALE_S,
                     self.now,
--- a/tests/features/front_limits.feature
+++ b/tests/features/front_limits.feature
@@ -62,3 +62,10 @@
       | 9     | 0.1  | 60      |
       | 80    | 1    | 6       |
       | 26    | 0.04 | 90      |
+
+  # Guards against callers that are turned away because only the upstream's own
+  # region, which has none for it, may send to it.
+  Scenario: Another region may use a limited upstream that its own leaves idle
+    Given an upstream under a limit of 1 a second, 3 near instances and 6 others
+    Then only near instances may send to it while it responds
+    And all may after 20 s without a response, within the same sum
--- a/tests/features/steps/front_limits_steps.py
+++ b/tests/features/steps/front_limits_steps.py
@@ -154,9 +154,9 @@
 
 
 def _cut_senders(fleet):
-    order = stated_limits.sender_order(limited_fleet.KEY.id, fleet.names)
+    found = stated_limits.senders(limited_fleet.KEY.id, fleet.names, ())
     count = 1 + int(stated_limits.SENDERS_PER_RATE * fleet.limit)
-    fleet.cut_off(order[:count])
+    fleet.cut_off(found.order[:count])
     fleet.play(9.0)
     fleet.heal()
 
@@ -199,3 +199,39 @@
     while fleet.now < end and fleet.limited_count():
         fleet.play(0.5)
     assert not fleet.limited_count(), fleet.limited_count()
+
+
+@behave.given(
+    'an upstream under a limit of {limit:g} a second, {near:d} near instances'
+    ' and {others:d} others'
+)
+def given_near(context, limit, near, others):
+    context.near = ['near%d' % number for number in range(near)]
+    context.others = ['other%d' % number for number in range(others)]
+    context.senders = stated_limits.senders('u1', context.near, context.others)
+    context.statement = stated_limits.Statement(limit, 100.0)
+
+
+def _rates(context, now):
+    return {
+        name: stated_limits.instance_rate(
+            name, context.senders, context.statement, False, now
+        )
+        for name in context.near + context.others
+    }
+
+
+@behave.then('only near instances may send to it while it responds')
+def then_near(context):
+    rates = _rates(context, 104.0)
+    assert not any(rates[name] for name in context.others), rates
+    assert 0 < sum(rates.values()) <= context.statement.per_s, rates
+
+
+@behave.then(
+    'all may after {seconds:g} s without a response, within the same sum'
+)
+def then_all(context, seconds):
+    rates = _rates(context, 100.0 + seconds)
+    assert all(rates.values()), rates
+    assert sum(rates.values()) <= context.statement.per_s, rates
