Soak: upstreams that state limits

The soak's upstreams state limits now and then, and a check sums what told and undisturbed instances send to them.

--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -94,6 +94,18 @@
     return _record([_sent('r0', idempotent=True)], *arrivals)
 
 
+def _over_limit():
+    names = ['r%d' % number for number in range(40)]
+    arrivals = [
+        (20.0 + number / 4, 'u1', name, False)
+        for number, name in enumerate(names)
+    ]
+    sent = [_sent(name, idempotent=True, end=20.1) for name in names]
+    record = _record(sent, *arrivals)
+    record.limits.append(['u1', 1.0, 20.0, None])
+    return record
+
+
 def _cut():
     record = _record([_sent('a', status=0, named=None, whole=False)])
     record.stops.append(('i1', 1, 20.05))
@@ -114,6 +126,7 @@
     'an evacuated place got a request': _evacuated,
     'an instance went back to a configuration': _back,
     'repeats exceed the budget': _repeats,
+    'an upstream got more than its limit': _over_limit,
     'a planned stop cut a request': _cut,
     'nothing is served after the faults': _nothing,
 }
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -13,6 +13,12 @@
 RETRY_RATIO = 0.2
 RETRY_BURST = 50
 RETRY_WINDOW_S = 10.0
+# An upstream's limit holds from then on, for what told instances send.
+STABILITY_S = 3.0
+TOLD_S = 0.5
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVER = 1.5
+LIMIT_SLACK = 5
 # Part of the requests that are answered well once faults are over.
 RECOVERED_PART = 0.9
 PROMISES = (408, 421, 429, 503)
@@ -73,14 +79,23 @@
         self.evacuations = []
         # (at, version) of each stored configuration.
         self.versions = []
+        # [upstream, requests a second, begin, end] of each stated limit; end
+        # is None while it lasts.
+        self.limits = []
         # (instance, incarnation, at) of each planned stop.
         self.stops = []
         self.calm_from = None
 
-    def in_touch(self, instance, at):
-        """Return whether an instance was undisturbed before a time."""
+    def in_touch(self, instance, at, store=True):
+        """Return whether an instance was undisturbed before a time.
+
+        Args:
+            instance: its name.
+            at: monotonic seconds.
+            store: whether troubles of the store for all count too.
+        """
         return not any(
-            (name is None or name == instance)
+            (name == instance or (store and name is None))
             and begin <= at
             and end > at - TOUCH_S
             for name, begin, end in self.troubles
@@ -214,6 +229,35 @@
             return
 
 
+def limits_hold(record):
+    """An upstream gets no more than its stated limit from told instances."""
+    by_id = {sent.id: sent for sent in record.sent}
+    for upstream, per_s, begin, end in record.limits:
+        told, times = {}, []
+        for item in sorted(record.arrivals):
+            sent = by_id.get(item.request_id)
+            if item.upstream != upstream or item.ran or sent is None:
+                continue
+            if item.at < begin or (end is not None and item.at >= end):
+                continue
+            process = (sent.instance, sent.incarnation)
+            told.setdefault(process, sent.end)
+            late = item.at > begin + STABILITY_S
+            if late and item.at > told[process] + TOLD_S:
+                if record.in_touch(sent.instance, item.at, store=False):
+                    times.append(item.at)
+        allowed = LIMIT_OVER * per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        for first in times:
+            count = sum(first <= at < first + LIMIT_WINDOW_S for at in times)
+            if count > allowed:
+                yield '%s got %d requests in 4 s, its limit allows %d' % (
+                    upstream,
+                    count,
+                    allowed,
+                )
+                break
+
+
 def planned_stop_cuts_nothing(record):
     """A planned stop answers what the instance has read."""
     for instance, incarnation, at in record.stops:
@@ -242,6 +286,7 @@
     evacuated_gets_nothing,
     newest_configuration_holds,
     repeats_stay_in_budget,
+    limits_hold,
     planned_stop_cuts_nothing,
     service_returns,
 )
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -7,6 +7,7 @@
 import sys
 
 from jasminehold.decisions import retry_token_bucket
+from jasminehold.decisions import stated_limits
 from jasminehold.decisions import upstream_view
 from jasminehold.front import app
 from jasminehold.front import exchange
@@ -95,6 +96,11 @@
     exchange.Exchange._on_answer = patched
 
 
+def ignores_limits():
+    """Sends to limited upstreams as to any others."""
+    stated_limits.StatedLimits.admits = lambda self, *args: True
+
+
 def stops_at_once():
     """Ends at once when told to stop."""
     app.FrontApplication.leave = lambda self: os._exit(0)
@@ -124,6 +130,7 @@
     'ignores_evacuations': 'evacuated_gets_nothing',
     'goes_back': 'newest_configuration_holds',
     'repeats_without_end': 'repeats_stay_in_budget',
+    'ignores_limits': 'limits_hold',
     'stops_at_once': 'planned_stop_cuts_nothing',
     'never_returns': 'service_returns',
 }
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -66,6 +66,7 @@
                 self._drain,
                 self._evacuate,
                 self._crash,
+                self._limit,
                 self._forget,
                 self._reload,
             )
@@ -178,6 +179,14 @@
 
         world.on_loop(drop)
 
+    def _limit(self):
+        world = self.world
+        name = self._rng.choice(sorted(world.upstreams))
+        if world.upstreams[name].limit is not None:
+            return
+        world.limit(name, self._rng.choice((0.3, 1.0, 1.9, 5.0)))
+        self._later(6.0, 10.0, lambda: world.end_limit(name))
+
     def _forget(self):
         self.world.on_loop(self.world.store.compact_history)
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -159,6 +159,18 @@
         self.on_loop(self.store.put, 'servers/' + name, entry)
         self.record.drains.append((time.monotonic(), name))
 
+    def limit(self, name, per_s):
+        """Let an upstream state a limit, requests a second."""
+        self.upstreams[name].limit = per_s
+        self.record.limits.append([name, per_s, time.monotonic(), None])
+
+    def end_limit(self, name):
+        """Let an upstream state no limit any more."""
+        self.upstreams[name].limit = None
+        for item in self.record.limits:
+            if item[0] == name and item[3] is None:
+                item[3] = time.monotonic()
+
     def evacuate(self, place):
         """Ask that nothing more is sent to a place."""
         self.evacuated = place
