Soak: requests that crash the upstreams that run them

Callers send copies of such requests, and a check counts the upstreams that crash later than 3 s after the third. The caller of crashing requests now opens a connection for each copy.

--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -106,6 +106,18 @@
     return record
 
 
+def _sent_on():
+    names = ['r%d' % number for number in range(20)]
+    arrivals = [
+        (20.0 + number / 2, 'u1', name, True)
+        for number, name in enumerate(names)
+    ]
+    sent = [_sent(name, path='/order/x', status=502) for name in names]
+    record = _record(sent, *arrivals)
+    record.crashing.add('/order/x')
+    return record
+
+
 def _cut():
     record = _record([_sent('a', status=0, named=None, whole=False)])
     record.stops.append(('i1', 1, 20.05))
@@ -127,6 +139,7 @@
     'an instance went back to a configuration': _back,
     'repeats exceed the budget': _repeats,
     'an upstream got more than its limit': _over_limit,
+    'a crashing request was sent on': _sent_on,
     'a planned stop cut a request': _cut,
     'nothing is served after the faults': _nothing,
 }
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,6 +11,8 @@
 
 TIMEOUT_S = 3.0
 PAUSE_S = 0.02
+# Pause between copies of a request that crashes upstreams.
+COPY_PAUSE_S = 0.35
 # Part of the requests whose upstream's answer is lost or spoilt, and how.
 FAULT_PART = 0.03
 FAULTS = (
@@ -59,7 +61,7 @@
         if self._client is None and not self._connect():
             time.sleep(0.05)
             return
-        method, path = self._draw()
+        method, path, fault = self._draw()
         begin = time.monotonic()
         reply, read = caller.NO_REPLY, False
         try:
@@ -67,8 +69,8 @@
                 'X_Request_Id': request_id,
                 'Cookie': 'X-Affinity-Key=%d' % self._rng.randrange(30),
             }
-            if self._rng.random() < FAULT_PART:
-                changes['X_Fault'] = self._rng.choice(FAULTS)
+            if fault:
+                changes['X_Fault'] = fault
             headers = front_rig.request_headers(changes)
             self._client.send(method, path, headers)
             read = True
@@ -106,13 +108,43 @@
         return True
 
     def _draw(self):
+        fault = ''
+        if self._rng.random() < FAULT_PART:
+            fault = self._rng.choice(FAULTS)
         kind = self._rng.random()
         if kind < 0.5:
-            return 'GET', '/browse/%d' % self._rng.randrange(9)
+            return 'GET', '/browse/%d' % self._rng.randrange(9), fault
         if kind < 0.85:
-            return 'POST', '/order/%d' % self._rng.randrange(9)
+            return 'POST', '/order/%d' % self._rng.randrange(9), fault
         back = self._rng.choice((0, 0, 1))
-        return 'GET', '/gen%d/x' % max(self._world.version - back, 1)
+        return 'GET', '/gen%d/x' % max(self._world.version - back, 1), fault
+
+
+class CrashingCaller(Caller):
+    """A caller that sends copies of a request that crashes upstreams."""
+
+    def __init__(self, world, number, seed):
+        super().__init__(world, number, seed)
+        method, prefix = self._rng.choice(
+            (('GET', '/browse/'), ('POST', '/order/'))
+        )
+        self._copy = method, '%scrash-%d' % (prefix, number), 'crash'
+        world.record.crashing.add(self._copy[1])
+
+    def _connect(self):
+        # A connection that idles between copies may be closed while the next
+        # one is on its way, and nobody answers that one.
+        time.sleep(COPY_PAUSE_S)
+        return super()._connect()
+
+    def _draw(self):
+        return self._copy
+
+    def _one(self, request_id):
+        super()._one(request_id)
+        if self._client is not None:
+            self._client.close()
+            self._client = None
 
 
 def _named(reply):
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -19,6 +19,9 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_OVER = 1.5
 LIMIT_SLACK = 5
+# A request that crashed this many upstreams is sent on this often at most.
+CRASHES_MAX = 3
+LATE_COPIES_MAX = 3
 # Part of the requests that are answered well once faults are over.
 RECOVERED_PART = 0.9
 PROMISES = (408, 421, 429, 503)
@@ -82,6 +85,8 @@
         # [upstream, requests a second, begin, end] of each stated limit; end
         # is None while it lasts.
         self.limits = []
+        # Paths of requests that crash the upstreams that run them.
+        self.crashing = set()
         # (instance, incarnation, at) of each planned stop.
         self.stops = []
         self.calm_from = None
@@ -258,6 +263,29 @@
                 break
 
 
+def crashing_requests_are_stopped(record):
+    """A request that crashes upstreams is not sent on without end."""
+    by_id = {sent.id: sent for sent in record.sent}
+    copies = collections.defaultdict(list)
+    for item in sorted(record.arrivals):
+        sent = by_id.get(item.request_id)
+        if item.ran and sent is not None and sent.path in record.crashing:
+            copies[sent.path].append((item.at, sent.instance))
+    for path, runs in copies.items():
+        late = [
+            at
+            for at, instance in runs[CRASHES_MAX:]
+            if at > runs[CRASHES_MAX - 1][0] + STABILITY_S
+            and record.in_touch(instance, at, store=False)
+        ]
+        if len(late) > LATE_COPIES_MAX:
+            yield '%s crashed %d upstreams, %d of them late' % (
+                path,
+                len(runs),
+                len(late),
+            )
+
+
 def planned_stop_cuts_nothing(record):
     """A planned stop answers what the instance has read."""
     for instance, incarnation, at in record.stops:
@@ -287,6 +315,7 @@
     newest_configuration_holds,
     repeats_stay_in_budget,
     limits_hold,
+    crashing_requests_are_stopped,
     planned_stop_cuts_nothing,
     service_returns,
 )
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -10,6 +10,7 @@
 from jasminehold.decisions import stated_limits
 from jasminehold.decisions import upstream_view
 from jasminehold.front import app
+from jasminehold.front import crash_guard
 from jasminehold.front import exchange
 from jasminehold.front import steering
 
@@ -101,6 +102,11 @@
     stated_limits.StatedLimits.admits = lambda self, *args: True
 
 
+def sends_crashing_requests_on():
+    """Takes no request for one that crashes upstreams."""
+    crash_guard.CrashGuard.on_lost = lambda self, *args: None
+
+
 def stops_at_once():
     """Ends at once when told to stop."""
     app.FrontApplication.leave = lambda self: os._exit(0)
@@ -131,6 +137,7 @@
     'goes_back': 'newest_configuration_holds',
     'repeats_without_end': 'repeats_stay_in_budget',
     'ignores_limits': 'limits_hold',
+    'sends_crashing_requests_on': 'crashing_requests_are_stopped',
     'stops_at_once': 'planned_stop_cuts_nothing',
     'never_returns': 'service_returns',
 }
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -38,6 +38,8 @@
     {'slow_s': 0.4, 'lose_writes': 2},
     {'lose_writes': 3, 'late_s': 1.5},
 )
+# Numbers of callers whose requests crash upstreams begin here.
+CRASHING_NUMBERS = 1000
 # Part of the seeds whose instances have clocks that step.
 CLOCKS_PART = 0.5
 # Time in which faults are over at the end of a run.
@@ -47,10 +49,12 @@
 class Faults:
     """Draws and carries out faults; each returns when it will end."""
 
-    def __init__(self, world, rng):
+    def __init__(self, world, rng, seed):
         self.world = world
+        self._seed = seed
         self._rng = rng
         self._ends = []
+        self.crashing = []
 
     def step(self):
         """Begin one fault and end those that are due."""
@@ -67,6 +71,7 @@
                 self._evacuate,
                 self._crash,
                 self._limit,
+                self._send_crashing,
                 self._forget,
                 self._reload,
             )
@@ -187,6 +192,17 @@
         world.limit(name, self._rng.choice((0.3, 1.0, 1.9, 5.0)))
         self._later(6.0, 10.0, lambda: world.end_limit(name))
 
+    def _send_crashing(self):
+        number = CRASHING_NUMBERS + len(self.crashing)
+        thread = callers.CrashingCaller(self.world, number, self._seed)
+        self.crashing.append(thread)
+        thread.start()
+
+        def end():
+            thread.stopped = True
+
+        self._later(4.0, 9.0, end)
+
     def _forget(self):
         self.world.on_loop(self.world.store.compact_history)
 
@@ -213,7 +229,7 @@
         ]
         for thread in threads:
             thread.start()
-        faults = Faults(world, rng)
+        faults = Faults(world, rng, seed)
         end = time.monotonic() + seconds - CALM_S
         while time.monotonic() < end:
             faults.step()
@@ -221,6 +237,7 @@
         while faults._ends:
             faults.finish(time.monotonic())
             time.sleep(0.1)
+        threads += faults.crashing
         world.record.calm_from = time.monotonic() + CALM_S / 2
         time.sleep(CALM_S)
     finally:
