Count a lost request as a crash only if the upstream lost others with it

What callers saw: nothing yet. Cause: any connection that ended without a response counted as a crash. Change: 50 ms after a loss the instance compares its connections to the upstream. If others stayed open and none closed, it was no crash. Without other connections a loss still counts.

--- a/src/jasminehold/decisions/quarantine.py
+++ b/src/jasminehold/decisions/quarantine.py
@@ -41,6 +41,20 @@
     return chosen if own in chosen else [*chosen, own]
 
 
+def is_crash(closed, still_open):
+    """Return whether a lost request was lost in a crash of its upstream.
+
+    A crash closes all connections. An upstream that loses the answer to one
+    request closes that connection only.
+
+    Args:
+        closed: connections that it closed at that time, that of the request
+            included.
+        still_open: connections that were open then and still are.
+    """
+    return closed > 1 or not still_open
+
+
 class Quarantine:
     """States of requests by digest, each until a time.
 
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -78,7 +78,15 @@
         self._build_store()
         self._build_path()
 
+    def _files(self):
+        return max(self.cfg.max_files - FILES_RESERVED, FILES_RESERVED)
+
     def _build_store(self):
+        self._pool = upstream_conn.UpstreamPool(
+            self.loop,
+            self.metrics,
+            int(self._files() * UPSTREAM_FILES_FRACTION),
+        )
         self.store = kv.connect(
             self.loop, *self.cfg.store, self.rng, self.metrics
         )
@@ -108,6 +116,7 @@
             self._peering.mesh,
             self.cfg.id,
             self.store,
+            self._pool,
             self.metrics,
             _log,
         )
@@ -123,14 +132,11 @@
         self.limit_news.on_link_up(name)
 
     def _build_path(self):
-        files = max(self.cfg.max_files - FILES_RESERVED, FILES_RESERVED)
-        pool = upstream_conn.UpstreamPool(
-            self.loop, self.metrics, int(files * UPSTREAM_FILES_FRACTION)
-        )
+        files = self._files()
         self.exchanges = exchange.ExchangeContext(
             self.loop,
             self.steering,
-            pool,
+            self._pool,
             self.crash_guard,
             self.limit_news,
             self.metrics,
--- a/src/jasminehold/front/crash_guard.py
+++ b/src/jasminehold/front/crash_guard.py
@@ -28,6 +28,8 @@
 )
 # Crashes from which on all instances report a success of the request.
 CRASHES_TO_SUSPECT = 2
+# Time in which all connections to a crashed upstream are closed.
+CRASH_EVIDENCE_S = 0.05
 EXPIRE_EVERY_S = 10.0
 STORE_RETRY_S = 1.0
 RELEASED = 'released'
@@ -41,15 +43,17 @@
         mesh: the :class:`~jasminehold.peers.mesh.Mesh`.
         own_id: id of this instance.
         store: the :class:`~jasminehold.platform.kv.Store`.
+        pool: the :class:`~jasminehold.front.upstream_conn.UpstreamPool`.
         metrics: counters.
         log: structured log.
     """
 
-    def __init__(self, loop, mesh, own_id, store, metrics, log):
+    def __init__(self, loop, mesh, own_id, store, pool, metrics, log):
         self._loop = loop
         self._mesh = mesh
         self._own_id = own_id
         self._store = store
+        self._pool = pool
         self._metrics = metrics
         self._log = log
         self._members = ()
@@ -83,18 +87,32 @@
             for digest in digests
         )
 
-    def on_lost(self, digests, upstream):
-        """Report that an upstream disconnected with a request in flight.
+    def on_lost(self, digests, entry):
+        """Report a lost request, if its upstream crashed.
 
         Args:
             digests: digests of the request.
-            upstream: id of the upstream.
+            entry: the upstream's :class:`~decisions.upstream_view.Entry`.
         """
-        now = self._loop.now()
-        self._metrics.inc('crash_reports_total')
+        lost_at = self._loop.now()
         for digest in digests:
-            self._known.watch(digest, now)
-            self._report(digest, upstream, 0.0, False)
+            self._known.watch(digest, lost_at)
+        self._loop.call_later(
+            CRASH_EVIDENCE_S, self._check_crash, digests, entry, lost_at
+        )
+
+    def _check_crash(self, digests, entry, lost_at):
+        closed, still_open = self._pool.closed_around(
+            (entry.host, entry.port), lost_at, CRASH_EVIDENCE_S
+        )
+        crashed = quarantine.is_crash(closed, still_open)
+        self._metrics.inc(
+            'requests_lost_total', cause='crash' if crashed else 'connection'
+        )
+        if crashed:
+            age_s = self._loop.now() - lost_at
+            for digest in digests:
+                self._report(digest, entry.id, age_s, False)
 
     def on_answered(self, digests, sent_at):
         """Report that a request ran without a crash, if it is known.
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -206,8 +206,8 @@
     def _on_answer(self, answer, exc):
         now = self._loop.now()
         if isinstance(exc, upstream_conn.Disconnected):
-            upstream = self._choice.upstream.entry.id
-            self._crash_guard.on_lost(self._digests(), upstream)
+            entry = self._choice.upstream.entry
+            self._crash_guard.on_lost(self._digests(), entry)
         if self._ended:
             # The caller has disconnected: send nothing more for it.
             self._release('after the caller left')
--- a/src/jasminehold/front/upstream_conn.py
+++ b/src/jasminehold/front/upstream_conn.py
@@ -22,6 +22,8 @@
 KEEPALIVE = loop_module.KeepAlive(
     idle_s=2, interval_s=1, probes=3, user_timeout_ms=4000
 )
+# Time for which the closing of a connection is remembered.
+CLOSED_KEEP_S = 1.0
 HEAD_MAX_BYTES = 64 * 1024
 RESPONSE_MAX_BYTES = 16 * 1024 * 1024
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout\s*=\s*(\d+)')
@@ -70,6 +72,7 @@
 
     def __init__(self, pool, key, conn):
         self.key = key
+        self.opened_at = pool.loop.now()
         self.idle_since = 0.0
         self.idle_timeout_s = IDLE_TIMEOUT_DEFAULT_S
         self._pool = pool
@@ -137,6 +140,7 @@
 
     def _on_eof(self):
         self._ended = True
+        self._pool.record_closed(self)
         if self._done is not None:
             try:
                 self._http.receive_data(b'')
@@ -148,6 +152,8 @@
 
     def _on_close(self, exc):
         self._pool.forget(self)
+        if isinstance(exc, ConnectionError):
+            self._pool.record_closed(self)
         if self._done is not None:
             self._fail(exc or ConnectionError('closed by the upstream'))
 
@@ -250,6 +256,9 @@
         self._max_conns = max_conns
         self._idle = {}
         self._open = 0
+        # Open connections by address, and when upstreams closed others.
+        self._conns = {}
+        self._closed_at = {}
         loop.call_later(self.SWEEP_S, self._sweep)
 
     def acquire(self, key, fresh, on_ready, on_error):
@@ -288,8 +297,10 @@
         self._open += 1
         self.metrics.inc('upstream_connections_total')
 
-        def opened(conn):
-            on_ready(UpstreamConn(self, key, conn), False)
+        def opened(sock):
+            conn = UpstreamConn(self, key, sock)
+            self._conns.setdefault(key, set()).add(conn)
+            on_ready(conn, False)
 
         def failed(exc):
             self._open -= 1
@@ -308,6 +319,33 @@
         idle = self._idle.get(conn.key, [])
         if conn in idle:
             idle.remove(conn)
+        conns = self._conns.get(conn.key, set())
+        conns.discard(conn)
+        if not conns:
+            self._conns.pop(conn.key, None)
+
+    def record_closed(self, conn):
+        """Record that the upstream closed a connection."""
+        now = self.loop.now()
+        times = self._closed_at.setdefault(conn.key, [])
+        times[:] = [at for at in times if now - at <= CLOSED_KEEP_S]
+        times.append(now)
+
+    def closed_around(self, key, at, margin_s):
+        """Return what became of an address's connections at a time.
+
+        Args:
+            key: ``(host, port)``.
+            at: monotonic seconds.
+            margin_s: seconds before and after it.
+
+        Returns:
+            ``(closed by the upstream, opened before and still open)``.
+        """
+        times = self._closed_at.get(key, ())
+        closed = sum(abs(time - at) <= margin_s for time in times)
+        conns = self._conns.get(key, ())
+        return closed, sum(conn.opened_at < at for conn in conns)
 
     def close_address(self, key):
         """Close the idle connections to an address."""
@@ -321,6 +359,9 @@
 
     def _sweep(self):
         now = self.loop.now()
+        for key, times in list(self._closed_at.items()):
+            if now - times[-1] > CLOSED_KEEP_S:
+                del self._closed_at[key]
         for conns in list(self._idle.values()):
             while (
                 conns and now - conns[0].idle_since >= conns[0].idle_timeout_s
--- a/tests/builders/crashing_requests.py
+++ b/tests/builders/crashing_requests.py
@@ -22,16 +22,18 @@
         names: instances that they send to in turn.
         count: number of callers.
         path: path of all requests; each has its own if None.
+        objects: number of objects that their requests concern.
 
     Attributes:
         replies: list of ``(monotonic seconds of the answer, Reply)``.
     """
 
-    def __init__(self, rig, names, count=3, path=None):
+    def __init__(self, rig, names, count=3, path=None, objects=9):
         self.replies = []
         self._rig = rig
         self._names = names
         self._path = path
+        self._objects = objects
         self._stopped = False
         self._threads = [
             threading.Thread(target=self._run, args=(number,), daemon=True)
@@ -55,7 +57,10 @@
             path = self._path or '/browse/ordinary-%d-%d' % (number, count)
             name = self._names[count % len(self._names)]
             reply = self._rig.ask(
-                path, name=name, Cookie='X-Affinity-Key=%d' % (count % 9)
+                path,
+                name=name,
+                Cookie='X-Affinity-Key=%d'
+                % ((number + count // 4) % self._objects),
             )
             self.replies.append((time.monotonic(), reply))
             time.sleep(0.02)
--- a/tests/features/front_crashers.feature
+++ b/tests/features/front_crashers.feature
@@ -37,3 +37,10 @@
     Given four instances in front of six upstreams
     When a request is answered between 4 rounds of lost answers
     Then it is answered at each instance
+
+  # Guards against requests refused because their answers were lost by upstreams
+  # that went on with everything else.
+  Scenario: Answers that are lost on single connections quarantine nothing
+    Given four instances in front of six upstreams
+    When the answers to 8 copies of a request are lost among others
+    Then it is answered at each instance
--- a/tests/features/steps/front_crashers_steps.py
+++ b/tests/features/steps/front_crashers_steps.py
@@ -161,3 +161,26 @@
     for name in context.names:
         reply = context.rig.ask('/browse/same', name=name)
         assert reply.status == 200, reply
+
+
+@behave.when(
+    'the answers to {count:d} copies of a request are lost among others'
+)
+def when_lost_among_others(context, count):
+    rig = context.rig
+    # Callers of few objects keep connections of each instance to the owners.
+    others = crashing_requests.OrdinaryCallers(
+        rig, context.names, count=12, objects=2
+    )
+    with others:
+        time.sleep(1.0)
+        for turn in range(count):
+            name = context.names[turn % len(context.names)]
+            lost = rig.ask(
+                '/browse/same',
+                name=name,
+                X_Fault='lost',
+                Cookie='X-Affinity-Key=0',
+            )
+            assert lost.status == 502, lost
+            time.sleep(crashing_requests.PAUSE_S)
