Tell crashes by most of the connections, log each lost request

Change: a crash is a loss at which more connections closed than stayed open. A line 'request lost' tells both counts.

--- a/src/jasminehold/decisions/quarantine.py
+++ b/src/jasminehold/decisions/quarantine.py
@@ -44,15 +44,15 @@
 def is_crash(closed, still_open):
     """Return whether a lost request was lost in a crash of its upstream.
 
-    A crash closes all connections. An upstream that loses the answer to one
-    request closes that connection only.
+    A crash closes all connections, although the end of some may get lost on
+    the way. An upstream that loses single answers keeps most of them open.
 
     Args:
         closed: connections that it closed at that time, that of the request
             included.
         still_open: connections that were open then and still are.
     """
-    return closed > 1 or not still_open
+    return closed > still_open
 
 
 class Quarantine:
--- a/src/jasminehold/front/crash_guard.py
+++ b/src/jasminehold/front/crash_guard.py
@@ -106,6 +106,14 @@
             (entry.host, entry.port), lost_at, CRASH_EVIDENCE_S
         )
         crashed = quarantine.is_crash(closed, still_open)
+        self._log(
+            'request lost',
+            content=digests[0].hex(),
+            upstream=entry.id,
+            connections_closed=closed,
+            connections_open=still_open,
+            crash=crashed,
+        )
         self._metrics.inc(
             'requests_lost_total', cause='crash' if crashed else 'connection'
         )
--- a/tests/features/front_crashers.feature
+++ b/tests/features/front_crashers.feature
@@ -44,3 +44,16 @@
     Given four instances in front of six upstreams
     When the answers to 8 copies of a request are lost among others
     Then it is answered at each instance
+
+  # Guards against losses without a crash that count as one, and the reverse.
+  Scenario Outline: What became of its connections tells a crash
+    Given <closed> connections that an upstream closed and <open> still open
+    Then it <verdict>
+
+    Examples:
+      | closed | open | verdict          |
+      | 1      | 0    | crashed          |
+      | 6      | 0    | crashed          |
+      | 6      | 1    | crashed          |
+      | 1      | 1    | went on          |
+      | 2      | 9    | went on          |
--- a/tests/features/steps/front_crashers_steps.py
+++ b/tests/features/steps/front_crashers_steps.py
@@ -4,6 +4,7 @@
 
 import behave
 
+from jasminehold.decisions import quarantine
 from jasminehold.platform import wire
 from tests.builders import crashing_requests
 from tests.builders import front_rig
@@ -184,3 +185,21 @@
             )
             assert lost.status == 502, lost
             time.sleep(crashing_requests.PAUSE_S)
+
+
+@behave.given(
+    '{closed:d} connections that an upstream closed and {still_open:d} still'
+    ' open'
+)
+def given_connections(context, closed, still_open):
+    context.crashed = quarantine.is_crash(closed, still_open)
+
+
+@behave.then('it crashed')
+def then_crashed(context):
+    assert context.crashed
+
+
+@behave.then('it went on')
+def then_went_on(context):
+    assert not context.crashed
