End no quarantine on a partial count, and count successes that were not told

Copies of a quarantined request were also sent on now and then. Cause: an instance that counts its own losses told others 'suspect' at its second one, which replaced the quarantine of an arbiter that had counted all three. And a success was reported only by instances that already knew the content, so successes between crashes went unseen. Change: a state is only raised, or released after a success. Instances remember which contents they answered lately and report that when they are told of a suspect; an arbiter clears the crashes before it. A key that comes into the store after a release is deleted, and the release told again.

--- a/src/jasminehold/decisions/quarantine.py
+++ b/src/jasminehold/decisions/quarantine.py
@@ -24,6 +24,14 @@
     QUARANTINED = 'quarantined'
 
 
+_LEVELS = {
+    None: 0,
+    State.WATCHED: 1,
+    State.SUSPECT: 2,
+    State.QUARANTINED: 3,
+}
+
+
 def arbiters(digest, members, own):
     """Return the ids of the instances that count a request's crashes.
 
@@ -77,11 +85,16 @@
 
     def watch(self, digest, now):
         """Watch a request, unless it has a state already."""
-        if self.state(digest, now) is None:
-            self.put(digest, State.WATCHED, self._keep_s, now)
+        self.raise_to(digest, State.WATCHED, self._keep_s, now)
+
+    def raise_to(self, digest, state, seconds, now):
+        """Set a state for a number of seconds, unless a higher one holds.
 
-    def put(self, digest, state, seconds, now):
-        """Set the state of a request for a number of seconds."""
+        An instance that counted only some of the crashes does not end the
+        quarantine of one that counted all.
+        """
+        if _LEVELS[self.state(digest, now)] > _LEVELS[state]:
+            return
         until = now + min(seconds, self._keep_s)
         self._records[digest] = (state, until)
         self._records.move_to_end(digest)
--- a/src/jasminehold/decisions/stated_limits.py
+++ b/src/jasminehold/decisions/stated_limits.py
@@ -127,6 +127,7 @@
     def __init__(self, rng):
         self._rng = rng
         self._statements = {}
+        self._limited = set()
         # Statements that all instances were last told, by any of them.
         self._told = {}
         self._buckets = {}
@@ -150,7 +151,10 @@
             return False
         self._statements[key] = Statement(per_s, at)
         if per_s is None:
+            self._limited.discard(key)
             self._buckets.pop(key, None)
+        else:
+            self._limited.add(key)
         told = self._told.get(key)
         told_per_s = told.per_s if told is not None else None
         if per_s is None or told_per_s is None:
@@ -179,6 +183,7 @@
 
     def remove(self, key):
         """Forget an upstream that left."""
+        self._limited.discard(key)
         for table in (self._statements, self._told, self._buckets):
             table.pop(key, None)
 
@@ -202,12 +207,8 @@
         return list(self._statements.items())
 
     def limited(self):
-        """Return the keys of the upstreams that have a limit."""
-        return [
-            key
-            for key, known in self._statements.items()
-            if known.per_s is not None
-        ]
+        """Return the set of the keys of the upstreams that have a limit."""
+        return self._limited
 
     def admits(self, key, rate, now):
         """Return whether one more request may be sent to an upstream.
--- a/src/jasminehold/front/crash_guard.py
+++ b/src/jasminehold/front/crash_guard.py
@@ -10,6 +10,8 @@
 ``crash_verdicts``: states of requests, to all instances.
 """
 
+import collections
+import functools
 import json
 import time
 
@@ -30,6 +32,8 @@
 CRASHES_TO_SUSPECT = 2
 # Time in which all connections to a crashed upstream are closed.
 CRASH_EVIDENCE_S = 0.05
+# Requests whose last success is remembered.
+MAX_ANSWERED = 2000
 EXPIRE_EVERY_S = 10.0
 STORE_RETRY_S = 1.0
 RELEASED = 'released'
@@ -57,11 +61,17 @@
         self._metrics = metrics
         self._log = log
         self._members = ()
-        self._stored = frozenset()
+        # Revisions of the quarantines in the store, by key.
+        self._stored = {}
         # Crashes that this instance counts as an arbiter, and the states that
         # it announced.
         self._crashes = crash_suspects.CrashSuspects(RULES)
         self._announced = {}
+        # Digests that are no longer quarantined and whose key may still come
+        # into the store.
+        self._withdrawn = set()
+        # When requests succeeded last, by digest.
+        self._answered = collections.OrderedDict()
         self._known = quarantine.Quarantine(RULES.keep_s, RULES.max_records)
         mesh.handle('crash_notice', self._on_notice)
         mesh.handle('crash_verdicts', self._on_verdicts)
@@ -122,20 +132,23 @@
             for digest in digests:
                 self._report(digest, entry.id, age_s, False)
 
-    def on_answered(self, digests, sent_at):
-        """Report that a request ran without a crash, if it is known.
+    def on_answered(self, digests):
+        """Remember that a request ran without a crash, and report it if known.
 
         Args:
             digests: digests of the request.
-            sent_at: monotonic seconds at which it was sent.
         """
         now = self._loop.now()
         for digest in digests:
+            self._answered[digest] = now
+            self._answered.move_to_end(digest)
             state = self._known.state(digest, now)
             if state is State.WATCHED:
                 self._known.release(digest)
             if state is not None:
-                self._report(digest, '', now - sent_at, True)
+                self._report(digest, '', 0.0, True)
+        while len(self._answered) > MAX_ANSWERED:
+            self._answered.popitem(last=False)
 
     def _report(self, digest, upstream, age_s, cleared):
         notice = crash_suspects.CrashNotice(
@@ -163,6 +176,8 @@
         now = self._loop.now()
         digest = notice['fingerprint']
         self._crashes.merge(notice, now)
+        if digest in self._answered:
+            self._crashes.record_success(digest, self._answered[digest], now)
         self._announce(digest, self._crashes.crashes(digest, now))
 
     def _announce(self, digest, crashes):
@@ -171,8 +186,13 @@
             state = State.QUARANTINED.value
         elif len(crashes) >= CRASHES_TO_SUSPECT:
             state = State.SUSPECT.value
-        if self._announced.get(digest, RELEASED) == state:
+        before = self._announced.get(digest, RELEASED)
+        if before == state:
             return
+        if before == State.QUARANTINED.value:
+            # It succeeded since.
+            state = RELEASED
+            self._withdrawn.add(digest)
         self._announced[digest] = state
         if state == RELEASED:
             del self._announced[digest]
@@ -181,18 +201,21 @@
             content=digest.hex(),
             upstreams=[upstream for upstream, _ in crashes],
         )
+        self._tell(digest, state)
+        self._delete_withdrawn()
+        if state == State.QUARANTINED.value:
+            self._withdrawn.discard(digest)
+            # The arbiters write one after the other, if the key is missing.
+            rank = self._arbiters(digest).index(self._own_id)
+            self._loop.call_later(rank * STORE_RETRY_S, self._write, digest)
+
+    def _tell(self, digest, state):
         verdict = [digest, state, RULES.keep_s]
         self._apply(*verdict)
         message = {'type': 'crash_verdicts', 'verdicts': [verdict]}
         for name in self._members:
             if name != self._own_id:
                 self._mesh.send(name, message)
-        if state == State.QUARANTINED.value:
-            # The arbiters write one after the other, if the key is missing.
-            rank = self._arbiters(digest).index(self._own_id)
-            self._loop.call_later(rank * STORE_RETRY_S, self._write, digest)
-        elif self._key(digest) in self._stored:
-            self._store.delete(self._key(digest), None, self._on_deleted)
 
     # States, from arbiters, from peers at their start and from the store.
 
@@ -214,12 +237,19 @@
     def _on_verdicts(self, sender, message, reply):
         for digest, state, seconds in message['verdicts']:
             self._apply(digest, state, float(seconds))
+            answered_at = self._answered.get(digest)
+            if state != RELEASED and answered_at is not None:
+                # Clears the crashes before that time only.
+                age_s = self._loop.now() - answered_at
+                self._report(digest, '', age_s, True)
 
     def _apply(self, digest, state, seconds):
         if state == RELEASED:
             self._known.release(digest)
         else:
-            self._known.put(digest, State(state), seconds, self._loop.now())
+            self._known.raise_to(
+                digest, State(state), seconds, self._loop.now()
+            )
 
     def on_stored(self, items):
         """Apply the quarantines in the store.
@@ -230,8 +260,12 @@
         Args:
             items: ``{key: Item}`` under :data:`wire.QUARANTINE_PREFIX`.
         """
-        self._stored = frozenset(items)
+        before = self._stored
+        self._stored = {key: item.revision for key, item in items.items()}
+        self._delete_withdrawn()
         for key, item in items.items():
+            if before.get(key) == item.revision:
+                continue
             try:
                 digest = bytes.fromhex(key[len(wire.QUARANTINE_PREFIX) :])
                 left = float(json.loads(item.value)['until']) - time.time()
@@ -240,7 +274,7 @@
                     'quarantine skipped', level='warning', key=key, error=exc
                 )
                 continue
-            if left > 0:
+            if left > 0 and digest not in self._withdrawn:
                 self._apply(digest, State.QUARANTINED.value, left)
 
     def gauge_values(self):
@@ -257,7 +291,8 @@
     def _write(self, digest):
         now = self._loop.now()
         left = self._known.seconds_left([digest], now)
-        if not left or self._key(digest) in self._stored:
+        stored = self._key(digest) in self._stored
+        if not left or stored or digest in self._withdrawn:
             return
         value = json.dumps({'until': round(time.time() + left, 1)}).encode()
 
@@ -277,9 +312,20 @@
 
         self._store.grant(left, on_lease)
 
-    def _on_deleted(self, revision, exc):
+    def _delete_withdrawn(self):
+        for digest in self._withdrawn:
+            key = self._key(digest)
+            if key in self._stored:
+                self._store.delete(
+                    key, None, functools.partial(self._on_deleted, digest)
+                )
+
+    def _on_deleted(self, digest, revision, exc):
         if exc is not None:
             self._log('quarantine not deleted', level='warning', error=exc)
+        elif digest in self._withdrawn:
+            # Other instances may have read the key.
+            self._tell(digest, self._announced.get(digest, RELEASED))
 
     def _expire(self):
         self._loop.call_later(EXPIRE_EVERY_S, self._expire)
@@ -289,3 +335,5 @@
         for digest in list(self._announced):
             if not self._crashes.crashes(digest, now):
                 del self._announced[digest]
+        if not self._announced:
+            self._withdrawn.clear()
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -236,8 +236,7 @@
             self._on_loss(ValueError('response is not from the upstream'), now)
             return
         seconds = now - self._sent_at
-        if self._crash_guard.active:
-            self._crash_guard.on_answered(self._digests(), self._sent_at)
+        self._crash_guard.on_answered(self._digests())
         choice = self._release('%d' % answer.status, limit)
         if answer.status >= 500:
             self._steering.on_failed(choice, 'error', now)
@@ -406,7 +405,9 @@
         metrics.inc('requests_total', route=route, outcome=outcome)
         metrics.observe('request_seconds', seconds, route=route)
         table = self._steering.table
-        digests = self._cached_digests
+        content = ''
+        if self._crashes or outcome == Kind.QUARANTINED.value:
+            content = self._digests()[0].hex()
         self._context.log(
             'request ended',
             id=(self._id or b'').decode('latin-1'),
@@ -414,7 +415,7 @@
             service=self._service,
             config=table.version if table else None,
             object=self._key,
-            content=digests[0].hex() if digests else '',
+            content=content,
             peer=self._inbound.peer,
             outcome=outcome,
             reason=reason,
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -382,6 +382,8 @@
         return usable or held, limited
 
     def _admits_limited(self, upstream, now):
+        if not self.limits.limited():
+            return True
         key = _limit_key(upstream.entry)
         if self.limits.limit(key) is None:
             return True
--- a/tests/features/front_crashers.feature
+++ b/tests/features/front_crashers.feature
@@ -57,3 +57,19 @@
       | 6      | 1    | crashed          |
       | 1      | 1    | went on          |
       | 2      | 9    | went on          |
+
+  # Guards against a quarantine that ended when an instance that had counted
+  # only two of the crashes told the others so.
+  Scenario: An instance that counted fewer crashes ends no quarantine
+    Given a request that is quarantined
+    When it is told as suspect
+    Then it is still quarantined
+    When it is released
+    Then it is quarantined no more
+
+  # Guards against popular requests that are quarantined because copies of them
+  # shared the upstreams of three crashes, as nobody had told of successes.
+  Scenario: A success that an instance did not report still counts
+    Given four instances in front of six upstreams
+    When an order is lost, answered at another instance and lost twice more
+    Then it is answered at each instance
