--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -7,9 +7,12 @@
     Then no promise is broken
 
     Examples:
-      | seed | cause of an earlier failure                               |
-      | 7    | none                                                      |
-      | 3009 | upstreams that rejected once by chance were taken as full |
+      | seed     | cause of an earlier failure                               |
+      | 7        | none                                                      |
+      | 3009     | upstreams that rejected once by chance were taken as full |
+      | 26120537 | popular contents that shared crashes stayed quarantined   |
+      | 26120542 | popular contents that shared crashes stayed quarantined   |
+      | 26120549 | popular contents that shared crashes stayed quarantined   |
 
   Scenario Outline: The checks notice a broken record
     Given a record in which <what>
