--- a/tests/builders/crashing_requests.py
+++ b/tests/builders/crashing_requests.py
@@ -1,9 +1,9 @@
 """Callers of front instances, one of whose requests crashes upstreams."""
 
-import threading
 import time
 
 from jasminehold.standin import caller
+from tests.builders import caller_threads
 from tests.builders import front_rig
 
 UPSTREAMS = tuple('u%d' % number for number in range(1, 7))
@@ -14,8 +14,8 @@
 PAUSE_S = 0.25
 
 
-class OrdinaryCallers:
-    """Callers whose requests crash nothing; use as a context manager.
+class OrdinaryCallers(caller_threads.CallerThreads):
+    """Callers whose requests crash nothing.
 
     Args:
         rig: the :class:`front_rig.FrontRig`.
@@ -29,41 +29,23 @@
     """
 
     def __init__(self, rig, names, count=3, path=None, objects=9):
+        super().__init__(count, 0.02)
         self.replies = []
         self._rig = rig
         self._names = names
         self._path = path
         self._objects = objects
-        self._stopped = False
-        self._threads = [
-            threading.Thread(target=self._run, args=(number,), daemon=True)
-            for number in range(count)
-        ]
-
-    def __enter__(self):
-        for thread in self._threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *exc_info):
-        self._stopped = True
-        for thread in self._threads:
-            thread.join(10)
-
-    def _run(self, number):
-        count = 0
-        while not self._stopped:
-            count += 1
-            path = self._path or '/browse/ordinary-%d-%d' % (number, count)
-            name = self._names[count % len(self._names)]
-            reply = self._rig.ask(
-                path,
-                name=name,
-                Cookie='X-Affinity-Key=%d'
-                % ((number + count // 4) % self._objects),
-            )
-            self.replies.append((time.monotonic(), reply))
-            time.sleep(0.02)
+
+    def call(self, number, turn):
+        """Send one request and keep its reply."""
+        # Each instance gets requests of each object.
+        key = (number + turn // len(self._names)) % self._objects
+        reply = self._rig.ask(
+            self._path or '/browse/ordinary-%d-%d' % (number, turn),
+            name=self._names[turn % len(self._names)],
+            Cookie='X-Affinity-Key=%d' % key,
+        )
+        self.replies.append((time.monotonic(), reply))
 
 
 def send_copies(
--- a/tests/builders/limited_upstreams.py
+++ b/tests/builders/limited_upstreams.py
@@ -1,8 +1,9 @@
 """Callers of front instances whose upstreams name a limit."""
 
-import threading
 import time
 
+from tests.builders import caller_threads
+
 # Bound of the users' pages: from ``STABILITY_S`` after an upstream first named
 # its limit, any ``WINDOW_S`` hold at most ``OVER`` times what the limit allows
 # and ``SLACK`` requests.
@@ -25,31 +26,25 @@
     )
 
 
-class SteadyCallers:
-    """Callers that send at a steady rate; use as a context manager.
+class SteadyCallers(caller_threads.CallerThreads):
+    """Callers that send at a steady rate.
 
     Args:
         rig: the :class:`~tests.builders.front_rig.FrontRig`.
         names: instances that they send to in turn.
         count: number of callers.
-        pause_s: pause of each between an answer and its next request.
 
     Attributes:
         replies: list of ``(sent at, seconds, Reply)``.
         arrivals: ``{upstream: [monotonic seconds]}``.
     """
 
-    def __init__(self, rig, names, count=6, pause_s=0.04):
+    def __init__(self, rig, names, count=6):
+        super().__init__(count, 0.04)
         self.replies = []
         self.arrivals = {name: [] for name in rig.upstreams}
         self._rig = rig
         self._names = names
-        self._pause_s = pause_s
-        self._stopped = False
-        self._threads = [
-            threading.Thread(target=self._run, args=(number,), daemon=True)
-            for number in range(count)
-        ]
         for item in rig.upstreams.values():
             item.on_event = self._observe
 
@@ -57,25 +52,12 @@
         if not ran:
             self.arrivals[upstream].append(time.monotonic())
 
-    def __enter__(self):
-        for thread in self._threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *exc_info):
-        self._stopped = True
-        for thread in self._threads:
-            thread.join(10)
-
-    def _run(self, number):
-        count = number
-        while not self._stopped:
-            count += 1
-            begin = time.monotonic()
-            reply = self._rig.ask(
-                '/browse/%d-%d' % (number, count),
-                name=self._names[count % len(self._names)],
-                Cookie='X-Affinity-Key=%d' % (count % 40),
-            )
-            self.replies.append((begin, time.monotonic() - begin, reply))
-            time.sleep(self._pause_s)
+    def call(self, number, turn):
+        """Send one request and keep its reply."""
+        begin = time.monotonic()
+        reply = self._rig.ask(
+            '/browse/%d-%d' % (number, turn),
+            name=self._names[(number + turn) % len(self._names)],
+            Cookie='X-Affinity-Key=%d' % ((number + turn) % 40),
+        )
+        self.replies.append((begin, time.monotonic() - begin, reply))
