Start an instance on any settings that the platform renders

Cause: the settings were checked against the values of the first sites. A burst of 30.7 repeats was refused, so that no instance of a small twin of the large site started; a value that the platform leaves out became null and was refused; a reload kept the old grace period.

Change: amounts may be fractions, zero or large, null counts as absent, and a reload replaces all settings but the id and the listeners.

--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -243,7 +243,14 @@
         except errors.SettingsError as exc:
             _log('settings not reloaded', level='error', error=exc)
             return
-        self.steering.on_settings(cfg)
+        # The listeners stay at their addresses.
+        kept = {
+            name: value
+            for name, value in self.cfg._asdict().items()
+            if name == 'id' or name.endswith('_listen')
+        }
+        self.cfg = cfg._replace(**kept)
+        self.steering.on_settings(self.cfg)
         _log('settings reloaded', instance=cfg.id)
 
     def leave(self):
--- a/src/jasminehold/front/cfg.py
+++ b/src/jasminehold/front/cfg.py
@@ -40,6 +40,15 @@
     return settings.Key(name, float, check, allowed, default, doc)
 
 
+def _whole_number(name, default, low, high, doc):
+    # The platform may state any amount as a fraction.
+    check = settings.number_check(low, high)
+    allowed = 'number from %g to %g' % (low, high)
+    return settings.Key(
+        name, int, lambda value: int(check(value)), allowed, default, doc
+    )
+
+
 def _listen(name, doc):
     return settings.Key(
         name,
@@ -102,25 +111,27 @@
         'Secret of the streams; derived from other settings if unset.',
     ),
     _listen('store', "Address of the platform's key-value store."),
-    settings.integer_key(
-        'max_files', 4096, 256, 1_000_000, 'Descriptors of the process.'
-    ),
-    _number('link_mbps', 1000, 0.1, 1e6, "The instance's own link, Mbit/s."),
+    _whole_number('max_files', 4096, 1, 1e9, 'Descriptors of the process.'),
+    _number('link_mbps', 1000, 0.001, 1e9, "The instance's own link, Mbit/s."),
     settings.seconds_key(
-        'stop_grace', 6, 1, 600, 'From SIGTERM to the end of the process.'
+        'stop_grace', 6, 0, 86_400, 'From SIGTERM to the end of the process.'
     ),
     settings.seconds_key(
         'lookup_ttl', 2, 0.5, 60, 'Validity of an answer of the directory.'
     ),
-    _number('retry_ratio', 0.1, 0, 1, 'Repeats allowed, as share.'),
-    settings.integer_key(
-        'retry_burst', 10, 0, 100_000, 'Repeats allowed on top, of the fleet.'
+    _number('retry_ratio', 0.1, 0, 1000, 'Repeats allowed, as share.'),
+    _number(
+        'retry_burst', 10, 0, 1e9, 'Repeats allowed on top, of the fleet.'
     ),
     settings.seconds_key(
-        'retry_window', 10, 1, 600, 'Window in which repeats are counted.'
+        'retry_window',
+        10,
+        0.001,
+        86_400,
+        'Window in which repeats are counted.',
     ),
-    _number('cold_over', 1, 0.1, 100, 'Factor on the rate of the cold.'),
-    _number('cold_slack', 0, 0, 10_000, 'Requests a second on top of it.'),
+    _number('cold_over', 1, 0, 1e6, 'Factor on the rate of the cold.'),
+    _number('cold_slack', 0, 0, 1e9, 'Requests a second on top of it.'),
 )
 
 Cfg = typing.NamedTuple('Cfg', [(key.name, key.type) for key in KEYS])
@@ -139,6 +150,9 @@
 def parse(text, what='settings'):
     """Validate the text of a settings file and apply defaults."""
     raw = settings.parse_json5(text, what)
+    if isinstance(raw, dict):
+        # The platform renders a value that it does not have as null.
+        raw = {key: value for key, value in raw.items() if value is not None}
     cfg = Cfg(**settings.check_table(raw, KEYS))
     if cfg.place not in cfg.places:
         raise errors.SettingsError('place: allowed: a key of places')
