Send nothing to an upstream that said in a response that it leaves

Cause: only the entry in the store took an upstream out of use.

Change: the statement is final for that run of the upstream, also when its entry lapses and returns. It is told to the linked instances with its age, and to instances that start, unless the entry says the same.

--- a/src/jasminehold/decisions/stated_limits.py
+++ b/src/jasminehold/decisions/stated_limits.py
@@ -41,13 +41,6 @@
 UNKNOWN_KEEP_S = 60.0
 
 
-class Key(typing.NamedTuple):
-    """One run of an upstream process: its id and start time."""
-
-    id: str
-    born_ms: int
-
-
 class Statement(typing.NamedTuple):
     """Limit in requests a second, None for no limit, and when it was stated.
 
@@ -136,7 +129,7 @@
         """Apply a statement, unless a later one is known.
 
         Args:
-            key: the upstream's :class:`Key`.
+            key: the upstream's :class:`~decisions.upstream_view.Incarnation`.
             per_s: requests a second, None for no limit.
             at: monotonic seconds at which the upstream stated it.
 
@@ -214,7 +207,7 @@
         """Return whether one more request may be sent to an upstream.
 
         Args:
-            key: the upstream's :class:`Key`.
+            key: the upstream's :class:`~decisions.upstream_view.Incarnation`.
             rate: requests a second that this instance may send.
             now: monotonic seconds.
         """
--- a/src/jasminehold/decisions/upstream_view.py
+++ b/src/jasminehold/decisions/upstream_view.py
@@ -1,9 +1,19 @@
 """Known upstreams, from registry entries that may be late or reappear."""
 
+import collections
 import typing
 
 READY = 'ready'
 DRAINING = 'draining'
+# Incarnations of upstreams that are remembered as leaving.
+MAX_LEAVING = 10_000
+
+
+class Incarnation(typing.NamedTuple):
+    """One run of an upstream process: its id and start time."""
+
+    id: str
+    born_ms: int
 
 
 class Entry(typing.NamedTuple):
@@ -33,6 +43,11 @@
     seq: int
     born_ms: int
 
+    @property
+    def incarnation(self):
+        """The :class:`Incarnation` that the entry is of."""
+        return Incarnation(self.id, self.born_ms)
+
 
 def equal_except_time(entry, other):
     """Return whether two reports differ only in sequence and cold time.
@@ -72,6 +87,8 @@
     def __init__(self):
         self.upstreams = {}
         self._departed = {}
+        # When incarnations said in a response that they leave.
+        self._leaving = collections.OrderedDict()
 
     def on_list(self, entries, as_of):
         """Apply a complete list of entries.
@@ -97,6 +114,8 @@
                     continue
                 left.append(known)
             self.upstreams[entry.id] = Upstream(entry, as_of)
+            if entry.incarnation in self._leaving:
+                self.upstreams[entry.id].draining = True
             joined.append(self.upstreams[entry.id])
         for key in [key for key in self.upstreams if key not in seen]:
             upstream = self.upstreams.pop(key)
@@ -104,6 +123,35 @@
             left.append(upstream)
         return joined, left
 
+    def on_leaving(self, incarnation, said_at):
+        """Record that an upstream said in a response that it leaves.
+
+        This is final for the incarnation, whatever its entry says.
+
+        Args:
+            incarnation: the :class:`Incarnation`.
+            said_at: monotonic seconds.
+
+        Returns:
+            Whether this was not known.
+        """
+        known = incarnation in self._leaving
+        if not known:
+            self._leaving[incarnation] = said_at
+            if len(self._leaving) > MAX_LEAVING:
+                self._leaving.popitem(last=False)
+        for upstream in (
+            self.upstreams.get(incarnation.id),
+            self._departed.get(incarnation.id),
+        ):
+            if upstream and upstream.entry.incarnation == incarnation:
+                upstream.draining = True
+        return not known
+
+    def leaving(self):
+        """Return ``{Incarnation: monotonic seconds at which it said so}``."""
+        return dict(self._leaving)
+
     def _is_withdrawn(self, entry):
         # A delayed copy of an entry of a drained upstream that already left.
         gone = self._departed.get(entry.id)
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -15,6 +15,7 @@
 from jasminehold.front import caller
 from jasminehold.front import cfg as cfg_module
 from jasminehold.front import crash_guard
+from jasminehold.front import departures
 from jasminehold.front import directory
 from jasminehold.front import exchange
 from jasminehold.front import limit_news
@@ -123,6 +124,9 @@
         self.limit_news = limit_news.LimitNews(
             self.loop, self._peering.mesh, self.steering, self.metrics, _log
         )
+        self.departures = departures.Departures(
+            self.loop, self._peering.mesh, self.steering, self.metrics
+        )
         self._peering.on_link_up = self._on_link_up
         self.steering.copy_age = self._reader.replica.age
         self._decoder = reader.Decoder(self.metrics, _log)
@@ -130,6 +134,7 @@
     def _on_link_up(self, name):
         self.crash_guard.on_link_up(name)
         self.limit_news.on_link_up(name)
+        self.departures.on_link_up(name)
 
     def _build_path(self):
         files = self._files()
@@ -139,6 +144,7 @@
             self._pool,
             self.crash_guard,
             self.limit_news,
+            self.departures,
             self.metrics,
             self.rng,
             _log,
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -227,6 +227,10 @@
             complete = executed and answer.get(wire.SEAL) is not None
             entry = self._choice.upstream.entry
             self._context.limit_news.on_response(entry, limit, complete)
+            self._context.departures.on_response(
+                self._choice.upstream,
+                wire.decode_leaving(answer.get(wire.LEAVING)),
+            )
         if answer.status == 421 or not executed:
             self._on_not_run(answer, report, limit, now)
             return
@@ -435,13 +439,23 @@
     """
 
     def __init__(
-        self, loop, steering, pool, crash_guard, limit_news, metrics, rng, log
+        self,
+        loop,
+        steering,
+        pool,
+        crash_guard,
+        limit_news,
+        departures,
+        metrics,
+        rng,
+        log,
     ):
         self.loop = loop
         self.steering = steering
         self.pool = pool
         self.crash_guard = crash_guard
         self.limit_news = limit_news
+        self.departures = departures
         self.metrics = metrics
         self.rng = rng
         self.log = log
--- a/src/jasminehold/front/limit_news.py
+++ b/src/jasminehold/front/limit_news.py
@@ -6,7 +6,7 @@
 upstreams.
 """
 
-from jasminehold.decisions import stated_limits
+from jasminehold.decisions import upstream_view
 
 # A limit that nobody confirmed for this long is asked for at a sender, as the
 # news of its end may have been lost.
@@ -46,7 +46,7 @@
         """
         if per_s is None and not complete:
             return
-        key = stated_limits.Key(entry.id, entry.born_ms)
+        key = entry.incarnation
         if per_s is None and self._limits.statement(key) is None:
             return
         changed = self._limits.state(key, per_s, self._loop.now())
@@ -81,7 +81,7 @@
         now = self._loop.now()
         keys = []
         for name, born_ms, per_s, age_s in message['limits']:
-            key = stated_limits.Key(str(name), int(born_ms))
+            key = upstream_view.Incarnation(str(name), int(born_ms))
             per_s = None if per_s is None else float(per_s)
             if self._limits.merge(key, per_s, now - max(float(age_s), 0.0)):
                 self._on_change(key, per_s)
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -152,7 +152,7 @@
             self._loads.pop(key, None)
             self._cold_limiters.pop(key, None)
             self._misdirected.pop(key, None)
-            self.limits.remove(_limit_key(upstream.entry))
+            self.limits.remove(upstream.entry.incarnation)
             self._limit_senders.pop(key, None)
             for times in self._run_times.values():
                 times.remove_upstream(key)
@@ -168,11 +168,27 @@
                 cold_s=entry.cold_s,
             )
         if self.limits.items():
-            known = map(_limit_key, entries)
-            self.limits.keep(set(known), as_of)
+            known = {entry.incarnation for entry in entries}
+            self.limits.keep(known, as_of)
         if joined or left or self._usable_ids() != before:
             self._clear_owner_cache()
 
+    def on_leaving(self, incarnation, said_at):
+        """Take an upstream out of use that said that it leaves.
+
+        Args:
+            incarnation: its :class:`~decisions.upstream_view.Incarnation`.
+            said_at: monotonic seconds.
+
+        Returns:
+            Whether this was not known.
+        """
+        if not self.view.on_leaving(incarnation, said_at):
+            return False
+        self._log('upstream leaving', upstream=incarnation.id)
+        self._clear_owner_cache()
+        return True
+
     def _usable_ids(self):
         return {
             key
@@ -384,7 +400,7 @@
     def _admits_limited(self, upstream, now):
         if not self.limits.limited():
             return True
-        key = _limit_key(upstream.entry)
+        key = upstream.entry.incarnation
         if self.limits.limit(key) is None:
             return True
         rate = self._limit_rate(upstream, now)
@@ -396,7 +412,7 @@
         return stated_limits.instance_rate(
             self._cfg.id,
             self._senders_of(upstream.entry),
-            self.limits.statement(_limit_key(upstream.entry)),
+            self.limits.statement(upstream.entry.incarnation),
             self.copy_age(now) > MEMBERS_CERTAIN_AGE_S,
             now,
         )
@@ -417,7 +433,7 @@
         """Return the first sender of a limited upstream, None if unknown.
 
         Args:
-            key: its :class:`~decisions.stated_limits.Key`.
+            key: its :class:`~decisions.upstream_view.Incarnation`.
         """
         upstream = self.view.upstreams.get(key.id)
         order = self._senders_of(upstream.entry).order if upstream else ()
@@ -429,7 +445,7 @@
         waits = []
         total = 0.0
         for upstream in limited:
-            key = _limit_key(upstream.entry)
+            key = upstream.entry.incarnation
             total += self.limits.limit(key)
             waits.append(
                 self.limits.wait_s(key, self._limit_rate(upstream, now), now)
@@ -545,7 +561,7 @@
         """Record that a request was sent to an upstream."""
         choice.load.on_sent()
         name = choice.upstream.entry.id
-        self.limits.on_sent(_limit_key(choice.upstream.entry), now)
+        self.limits.on_sent(choice.upstream.entry.incarnation, now)
         if now < choice.upstream.cold_until:
             self._cold_limiters.setdefault(
                 name, cold_start_limiter.ColdStartLimiter()
@@ -598,10 +614,6 @@
     return cfg.retry_ratio, cfg.retry_burst, cfg.retry_window
 
 
-def _limit_key(entry):
-    return stated_limits.Key(entry.id, entry.born_ms)
-
-
 def _identity(entry):
     # Identifies one run of an upstream process.
     return entry.born_ms, entry.host, entry.port
--- a/src/jasminehold/peers/messages.py
+++ b/src/jasminehold/peers/messages.py
@@ -217,6 +217,16 @@
     limits: typing.List[typing.List[typing.Any]]
 
 
+class UpstreamsLeaving(typing.TypedDict):
+    """Upstreams that said that they leave.
+
+    Each is ``[id, born_ms, age in seconds]``.
+    """
+
+    type: str
+    leaving: typing.List[typing.List[typing.Any]]
+
+
 class Leave(typing.TypedDict):
     """Last message of an instance that shuts down gracefully."""
 
--- a/src/jasminehold/platform/wire.py
+++ b/src/jasminehold/platform/wire.py
@@ -21,6 +21,7 @@
 SEAL = b'x-server-seal'
 LOAD = b'x-server-load'
 LIMIT = b'server-limit'
+LEAVING = b'server-leaving'
 NOT_EXECUTED = b'x-not-executed'
 AFFINITY_COOKIE = 'X-Affinity-Key'
 
@@ -227,6 +228,11 @@
         return None
 
 
+def decode_leaving(value):
+    """Return whether the value of a leaving header, or None, says so."""
+    return value is not None and value.strip() == b'1'
+
+
 def object_key(headers):
     """Return the affinity key from the ``Cookie`` header, or ''."""
     for name, value in headers:
--- a/src/jasminehold/standin/sealed.py
+++ b/src/jasminehold/standin/sealed.py
@@ -49,6 +49,9 @@
         crashes: monotonic seconds of each crash.
         limit: requests a second that the responses name as the limit of all
             callers together, None for no limit.
+        leaving: whether the responses say that the upstream is leaving.
+        retry_after: value of the ``Retry-After`` of rejections, bytes; while
+            it is set, all requests are rejected.
         on_event: called with the name of this upstream, a request id and
             whether it executes, on each arrival and each start.
     """
@@ -65,6 +68,8 @@
         self.cancelled = set()
         self.crashes = []
         self.limit = None
+        self.leaving = False
+        self.retry_after = None
         self.on_event = lambda name, request_id, ran: None
         self.conns = set()
         self._running = 0
@@ -110,7 +115,7 @@
         if expected != self.name:
             id_headers = [(b'x-instance-id', self.name.encode())]
             req.send_response(421, id_headers, b'')
-        elif self._fault(req) == 'shed':
+        elif self._fault(req) == 'shed' or self.retry_after is not None:
             self._reject(req)
         elif self._fault(req) == 'late-shed':
             self.loop.call_later(self.work_s, self._reject, req)
@@ -122,7 +127,10 @@
             self._reject(req)
 
     def _reject(self, req):
-        req.send_response(503, [(b'x-not-executed', b'1')], b'')
+        headers = [(b'x-not-executed', b'1')]
+        if self.retry_after is not None:
+            headers.append((b'retry-after', self.retry_after))
+        req.send_response(503, headers, b'')
 
     def _fault(self, req):
         target = req.headers.get(b'x-fault-at', b'').decode()
@@ -217,6 +225,8 @@
         headers = headers + [(b'x-request-id', self.id.encode())]
         if self.upstream.limit is not None:
             headers.append((b'server-limit', b'%g' % self.upstream.limit))
+        if self.upstream.leaving:
+            headers.append((b'server-leaving', b'1'))
         self.session.send_response(status, headers, body)
 
     def send_raw(self, status, headers, length, body, request_id=None):
--- a/tests/builders/limited_fleet.py
+++ b/tests/builders/limited_fleet.py
@@ -6,9 +6,10 @@
 import random
 
 from jasminehold.decisions import stated_limits
+from jasminehold.decisions import upstream_view
 from tests.builders import limited_upstreams
 
-KEY = stated_limits.Key('u1', 0)
+KEY = upstream_view.Incarnation('u1', 0)
 STEP_S = 0.05
 RUN_S = 0.3
 NEWS_S = 0.05
