Leave an upstream alone for the pause that it asks for

Cause: Retry-After of an upstream's rejection was not read.

Change: an instance sends nothing to that run of an upstream until the time is over, also if its entry lapses and returns, or if the pause began while a connection was being opened. Its objects go to their next owners. Requests whose upstreams all pause are rejected at once with the time that is left and up to half of it. Dates and values that are not positive state nothing, values above an hour count as an hour. Other instances are not told: the upstream asked this one.

--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -133,10 +133,14 @@
         self._steering.on_sent(found, now)
 
         def ready(conn, reused):
-            if self._choice is found:
+            if self._choice is not found:
+                self._context.pool.put_back(conn)
+            elif self._steering.is_usable(found, self._loop.now()):
                 self._send(conn, reused)
             else:
                 self._context.pool.put_back(conn)
+                self._release('not sent: no longer usable')
+                self._start_attempt()
 
         def failed(exc):
             if self._choice is found:
@@ -223,6 +227,11 @@
         if limit is not None:
             limit = wire.decode_limit(limit)
         executed = answer.get(wire.NOT_EXECUTED) is None
+        pause_s = answer.get(wire.RETRY_AFTER)
+        if answer.status == 503 and pause_s is not None:
+            pause_s = wire.decode_retry_after(pause_s)
+            if pause_s is not None:
+                self._steering.on_pause(self._choice.upstream, pause_s, now)
         if answer.status != 421:
             complete = executed and answer.get(wire.SEAL) is not None
             entry = self._choice.upstream.entry
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -10,6 +10,7 @@
 from jasminehold.decisions import selection
 from jasminehold.decisions import stated_limits
 from jasminehold.decisions import upstream_load
+from jasminehold.decisions import upstream_pauses
 from jasminehold.decisions import upstream_view
 from jasminehold.decisions import weighted_round_robin
 from jasminehold import errors
@@ -38,6 +39,9 @@
 MIN_RETRY_AFTER_S = 0.3
 # Maximum ``Retry-After`` where the limits of all upstreams are used up.
 MAX_LIMIT_RETRY_AFTER_S = 5.0
+# Callers that wait for the end of a pause return within this fraction of it
+# afterwards, not all at once.
+PAUSE_SPREAD_FRACTION = 0.5
 OWNERS_CACHE_MAX = 20_000
 # Maximum age of the member list at which no member's lease can have expired,
 # also not during the preceding window of the cold start limiter.
@@ -105,6 +109,7 @@
         self.evacuated = frozenset()
         self.instances = ()
         self.limits = stated_limits.StatedLimits(rng)
+        self._pauses = upstream_pauses.UpstreamPauses()
         self._instance_regions = {}
         self._limit_senders = {}
         self._cfg = cfg
@@ -234,6 +239,7 @@
             'upstreams_known': len(upstreams),
             'upstreams_left_out': len(left_out),
             'upstreams_limited': len(self.limits.limited()),
+            'upstreams_paused': self._pauses.count(now),
             'upstreams_draining': sum(
                 item.draining for item in upstreams.values()
             ),
@@ -319,10 +325,13 @@
             left_s: seconds until the request's deadline.
             now: monotonic seconds.
         """
-        upstreams, limited = self._usable(route, service, tried, only, now)
-        if not upstreams and limited:
-            pause = self._limit_retry_after_s(limited, now)
-            return Refusal(Kind.OVERLOADED, pause, 'limits reached')
+        upstreams, limited, paused = self._usable(
+            route, service, tried, only, now
+        )
+        if not upstreams and (limited or paused):
+            pause = self._held_back_retry_after_s(limited, paused, now)
+            reason = 'limits reached' if limited else 'upstreams pause'
+            return Refusal(Kind.OVERLOADED, pause, reason)
         if not upstreams:
             return Refusal(
                 Kind.OVERLOADED, MIN_RETRY_AFTER_S, 'no usable upstream'
@@ -372,10 +381,10 @@
         )
 
     def _usable(self, route, service, tried, only, now):
-        # Returns usable upstreams by id, and the list of those that only
-        # their own limit excludes.
+        # Returns usable upstreams by id, and the lists of those that only
+        # their own limit, or a pause that they asked for, excludes.
         homes = route.home_regions
-        usable, held, limited = {}, {}, []
+        usable, held, limited, paused = {}, {}, [], []
         for name, upstream in self.view.upstreams.items():
             entry = upstream.entry
             if (
@@ -389,13 +398,28 @@
                 or not self._admits_cold(upstream, service, now)
             ):
                 continue
+            if self._pauses.seconds_left(entry.incarnation, now):
+                paused.append(upstream)
+                continue
             if not self._admits_limited(upstream, now):
                 limited.append(upstream)
                 continue
             load = self._loads.get(name)
             ejected = load is not None and now < load.ejected_until
             (held if ejected else usable)[name] = upstream
-        return usable or held, limited
+        return usable or held, limited, paused
+
+    def is_usable(self, choice, now):
+        """Return whether a chosen upstream may still be sent to.
+
+        It may have said that it leaves, or asked for a pause, while the
+        connection was being opened.
+        """
+        upstream = choice.upstream
+        return not (
+            upstream.draining
+            or self._pauses.seconds_left(upstream.entry.incarnation, now)
+        )
 
     def _admits_limited(self, upstream, now):
         if not self.limits.limited():
@@ -439,6 +463,20 @@
         order = self._senders_of(upstream.entry).order if upstream else ()
         return order[0] if order and order[0] != self._cfg.id else None
 
+    def _held_back_retry_after_s(self, limited, paused, now):
+        # Until the first of the upstreams takes requests from here again.
+        waits = []
+        if limited:
+            waits.append(self._limit_retry_after_s(limited, now))
+        if paused:
+            wait = min(
+                self._pauses.seconds_left(upstream.entry.incarnation, now)
+                for upstream in paused
+            )
+            spread = 1.0 + PAUSE_SPREAD_FRACTION * self._rng.random()
+            waits.append(max(wait, MIN_RETRY_AFTER_S) * spread)
+        return min(waits)
+
     def _limit_retry_after_s(self, limited, now):
         # When one of the upstreams takes a request from this instance again,
         # or, where it does not send to them, from the fleet.
@@ -584,6 +622,21 @@
             now,
         )
 
+    def on_pause(self, upstream, seconds, now):
+        """Send nothing more to an upstream for a number of seconds.
+
+        Args:
+            upstream: the :class:`~decisions.upstream_view.Upstream`.
+            seconds: pause that it asked for.
+            now: monotonic seconds.
+        """
+        incarnation = upstream.entry.incarnation
+        if not self._pauses.seconds_left(incarnation, now):
+            self._log(
+                'upstream pauses', upstream=incarnation.id, for_s=seconds
+            )
+        self._pauses.pause(incarnation, seconds, now)
+
     def on_failed(self, choice, reason, now):
         """Record a failed attempt at an upstream.
 
--- a/src/jasminehold/platform/wire.py
+++ b/src/jasminehold/platform/wire.py
@@ -23,6 +23,7 @@
 LIMIT = b'server-limit'
 LEAVING = b'server-leaving'
 NOT_EXECUTED = b'x-not-executed'
+RETRY_AFTER = b'retry-after'
 AFFINITY_COOKIE = 'X-Affinity-Key'
 
 READY_PATH = '/api/ready'
@@ -53,6 +54,7 @@
     'draining': upstream_view.DRAINING,
 }
 _SLOTS_MAX = 100_000
+_RETRY_AFTER_MAX_S = 3600.0
 
 
 class MalformedBody(errors.PlatformError):
@@ -233,6 +235,19 @@
     return value is not None and value.strip() == b'1'
 
 
+def decode_retry_after(value):
+    """Return the seconds of a ``Retry-After`` header, or None.
+
+    Dates, which depend on the time of day, and values that are not positive
+    state nothing. A value above an hour counts as an hour.
+    """
+    try:
+        seconds = _number(float(value))
+    except (TypeError, ValueError):
+        return None
+    return min(seconds, _RETRY_AFTER_MAX_S) or None
+
+
 def object_key(headers):
     """Return the affinity key from the ``Cookie`` header, or ''."""
     for name, value in headers:
--- a/src/jasminehold/standin/sealed.py
+++ b/src/jasminehold/standin/sealed.py
@@ -109,9 +109,9 @@
     def submit(self, req):
         """Execute, queue or reject a complete request."""
         self.arrivals += 1
+        self.headers_by_id[req.id] = req.headers
         self.on_event(self.name, req.id, False)
         expected = req.headers.get(b'x-expect-instance', b'').decode()
-        self.headers_by_id[req.id] = req.headers
         if expected != self.name:
             id_headers = [(b'x-instance-id', self.name.encode())]
             req.send_response(421, id_headers, b'')
@@ -130,6 +130,7 @@
         headers = [(b'x-not-executed', b'1')]
         if self.retry_after is not None:
             headers.append((b'retry-after', self.retry_after))
+            headers.append((b'x-server-load', self._load_header()))
         req.send_response(503, headers, b'')
 
     def _fault(self, req):
@@ -164,12 +165,15 @@
             if not waiting.session.conn.closed:
                 self._run(waiting)
 
+    def _load_header(self):
+        load = (self._running, len(self._waiting), self.slots)
+        return b'%d,%d,%d' % load
+
     def _respond(self, req):
         fault = self._fault(req)
-        load = '%d,%d,%d' % (self._running, len(self._waiting), self.slots)
         headers = [
             (b'x-server-seal', b'seal-' + req.id.encode()),
-            (b'x-server-load', load.encode()),
+            (b'x-server-load', self._load_header()),
         ]
         body = json.dumps(
             {
--- a/tests/builders/limited_upstreams.py
+++ b/tests/builders/limited_upstreams.py
@@ -55,9 +55,11 @@
     def call(self, number, turn):
         """Send one request and keep its reply."""
         begin = time.monotonic()
+        name = self._names[(number + turn) % len(self._names)]
         reply = self._rig.ask(
             '/browse/%d-%d' % (number, turn),
-            name=self._names[(number + turn) % len(self._names)],
+            name=name,
+            X_Via=name,
             Cookie='X-Affinity-Key=%d' % ((number + turn) % 40),
         )
         self.replies.append((begin, time.monotonic() - begin, reply))
