Order what the store says by its era, and outlast a store that goes back

Cause: the copy of the store ignored all below the revision that it held. Lease ids are given out again too, and all four instances renewed ids of the former era.

Change: facts are ordered by era and revision, in the copy, in messages between instances and in the client, which takes a response of a former era as an error. When an era begins, what the copy knew and the store lost is kept until it is written again (2.2 s for leased keys, 5 s for the operator's), and a leased key that the copy had seen deleted counts once it is written again, or outlasts its lease. The reader of a region tells the differences to its last copy; a peer with another copy asks for the list. Members register again within 0.8 s under a new lease; a lease of a former era is neither renewed nor revoked, and a renewal on a new connection is preceded by a cheap read that tells the era.

--- a/src/jasminehold/decisions/store_replica.py
+++ b/src/jasminehold/decisions/store_replica.py
@@ -2,10 +2,22 @@
 
 It is updated from this instance's reads and from those of its peers. A
 value is replaced only by one of a higher revision.
+
+The store may come back from a copy that is some seconds old. It then has a
+higher era, and gives revisions out again. Facts are ordered by era and
+revision; what the replica knew and the store lost is kept until its writers
+had time to write it again.
 """
 
 import typing
 
+# Time for which keys without a lease that a new era lacks are kept: the
+# operator writes them again, and does not say when it has.
+LOST_KEEP_S = 5.0
+# Time after which a leased key of a new era that nobody wrote again must have
+# been renewed: entries lapse after three missed heartbeats, 4.5 s.
+ACCEPT_AFTER_S = 5.0
+
 
 class Item(typing.NamedTuple):
     """A key and its value; ``value`` is None when the key was deleted."""
@@ -26,17 +38,21 @@
         leased: tuple of prefixes of the keys that are attached to leases.
         return_s: grace period for lapsed keys after an outage, in seconds.
         outage_s: age of the replica, in seconds, that counts as an outage.
+        lasting: tuple of prefixes of the other keys that their writers write
+            again after a new era began.
 
     Attributes:
         items: ``{key: Item}`` of the keys that exist.
+        era: era of the store that the replica corresponds to.
         revision: revision of the store that the replica corresponds to.
         as_of: monotonic seconds at which the replica was current, None
             before the first read.
         steady_since: monotonic seconds since which there was no outage.
     """
 
-    def __init__(self, leased, return_s, outage_s):
+    def __init__(self, leased, return_s, outage_s, lasting=()):
         self.items = {}
+        self.era = 0
         self.revision = 0
         self.as_of = None
         self.steady_since = 0.0
@@ -45,6 +61,14 @@
         self._outage_s = outage_s
         self._lapsed_drop_at = None
         self._lapsed = set()
+        self._lasting_prefixes = lasting
+        # Keys without a lease that a new era lacks, and until when they are
+        # kept.
+        self._lost_until = {}
+        # Items that a new era has and the replica had not: they may have been
+        # deleted before. They count once they are written again.
+        self._unconfirmed = {}
+        self._accept_at = None
 
     def age(self, now):
         """Return the age of the replica in seconds, infinite before a read."""
@@ -56,7 +80,7 @@
             return None
         return max(self._lapsed_drop_at - now, 0.0)
 
-    def replace(self, items, revision, as_of, now):
+    def replace(self, items, revision, as_of, now, era=0):
         """Replace the content by a complete list of the store's items.
 
         Args:
@@ -64,12 +88,16 @@
             revision: the store's revision before the list was read.
             as_of: monotonic seconds at which the read was sent.
             now: monotonic seconds.
+            era: the store's era when the list was read.
 
         Returns:
             Set of the keys that changed.
         """
-        if revision < self.revision:
+        if (era, revision) < (self.era, self.revision):
             return set()
+        if era > self.era and self.revision:
+            return self._begin_era(items, revision, as_of, now, era)
+        self.era = era
         self._refresh(as_of, now)
         changed = set()
         seen = set()
@@ -82,10 +110,74 @@
         for key in [key for key in self.items if key not in seen]:
             if self.items[key].revision <= revision:
                 changed |= self._drop(key, now)
+        for key in [key for key in self._unconfirmed if key not in seen]:
+            del self._unconfirmed[key]
         self.revision = revision
         return changed
 
-    def apply(self, events, before, revision, as_of, now):
+    def _begin_era(self, items, revision, as_of, now, era):
+        self._refresh(as_of, now)
+        self.era, self.revision = era, revision
+        self.steady_since = as_of
+        self._lapsed_drop_at = now + self._return_s
+        self._accept_at = now + ACCEPT_AFTER_S
+        known, self.items = self.items, {}
+        self._lapsed, self._lost_until, self._unconfirmed = set(), {}, {}
+        changed = set()
+        written_again = self._leased_prefixes + self._lasting_prefixes
+        for item in items:
+            key = item.key
+            if key not in known and key.startswith(written_again):
+                self._unconfirmed[key] = item
+                continue
+            self.items[key] = item
+            if key not in known or known[key].value != item.value:
+                changed.add(key)
+        for key, item in known.items():
+            if key in self.items:
+                continue
+            # Any write of the new era replaces it.
+            self.items[key] = item._replace(
+                revision=min(item.revision, revision)
+            )
+            if key.startswith(self._leased_prefixes):
+                self._lapsed.add(key)
+            else:
+                self._lost_until[key] = now + LOST_KEEP_S
+        return changed
+
+    def apply_era(self, before, events, start, as_of, now):
+        """Begin a new era by its differences to the end of the last one.
+
+        Args:
+            before: ``(era, revision)`` that the differences refer to.
+            events: list of :class:`Item`.
+            start: ``(era, revision)`` after them.
+            as_of: monotonic seconds at which the new era was read.
+            now: monotonic seconds.
+
+        Returns:
+            Set of the keys that changed, or None if the replica does not
+            correspond to exactly ``before``.
+        """
+        if start <= (self.era, self.revision):
+            return set()
+        if (self.era, self.revision) != before:
+            return None
+        era, revision = start
+        listed = {
+            item.key: item._replace(revision=min(item.revision, revision))
+            for item in self.without_lapsed()
+        }
+        for item in events:
+            listed[item.key] = item
+            if item.value is None:
+                del listed[item.key]
+        return self._begin_era(
+            list(listed.values()), revision, as_of, now, era
+        )
+
+    def apply(self, events, before, revision, as_of, now, era=0):
         """Apply a sequence of changes.
 
         Args:
@@ -94,12 +186,15 @@
             revision: revision after the changes.
             as_of: monotonic seconds at which the store reported them.
             now: monotonic seconds.
+            era: the store's era when it reported them.
 
         Returns:
             Set of the keys that changed, or None when changes between the
             replica and ``before`` are missing.
         """
-        if before > self.revision:
+        if era < self.era:
+            return set()
+        if era > self.era or before > self.revision:
             return None
         self._refresh(as_of, now)
         changed = set()
@@ -111,11 +206,17 @@
                 continue
             if item.value is not None:
                 changed |= self._put(item)
-            elif item.key in self.items:
+                continue
+            self._unconfirmed.pop(item.key, None)
+            if item.key in self.items:
                 changed |= self._drop(item.key, now)
         self.revision = max(reached, revision)
         return changed
 
+    def awaits(self, key):
+        """Return whether a key counts only once it is written again."""
+        return key in self._unconfirmed
+
     def on_fresh_peer(self, since):
         """Record the time since which a peer's replica had no outage.
 
@@ -129,18 +230,41 @@
 
     def drop_lapsed(self, now):
         """Drop lapsed keys that were not written again, and return them."""
-        if self._lapsed_drop_at is None or now < self._lapsed_drop_at:
-            return set()
-        self._lapsed_drop_at = None
-        gone, self._lapsed = self._lapsed, set()
+        gone = {key for key, at in self._lost_until.items() if now >= at}
+        for key in gone:
+            del self._lost_until[key]
+        if self._lapsed_drop_at is not None and now >= self._lapsed_drop_at:
+            self._lapsed_drop_at = None
+            gone |= self._lapsed
+            self._lapsed = set()
         for key in gone:
             self.items.pop(key, None)
         return gone
 
+    def accept_leased(self, now):
+        """Accept the leased keys that outlasted their leases unconfirmed.
+
+        Their owners must have renewed them. Returns the set of the keys.
+        """
+        if self._accept_at is None or now < self._accept_at:
+            return set()
+        self._accept_at = None
+        found = {
+            key: item
+            for key, item in self._unconfirmed.items()
+            if key.startswith(self._leased_prefixes)
+        }
+        for key in found:
+            del self._unconfirmed[key]
+        self.items.update(found)
+        return set(found)
+
     def without_lapsed(self):
         """Return the items that are in the store, without lapsed ones."""
         return [
-            item for key, item in self.items.items() if key not in self._lapsed
+            item
+            for key, item in self.items.items()
+            if key not in self._lapsed and key not in self._lost_until
         ]
 
     def with_prefix(self, prefix):
@@ -163,6 +287,8 @@
     def _put(self, item):
         known = self.items.get(item.key)
         self._lapsed.discard(item.key)
+        self._lost_until.pop(item.key, None)
+        self._unconfirmed.pop(item.key, None)
         if known is not None and known.revision >= item.revision:
             return set()
         self.items[item.key] = item
@@ -178,5 +304,6 @@
             self._lapsed.add(key)
             return set()
         self._lapsed.discard(key)
+        self._lost_until.pop(key, None)
         del self.items[key]
         return {key}
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -108,6 +108,7 @@
             self._peering.rank,
             self._on_change,
             self._peering.send_changes,
+            self._peering.send_era,
             self.rng,
             _log,
         )
@@ -128,9 +129,15 @@
             self.loop, self._peering.mesh, self.steering, self.metrics
         )
         self._peering.on_link_up = self._on_link_up
+        self.store.on_era = self._on_era
         self.steering.copy_age = self._reader.replica.age
         self._decoder = reader.Decoder(self.metrics, _log)
 
+    def _on_era(self, era):
+        # What this instance wrote to the store may be lost.
+        self._registration.on_era(era)
+        self.crash_guard.on_era()
+
     def _on_link_up(self, name):
         self.crash_guard.on_link_up(name)
         self.limit_news.on_link_up(name)
--- a/src/jasminehold/front/crash_guard.py
+++ b/src/jasminehold/front/crash_guard.py
@@ -277,6 +277,15 @@
             if left > 0 and digest not in self._withdrawn:
                 self._apply(digest, State.QUARANTINED.value, left)
 
+    def on_era(self):
+        """Write the own quarantines again after the store went back."""
+        for digest, state in self._announced.items():
+            if state == State.QUARANTINED.value:
+                rank = self._arbiters(digest).index(self._own_id)
+                self._loop.call_later(
+                    rank * STORE_RETRY_S, self._write, digest, True
+                )
+
     def gauge_values(self):
         """Return the current ``{gauge name: value}``."""
         return {
@@ -288,10 +297,10 @@
     def _key(digest):
         return wire.QUARANTINE_PREFIX + digest.hex()
 
-    def _write(self, digest):
+    def _write(self, digest, again=False):
         now = self._loop.now()
         left = self._known.seconds_left([digest], now)
-        stored = self._key(digest) in self._stored
+        stored = self._key(digest) in self._stored and not again
         if not left or stored or digest in self._withdrawn:
             return
         value = json.dumps({'until': round(time.time() + left, 1)}).encode()
@@ -308,7 +317,7 @@
 
         def on_failed(exc):
             self._log('quarantine not stored', level='warning', error=exc)
-            self._loop.call_later(STORE_RETRY_S, self._write, digest)
+            self._loop.call_later(STORE_RETRY_S, self._write, digest, again)
 
         self._store.grant(left, on_lease)
 
--- a/src/jasminehold/front/peering.py
+++ b/src/jasminehold/front/peering.py
@@ -1,7 +1,9 @@
 """Replication of the store copy between instances.
 
 Messages on the authenticated streams between instances:
-``news``: changes that a reader of the region read from the store.
+``news``: changes that a reader of the region read from the store. With
+``former``, the era and revision of the reader's copy before a new era of the
+store, they are the differences to that copy.
 ``snapshot``: the full copy, requested when changes are missing.
 """
 
@@ -119,29 +121,62 @@
             before: revision that the changes follow.
             revision: revision after the changes.
         """
-        now = self._loop.now()
-        copy = self.reader.replica
+        first = revision if events is None else before
+        self._tell_region(events or (), {'before': first})
+
+    def send_era(self, differences, former):
+        """Send the beginning of a new era of the store to the region.
+
+        Args:
+            differences: list of items that differ from the former copy.
+            former: ``(era, revision)`` of that copy.
+        """
+        fields = {
+            'before': self.reader.replica.revision,
+            'former': list(former),
+        }
+        self._tell_region(differences, fields)
+
+    def _tell_region(self, items, fields):
         message = {
             'type': 'news',
-            'before': revision if events is None else before,
-            'revision': revision,
-            'age': int(copy.age(now) * 1000),
-            'steady': int((now - copy.steady_since) * 1000),
-            'items': [list(item) for item in events or ()],
+            'items': [list(item) for item in items],
+            **self._position(),
+            **fields,
         }
         for name in self._region_peers:
             if self.mesh.is_connected(name):
                 self.mesh.send(name, message)
 
+    def _position(self):
+        # What this instance's copy corresponds to, as messages state it.
+        copy = self.reader.replica
+        now = self._loop.now()
+        return {
+            'era': copy.era,
+            'revision': copy.revision,
+            'age': int(copy.age(now) * 1000),
+            'steady': int((now - copy.steady_since) * 1000),
+        }
+
     def _on_news(self, sender, message, reply):
         now = self._loop.now()
-        taken = self.reader.apply_peer_changes(
-            _items(message['items']),
-            message['before'],
-            message['revision'],
-            now - message['age'] / 1000,
-            now - message['steady'] / 1000,
-        )
+        items = _items(message['items'])
+        era, revision = message.get('era', 0), message['revision']
+        as_of = now - message['age'] / 1000
+        steady_since = now - message['steady'] / 1000
+        if 'former' in message:
+            taken = self.reader.apply_peer_era(
+                items,
+                tuple(message['former']),
+                (era, revision),
+                as_of,
+                steady_since,
+            )
+        else:
+            taken = self.reader.apply_peer_changes(
+                items, message['before'], revision, as_of, steady_since, era
+            )
         if not taken:
             self._request_snapshot(sender)
 
@@ -166,6 +201,7 @@
                     answer['revision'],
                     now - answer['age'] / 1000,
                     now - answer['steady'] / 1000,
+                    answer.get('era', 0),
                 )
             except errors.MALFORMED_MESSAGE_ERRORS as fault:
                 self._log('bad copy from peer', peer=name, error=fault)
@@ -177,15 +213,8 @@
         if not copy.revision:
             reply(None, 'no copy yet')
             return
-        now = self._loop.now()
-        reply(
-            {
-                'items': [list(item) for item in copy.without_lapsed()],
-                'revision': copy.revision,
-                'age': int(copy.age(now) * 1000),
-                'steady': int((now - copy.steady_since) * 1000),
-            }
-        )
+        items = [list(item) for item in copy.without_lapsed()]
+        reply({'items': items, **self._position()})
 
 
 def _items(rows):
--- a/src/jasminehold/front/reader.py
+++ b/src/jasminehold/front/reader.py
@@ -35,6 +35,8 @@
         on_change: called with the set of changed keys.
         on_read: called with ``(events, before, revision)`` after a read
             of the store, to inform the peers.
+        on_era_read: called with the differences and the former ``(era,
+            revision)`` after a read that found a new era of the store.
         rng: random source.
         log: structured log.
 
@@ -42,15 +44,21 @@
         replica: the :class:`store_replica.StoreReplica`.
     """
 
-    def __init__(self, loop, store, rank, on_change, on_read, rng, log):
+    def __init__(
+        self, loop, store, rank, on_change, on_read, on_era_read, rng, log
+    ):
         self.replica = store_replica.StoreReplica(
-            wire.LEASED_PREFIXES, REREGISTER_S, STORE_LOST_S
+            wire.LEASED_PREFIXES,
+            REREGISTER_S,
+            STORE_LOST_S,
+            wire.REWRITTEN_PREFIXES,
         )
         self._loop = loop
         self._store = store
         self._rank = rank
         self._on_change = on_change
         self._on_read = on_read
+        self._on_era_read = on_era_read
         self._rng = rng
         self._log = log
         self._reading = False
@@ -72,6 +80,7 @@
         if gone:
             self._log('lapsed keys dropped', keys=sorted(gone)[:8])
             self._on_change(gone)
+        self._notify(self.replica.accept_leased(now))
         age = self.replica.age(now)
         if age > STORE_LOST_S and not self._lost and self.replica.revision:
             self._lost = True
@@ -109,14 +118,46 @@
                 for item in result.items
                 if item.key.startswith(wire.COPIED_PREFIXES)
             ]
-            changed = self.replica.replace(
-                items, result.revision, sent_at, self._loop.now()
+            replica = self.replica
+            before = (replica.era, replica.revision)
+            differences = None
+            if before[1] and result.era > before[0]:
+                differences = self._differences(items, result.revision)
+            changed = replica.replace(
+                items, result.revision, sent_at, self._loop.now(), result.era
             )
-            self._on_read(None, 0, self.replica.revision)
+            if differences is None:
+                self._on_read(None, 0, replica.revision)
+            else:
+                self._log_era(before)
+                self._on_era_read(differences, before)
             self._notify(changed)
 
         self._store.range('', done)
 
+    def _differences(self, items, revision):
+        # What turns this copy into the items, for peers with the same copy.
+        known = {item.key: item for item in self.replica.without_lapsed()}
+        changed = []
+        for item in items:
+            former = known.pop(item.key, None)
+            if former is None or (
+                former.value != item.value and _is_news(item, former)
+            ):
+                changed.append(item)
+        return changed + [
+            store_replica.Item(key, None, revision) for key in known
+        ]
+
+    def _log_era(self, before):
+        self._log(
+            'store went back',
+            level='warning',
+            era=self.replica.era,
+            revision=self.replica.revision,
+            former=before,
+        )
+
     def _read_changes(self, sent_at):
         before = self.replica.revision
 
@@ -128,77 +169,108 @@
             if exc is not None:
                 self._on_failed(exc)
                 return
+            if result.era > self.replica.era:
+                self._read_all(self._loop.now())
+                return
             if len(result.items) >= PARTIAL_READ_EVENTS:
                 # Incomplete: the copy is not yet current at the read's time.
                 as_of = self.replica.as_of
                 self.apply_own_changes(
-                    result.items, before, result.revision, as_of
+                    result.items, before, result.revision, as_of, result.era
                 )
                 self._read_changes(self._loop.now())
                 return
             self._finish_read()
             self.apply_own_changes(
-                result.items, before, result.revision, sent_at
+                result.items, before, result.revision, sent_at, result.era
             )
 
         self._store.watch('', before, WATCH_WAIT_S, done)
 
-    def apply_own_changes(self, items, before, revision, as_of):
+    def apply_own_changes(self, items, before, revision, as_of, era=0):
         """Apply changes that this instance read from the store."""
+        if era < self.replica.era:
+            return
         events = [
             item for item in items if item.key.startswith(wire.COPIED_PREFIXES)
         ]
         news = [item for item in events if self._must_relay(item)]
         changed = self.replica.apply(
-            events, before, revision, as_of, self._loop.now()
+            events, before, revision, as_of, self._loop.now(), era
         )
         self._on_read(news, before, self.replica.revision)
         self._notify(changed or set())
 
-    def apply_peer_changes(self, items, before, revision, as_of, steady_since):
+    def apply_peer_changes(
+        self, items, before, revision, as_of, steady_since, era=0
+    ):
         """Apply changes that a peer read; returns False if some are missing.
 
         Args:
-            items, before, revision: as for :meth:`StoreReplica.apply`.
+            items, before, revision, era: as for :meth:`StoreReplica.apply`.
             as_of: monotonic seconds at which the peer sent its read.
             steady_since: monotonic seconds from which on the peer's copy has
                 been fresh.
         """
+        if era < self.replica.era:
+            return True
         changed = self.replica.apply(
-            items, before, revision, as_of, self._loop.now()
+            items, before, revision, as_of, self._loop.now(), era
+        )
+        return self._on_peer_copy(changed, steady_since)
+
+    def apply_peer_era(self, items, before, start, as_of, steady_since):
+        """Begin a new era of the store that a peer found.
+
+        Args:
+            items, before, start: as for :meth:`StoreReplica.apply_era`.
+            as_of, steady_since: as for :meth:`apply_peer_changes`.
+
+        Returns:
+            False if this copy differed from the peer's.
+        """
+        former = (self.replica.era, self.replica.revision)
+        if start <= former:
+            return True
+        changed = self.replica.apply_era(
+            before, items, start, as_of, self._loop.now()
         )
+        if changed is not None:
+            self._log_era(former)
+        return self._on_peer_copy(changed, steady_since)
+
+    def _on_peer_copy(self, changed, steady_since):
         if changed is None:
             return False
+        self._store.note_era(self.replica.era)
         self.replica.on_fresh_peer(steady_since)
         self._on_store_contact()
         self._notify(changed)
         return True
 
-    def apply_peer_snapshot(self, items, revision, as_of, steady_since):
+    def apply_peer_snapshot(self, items, revision, as_of, steady_since, era=0):
         """Replace the copy by a peer's; see :meth:`apply_peer_changes`."""
-        if as_of < (self.replica.as_of or as_of):
+        replica = self.replica
+        former = (replica.era, replica.revision)
+        if (era, revision) < former:
+            return
+        if era == replica.era and as_of < (replica.as_of or as_of):
             return
-        changed = self.replica.replace(
-            items, revision, as_of, self._loop.now()
+        changed = replica.replace(
+            items, revision, as_of, self._loop.now(), era
         )
-        self.replica.on_fresh_peer(steady_since)
-        self._on_store_contact()
-        self._notify(changed)
+        if era > former[0] and former[1]:
+            self._log_era(former)
+        self._on_peer_copy(changed, steady_since)
 
     def _must_relay(self, item):
-        # Upstream reports that change nothing but their time are not sent to
-        # the peers.
-        if not item.key.startswith(wire.UPSTREAM_PREFIX):
-            return True
         known = self.replica.items.get(item.key)
-        if item.value is None or known is None:
-            return True
-        try:
-            return not upstream_view.equal_except_time(
-                wire.decode_upstream(item), wire.decode_upstream(known)
-            )
-        except wire.MalformedBody:
-            return True
+        return (
+            item.value is None
+            or known is None
+            or self.replica.awaits(item.key)
+            or _is_news(item, known)
+        )
 
     def _notify(self, changed):
         if changed:
@@ -222,6 +294,19 @@
             self._log('store read failed', level='warning', error=exc)
 
 
+def _is_news(item, known):
+    # Upstream reports that change nothing but their time are not sent to the
+    # peers.
+    if not item.key.startswith(wire.UPSTREAM_PREFIX):
+        return True
+    try:
+        return not upstream_view.equal_except_time(
+            wire.decode_upstream(item), wire.decode_upstream(known)
+        )
+    except wire.MalformedBody:
+        return True
+
+
 class Decoder:
     """Decodes the items of the copy; upstream entries are cached.
 
--- a/src/jasminehold/front/registration.py
+++ b/src/jasminehold/front/registration.py
@@ -9,11 +9,17 @@
 LEASE_S = 4.0
 RENEW_EVERY_S = 1.5
 RETRY_S = 0.5
+# The instances write their entries again within this time after the store
+# went back, not all at once.
+ERA_SPREAD_S = 0.8
 
 
 class Registration:
     """Registers the instance, renews its lease and deregisters it.
 
+    A store that goes back to an older copy gives lease ids out again, so a
+    lease is used in the era in which it was granted only.
+
     Args:
         loop: the :class:`~jasminehold.loop.Loop`.
         store: the :class:`~jasminehold.platform.kv.Store`.
@@ -31,12 +37,17 @@
         self._rng = rng
         self._log = log
         self._lease = None
+        self._era = 0
+        self._granting = False
+        self._start_timer = None
         self._written = False
         self._leaving = False
 
     def start(self):
         """Register the instance."""
-        if not self._leaving:
+        self._start_timer = None
+        if not self._leaving and not self._granting:
+            self._granting = True
             self._store.grant(LEASE_S, self._on_lease)
 
     def on_members(self, items):
@@ -44,60 +55,91 @@
         if self._written and self._key not in items:
             self._written = False
             self._log('own entry is missing; registering again')
-            self._put()
+            self._put(self._lease)
+
+    def on_era(self, era):
+        """Register again after the store went back to an older copy."""
+        if self._lease is not None and self._era != era:
+            self._log('lease of a former era; registering again', era=era)
+            self._start_again(ERA_SPREAD_S * self._rng.random())
 
     def leave(self):
-        """Revoke the lease, which removes the entry."""
+        """Remove the entry."""
         self._leaving = True
         self._written = False
-        lease, self._lease = self._lease, None
-        if lease is not None:
-            self._store.revoke(lease, self._on_revoked)
+        if self._lease is not None:
+            self._lease = None
+            self._delete()
 
-    def _on_revoked(self, result, exc):
+    def _delete(self):
+        # Revoking the lease could end the lease of another owner, if the
+        # store went back.
+        self._store.delete(self._key, None, self._on_deleted)
+
+    def _on_deleted(self, result, exc):
         if exc is not None:
             self._log('withdrawal failed', level='warning', error=exc)
 
-    def _register_again(self, exc):
-        self._log('registration failed', level='warning', error=exc)
+    def _start_again(self, delay_s):
         self._lease = None
         self._written = False
-        delay = RETRY_S * (0.5 + 0.5 * self._rng.random())
-        self._loop.call_later(delay, self.start)
+        if self._start_timer is None:
+            self._start_timer = self._loop.call_later(delay_s, self.start)
+
+    def _register_again(self, exc):
+        self._log('registration failed', level='warning', error=exc)
+        self._start_again(RETRY_S * (0.5 + 0.5 * self._rng.random()))
 
     def _on_lease(self, lease, exc):
+        self._granting = False
         if exc is not None:
             self._register_again(exc)
-        elif self._leaving:
-            self._store.revoke(lease, self._on_revoked)
-        else:
+        elif not self._leaving:
             self._lease = lease
-            self._put()
+            self._era = self._store.era
+            self._put(lease)
             self._loop.call_later(RENEW_EVERY_S, self._renew, lease)
 
-    def _put(self):
-        self._store.put(
-            self._key, self._value, None, self._on_put, self._lease
-        )
+    def _put(self, lease):
+        if lease != self._lease or lease is None:
+            return
 
-    def _on_put(self, result, exc):
-        if exc is None:
-            self._written = self._lease is not None
-        elif self._lease is not None:
-            if isinstance(exc, errors.KeyNotFound):
+        def done(result, exc):
+            if self._leaving and not isinstance(exc, errors.KeyNotFound):
+                # It may have been written after the entry was removed.
+                self._delete()
+            elif lease != self._lease:
+                return
+            elif exc is None:
+                self._written = True
+            elif isinstance(exc, errors.KeyNotFound):
                 self._register_again(exc)
             else:
-                self._loop.call_later(RETRY_S, self._put_again)
+                self._loop.call_later(RETRY_S, self._put, lease)
 
-    def _put_again(self):
-        if self._lease is not None:
-            self._put()
+        self._store.put(self._key, self._value, None, done, lease)
 
     def _renew(self, lease):
-        if lease == self._lease:
-            self._store.renew(
-                lease, lambda result, exc: self._on_renewed(lease, exc)
-            )
+        if lease != self._lease:
+            return
+        if self._store.pool.proven:
+            self._send_renewal(lease)
+            return
+
+        # The store may have gone back while there was no connection to it;
+        # the response to a cheap read tells.
+        def done(result, exc):
+            if exc is not None:
+                self._loop.call_later(RETRY_S, self._renew, lease)
+            elif lease == self._lease:
+                self._send_renewal(lease)
+
+        self._store.page(self._key, '', done, stale=True)
+
+    def _send_renewal(self, lease):
+        self._store.renew(
+            lease, lambda result, exc: self._on_renewed(lease, exc)
+        )
 
     def _on_renewed(self, lease, exc):
         if lease != self._lease:
--- a/src/jasminehold/platform/http.py
+++ b/src/jasminehold/platform/http.py
@@ -89,6 +89,11 @@
         """Whether a connection is open."""
         return bool(self._conns)
 
+    @property
+    def proven(self):
+        """Whether an idle connection is open that has carried a response."""
+        return any(item.proven and not item.conn.closed for item in self._idle)
+
     def available(self):
         """Return whether a request would be attempted now."""
         return not self._failures or (
@@ -192,7 +197,11 @@
             if call.done is not None:
                 http_conn.send(call)
                 return
-        self._idle.append(http_conn)
+        if http_conn.proven:
+            self._idle.append(http_conn)
+        else:
+            # Used last.
+            self._idle.insert(0, http_conn)
 
     def on_closed(self, http_conn):
         """Remove a closed connection; open one for queued requests."""
@@ -239,6 +248,7 @@
 
     def __init__(self, client, conn):
         self.conn = conn
+        self.proven = False
         self._client = client
         self._http = h11.Connection(h11.CLIENT)
         self._call = None
@@ -308,6 +318,7 @@
         }
         response = Response(head.status_code, headers, bytes(self._body))
         if self._http.our_state is h11.DONE:
+            self.proven = True
             self._http.start_next_cycle()
             self._client.on_idle(self)
         else:
--- a/src/jasminehold/platform/kv.py
+++ b/src/jasminehold/platform/kv.py
@@ -30,12 +30,14 @@
 class Range(typing.NamedTuple):
     """Items and their store revision.
 
-    Changes are in order of time, other items in order of keys.
+    Changes are in order of time, other items in order of keys. Revisions of
+    different eras of the store cannot be compared.
     """
 
     items: list
     revision: int
     more: bool = False
+    era: int = 0
 
 
 def connect(loop, host, port, rng, metrics):
@@ -65,13 +67,27 @@
         metrics: counters; ``store_calls_total`` has the labels ``call`` and
             ``result``.
         timeout_s: timeout of a call, without the wait of a watch.
+
+    Attributes:
+        pool: the :class:`~jasminehold.platform.http.Client`.
+        era: highest era of the store that is known. A response of an older
+            one is an error.
+        on_era: called with the era when it has risen.
     """
 
     def __init__(self, pool, metrics, timeout_s=CALL_TIMEOUT_S):
         self.pool = pool
+        self.era = 0
+        self.on_era = lambda era: None
         self._metrics = metrics
         self._timeout_s = timeout_s
 
+    def note_era(self, era):
+        """Record an era that another instance heard of."""
+        if era > self.era:
+            self.era = era
+            self.on_era(era)
+
     def get(self, key, done, timeout_s=None):
         """Read a :class:`store_replica.Item`, or ``KeyNotFound``."""
 
@@ -101,6 +117,7 @@
                 wire.decode_items(doc['items']),
                 int(doc['StoreRevision']),
                 bool(doc.get('HasMore')),
+                self.era,
             )
 
         self._read('kv-range', query, parse, done, timeout_s)
@@ -109,22 +126,28 @@
         """Read all items under a prefix as :class:`Range`.
 
         The pages are not a consistent snapshot. The result has the revision
-        of the first page, so that later changes complete it.
+        of the first page, so that later changes complete it. If a new era
+        begins between two pages, the items are read from the start.
         """
         items = []
         first = None
 
         def on_page(result, exc):
+            nonlocal first
             if exc is not None:
                 done(None, exc)
                 return
-            nonlocal first
-            first = result.revision if first is None else first
+            if first is not None and result.era != first.era:
+                first = None
+                items.clear()
+                self.page(prefix, '', on_page, stale)
+                return
+            first = first or result
             items.extend(result.items)
             if result.more and result.items:
                 self.page(prefix, result.items[-1].key, on_page, stale)
             else:
-                done(Range(items, first), None)
+                done(Range(items, first.revision, era=first.era), None)
 
         self.page(prefix, '', on_page, stale)
 
@@ -148,7 +171,7 @@
 
         def parse(doc):
             events = wire.decode_items(doc['events'])
-            return Range(events, int(doc['StoreRevision']))
+            return Range(events, int(doc['StoreRevision']), era=self.era)
 
         limit = timeout_s or wait_s + self._timeout_s
         self._read('kv-watch', query, parse, done, limit)
@@ -219,7 +242,9 @@
 
         def on_answer(response, exc):
             result = None
-            if exc is None:
+            if exc is None and self._is_outdated(response):
+                exc = unusable_error('response of a former era of the store')
+            elif exc is None:
                 result, exc = _parse_response(response, parse, unusable_error)
             elif exc.sent:
                 exc = unusable_error(str(exc))
@@ -237,6 +262,13 @@
             on_answer,
         )
 
+    def _is_outdated(self, response):
+        era = wire.decode_era(response.headers)
+        if era is None:
+            return False
+        self.note_era(era)
+        return era < self.era
+
 
 def _ignore_body(doc):
     return None
--- a/src/jasminehold/platform/wire.py
+++ b/src/jasminehold/platform/wire.py
@@ -24,6 +24,8 @@
 LEAVING = b'server-leaving'
 NOT_EXECUTED = b'x-not-executed'
 RETRY_AFTER = b'retry-after'
+# Of the store's responses, as ``http.Response`` names it.
+STORE_ERA = 'store-era'
 AFFINITY_COOKIE = 'X-Affinity-Key'
 
 READY_PATH = '/api/ready'
@@ -47,6 +49,8 @@
     QUARANTINE_PREFIX,
 )
 LEASED_PREFIXES = (UPSTREAM_PREFIX, MEMBER_PREFIX)
+# Prefixes of further keys that instances write again in a new era.
+REWRITTEN_PREFIXES = (QUARANTINE_PREFIX,)
 
 # The platform's upstream states.
 _STATES = {
@@ -214,6 +218,15 @@
     return None
 
 
+def decode_era(headers):
+    """Return the store's era from the headers of a response, or None.
+
+    The era rises each time that the store comes back from an older copy.
+    """
+    value = headers.get(STORE_ERA, '').strip()
+    return int(value) if value.isdecimal() else None
+
+
 def decode_load(value):
     """Return ``(running, waiting, slots)`` of a load header, or None."""
     parts = value.split(b',')
--- a/src/jasminehold/standin/http_server.py
+++ b/src/jasminehold/standin/http_server.py
@@ -19,10 +19,12 @@
 
     Attributes:
         conn: the :class:`~jasminehold.loop.Conn`.
+        headers: list of ``(name, value)`` that all responses carry.
     """
 
     def __init__(self, loop, conn, on_request):
         self.conn = conn
+        self.headers = []
         self._loop = loop
         self._on_request = on_request
         self._http = h11.Connection(h11.SERVER)
@@ -66,7 +68,8 @@
         """
         if self.conn.closed:
             return
-        headers = headers + [(b'content-length', b'%d' % len(body))]
+        length = (b'content-length', b'%d' % len(body))
+        headers = [*headers, *self.headers, length]
         send = self._http.send
         data = send(h11.Response(status_code=status, headers=headers))
         data += send(h11.Data(data=body)) + send(h11.EndOfMessage())
--- a/src/jasminehold/standin/kv.py
+++ b/src/jasminehold/standin/kv.py
@@ -19,7 +19,10 @@
 - ``stale_s``: age of the data that a read with ``StaleOk`` returns.
 - ``leases``: whether leases ``'expire'`` or ``'pause'`` while a mode is set.
 
-The data are kept in memory during an outage.
+The data are kept in memory during an outage. In a drill the store comes back
+from a copy, :meth:`KvStore.go_back`: what was written since is lost, leases
+too, revisions and lease ids are given out again, and the header ``Store-Era``
+of all responses rises by one.
 
 ``POST /api/instances`` is not part of the protocol. It registers the sending
 process under ``instances/`` until its connection closes: the kernel keeps the
@@ -30,6 +33,7 @@
 """
 
 import base64
+import copy
 import itertools
 import json
 import random
@@ -78,6 +82,9 @@
         port: bound port.
         control_port: bound control port.
         counts: number of calls by name.
+        era: number of drills so far, plus one.
+        lease_calls: ``(era, lease id)`` of the renewals and revocations.
+        grants: ``(era, lease id)`` of the leases that were granted.
         state: the :class:`~jasminehold.standin.store.Store`.
     """
 
@@ -94,6 +101,10 @@
         self._conns = set()
         self._watches = []
         self._ids = itertools.count(70_000)
+        self.era = 1
+        self.lease_calls = []
+        self.grants = []
+        self._era_headers = [(b'store-era', b'1')]
         self._registered = {}
         self._leases = {}
         self._stale_items = {}
@@ -161,6 +172,21 @@
             watch[0].conn.abort()
         self._watches = []
 
+    def copy_state(self):
+        """Return a copy of the data that :meth:`go_back` takes."""
+        return copy.deepcopy((self.state, self._leases, self._ids))
+
+    def go_back(self, state):
+        """Come back from a copy of the data, as after a drill."""
+        self.state, self._leases, self._ids = copy.deepcopy(state)
+        self.era += 1
+        self._era_headers[0] = (b'store-era', b'%d' % self.era)
+        self._scheduled_revision = self._stale_revision = self.state.revision
+        self._stale_items.clear()
+        for conn in list(self._conns):
+            conn.abort()
+        self._watches = []
+
     def close(self):
         """Stop serving."""
         self._listener.close()
@@ -174,6 +200,7 @@
     def _on_accept(self, conn):
         self._conns.add(conn)
         session = http_server.ServerConn(self.loop, conn, self._handle)
+        session.headers = self._era_headers
         conn.on_close = lambda exc: self._on_close(session)
 
     def _on_close(self, session):
@@ -438,6 +465,7 @@
 
     def _lease(self, session, query, doc, lease_id):
         lease = next(self._ids)
+        self.grants.append((self.era, lease))
         self._leases[lease] = self.state.grant(
             doc['TtlMs'] / 1000, self.loop.now()
         )
@@ -452,6 +480,7 @@
         self._reply_to_write(session, {})
 
     def _find_lease(self, lease_id):
+        self.lease_calls.append((self.era, int(lease_id)))
         name = self._leases.get(int(lease_id))
         if name is None:
             raise store_module.Missing()
--- /dev/null
+++ b/tests/features/front_store_era.feature
@@ -0,0 +1,63 @@
+Feature: A store that comes back from an older copy
+  Guards against instances that take what the store says afterwards for old
+  news, and against what was acknowledged before coming undone.
+
+  # Guards against a route that is never served because its version came at a
+  # revision that had been given out before.
+  Scenario: A version written after the store went back is in force everywhere
+    Given a fleet of four instances whose store goes back by 300 revisions
+    When the operator and the upstreams write theirs again
+    And 2 s later a new version adds a route
+    Then all instances serve the new route within 3 s
+    And all instances know the same upstreams and members as the store
+
+  Scenario: Two drills in a row and one within an outage lose no change
+    Given a fleet of four instances whose store goes back by 300 revisions
+    When the store goes back again 1 s later during an outage of 3 s
+    And the operator and the upstreams write theirs again
+    And 2 s later a new version adds a route
+    Then all instances serve the new route within 3 s
+
+  # Guards against a renewal that keeps the lease of another owner alive.
+  Scenario: A lease of a former era is neither renewed nor revoked
+    Given a fleet of four instances whose store goes back by 300 revisions
+    Then all members are in the store again within 2 s
+    And no lease was used outside the era in which it was granted
+    And they made at most 12 calls each for that
+
+  Scenario: A stop right after a drill revokes no lease
+    Given a fleet of four instances whose store goes back by 300 revisions
+    When an instance is told to stop at once
+    Then no lease was used outside the era in which it was granted
+
+  Scenario: What was acknowledged stays in force until it is written again
+    Given a fleet of four instances
+    And a copy of the store's data
+    When upstream "u1" reports that it is leaving
+    And the entry of "u2" is removed
+    And the operator evacuates "sul-b"
+    And version 7 without the route "browse" is in force everywhere
+    And the store goes back to that copy
+    Then for 1.5 s no instance uses "u1", "u2" or "sul-b" or an older version
+
+  Scenario: An evacuation that was taken back ends in the end
+    Given a fleet of four instances
+    When the operator evacuates "sul-b" and all know it
+    And the store goes back to a copy with it and the operator takes it back
+    Then no instance takes "sul-b" for evacuated within 8 s
+
+  Scenario: Copies agree whatever they hear of several eras, and when
+    Given stores that go back at any time, and copies that hear of it in parts
+    Then all copies end as the store's keys once all is written again
+
+  Scenario: An instance of a former era changes nothing
+    Given a copy of era 2 at revision 50
+    When it hears changes, differences and lists of era 1 at revision 90
+    Then it is as before
+
+  Scenario: A withdrawn key does not come back
+    Given a copy of era 1 that saw "jasminehold/quarantine/aa" deleted
+    When era 2 begins with "jasminehold/quarantine/aa" in the store
+    Then the copy does not know "jasminehold/quarantine/aa", also 10 s later
+    When era 2 has "jasminehold/quarantine/aa" written again
+    Then the copy knows "jasminehold/quarantine/aa"
--- /dev/null
+++ b/tests/features/steps/front_store_era_steps.py
@@ -0,0 +1,329 @@
+"""Steps for a store that comes back from an older copy."""
+
+import time
+
+import behave
+import hypothesis
+from hypothesis import strategies as st
+
+from jasminehold.decisions import store_replica
+from tests.builders import front_rig
+from tests.builders import store_drills
+
+UPSTREAMS = ('u1', 'u2', 'u3')
+MEMBERS = 'jasminehold/members/'
+AWAY_S = 0.3
+
+
+@behave.given('a fleet of four instances')
+def given_fleet(context):
+    context.rig = front_rig.FrontRig(UPSTREAMS)
+    context.add_cleanup(context.rig.stop)
+    context.rig.start_fleet()
+
+
+@behave.given("a copy of the store's data")
+def given_copy(context):
+    context.kept = context.rig.call(context.rig.store.copy_state)
+
+
+@behave.given(
+    'a fleet of four instances whose store goes back by {count:d} revisions'
+)
+def given_drilled(context, count):
+    given_fleet(context)
+    given_copy(context)
+    _go_on(context, count)
+    # All have heard of the revisions that get lost.
+    time.sleep(1.2)
+    _drill(context)
+
+
+def _go_on(context, count):
+    rig = context.rig
+    for number in range(count):
+        name = UPSTREAMS[number % len(UPSTREAMS)]
+        rig.put('servers/' + name, _entry(rig, name, Seq=number + 2))
+
+
+def _entry(rig, name, **changes):
+    return rig.upstreams[name].entry('loja', 'sul-a', **changes)
+
+
+def _drill(context):
+    rig = context.rig
+    rig.call(rig.store.set_faults, mode='refuse')
+    time.sleep(AWAY_S)
+
+    def come_back():
+        rig.store.go_back(context.kept)
+        rig.store.set_faults()
+        rig.store.counts.clear()
+
+    rig.call(come_back)
+    context.back_at = time.monotonic()
+
+
+@behave.when('the operator and the upstreams write theirs again')
+def when_again(context):
+    rig = context.rig
+    for name in UPSTREAMS:
+        rig.put('servers/' + name, _entry(rig, name, Seq=400))
+    rules = list(front_rig.RULES)
+    rig.put('op/config', front_rig.configuration(1, rules))
+
+
+@behave.when('{seconds:g} s later a new version adds a route')
+def when_route(context, seconds):
+    time.sleep(seconds)
+    rules = [*front_rig.RULES, front_rig.route('new', '/new/', 'loja')]
+    context.rig.put('op/config', front_rig.configuration(2, rules))
+
+
+@behave.when(
+    'the store goes back again {seconds:g} s later during an outage of'
+    ' {outage:g} s'
+)
+def when_again_back(context, seconds, outage):
+    rig = context.rig
+    time.sleep(seconds)
+    rig.call(rig.store.set_faults, mode='silent')
+    time.sleep(outage / 2)
+    rig.call(rig.store.go_back, context.kept)
+    time.sleep(outage / 2)
+    rig.call(rig.store.set_faults)
+
+
+@behave.then('all instances serve the new route within {seconds:g} s')
+def then_new_route(context, seconds):
+    rig = context.rig
+    end = time.monotonic() + seconds
+    left = set(rig.apps)
+    while left and time.monotonic() < end:
+        left = {n for n in left if rig.ask('/new/a', name=n).status != 200}
+    assert not left, left
+
+
+@behave.then('all instances know the same upstreams and members as the store')
+def then_same(context):
+    rig = context.rig
+
+    def same():
+        found = rig.call(rig.store.state.list, '', '')[0]
+        keys = {key for key, _ in found}
+        servers = {key[8:] for key in keys if key.startswith('servers/')}
+        members = {
+            key[len(MEMBERS) :] for key in keys if key.startswith(MEMBERS)
+        }
+        return members == set(rig.apps) and all(
+            set(app.steering.view.upstreams) == servers
+            and set(app.steering.instances) == members
+            for app in rig.apps.values()
+        )
+
+    rig.wait(same, 'the same upstreams and members')
+
+
+@behave.then('all members are in the store again within {seconds:g} s')
+def then_members(context, seconds):
+    rig = context.rig
+
+    def registered():
+        eras = {lease for era, lease in rig.store.grants if era == 2}
+        return len(eras) >= len(rig.apps) and len(
+            rig.call(rig.store.state.list, MEMBERS, '')[0]
+        ) == len(rig.apps)
+
+    end = context.back_at + seconds
+    while time.monotonic() < end and not registered():
+        time.sleep(0.02)
+    assert registered(), rig.store.grants
+    context.calls = dict(rig.store.counts)
+
+
+@behave.then('no lease was used outside the era in which it was granted')
+def then_leases(context):
+    time.sleep(4.5)
+    store = context.rig.store
+    assert [call for call in store.lease_calls if call[0] == 2]
+    wrong = [call for call in store.lease_calls if call not in store.grants]
+    assert not wrong, wrong
+
+
+@behave.then('they made at most {most:d} calls each for that')
+def then_calls(context, most):
+    total = sum(context.calls.values())
+    assert total <= most * len(context.rig.apps), context.calls
+
+
+@behave.when('an instance is told to stop at once')
+def when_stop(context):
+    app = context.rig.apps['i0']
+    context.rig.on_loop(app.loop, app.leave)
+
+
+@behave.when('the entry of "{name}" is removed')
+def when_removed(context, name):
+    context.rig.call(context.rig.store.delete, 'servers/' + name)
+
+
+@behave.when(
+    'version {number:d} without the route "browse" is in force everywhere'
+)
+def when_version(context, number):
+    rig = context.rig
+    rules = [rule for rule in front_rig.RULES if rule['Name'] == 'order']
+    rig.put('op/config', front_rig.configuration(number, rules))
+    context.version = number
+    rig.wait(
+        lambda: all(
+            app.steering.table.version == number
+            and app.steering.evacuated == {'sul-b'}
+            and app.steering.view.upstreams['u1'].draining
+            and 'u2' not in app.steering.view.upstreams
+            for app in rig.apps.values()
+        ),
+        'the version, the evacuation and the drain',
+    )
+
+
+@behave.when('the store goes back to that copy')
+def when_back(context):
+    _drill(context)
+
+
+@behave.then(
+    'for {seconds:g} s no instance uses "u1", "u2" or "sul-b" or an older'
+    ' version'
+)
+def then_in_force(context, seconds):
+    rig = context.rig
+    rig.wait(
+        lambda: all(app._reader.replica.era == 2 for app in rig.apps.values()),
+        'the new era',
+    )
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        for name, app in rig.apps.items():
+            steering = app.steering
+            assert steering.table.version == context.version, name
+            assert steering.evacuated == {'sul-b'}, name
+            assert steering.view.upstreams['u1'].draining, name
+            assert 'u2' not in steering.view.upstreams, name
+        time.sleep(0.05)
+
+
+@behave.when('the operator evacuates "sul-b" and all know it')
+def when_evacuated(context):
+    rig = context.rig
+    rig.put('op/evacuate/sul-b', {})
+    rig.wait(
+        lambda: all(app.steering.evacuated for app in rig.apps.values()),
+        'the evacuation',
+    )
+
+
+@behave.when(
+    'the store goes back to a copy with it and the operator takes it back'
+)
+def when_back_and_deleted(context):
+    rig = context.rig
+    given_copy(context)
+    _drill(context)
+    rig.call(rig.store.delete, 'op/evacuate/sul-b')
+
+
+@behave.then('no instance takes "sul-b" for evacuated within {seconds:g} s')
+def then_taken_back(context, seconds):
+    rig = context.rig
+    end = time.monotonic() + seconds
+    left = set(rig.apps)
+    while left and time.monotonic() < end:
+        left = {n for n in left if rig.apps[n].steering.evacuated}
+        time.sleep(0.02)
+    assert not left, left
+
+
+@behave.given(
+    'stores that go back at any time, and copies that hear of it in parts'
+)
+def given_drilled_stores(context):
+    @hypothesis.settings(
+        database=None, derandomize=True, max_examples=600, deadline=None
+    )
+    @hypothesis.given(st.integers(0, 10**9), st.integers(1, 60))
+    def play(seed, steps):
+        store = store_drills.DrilledStore(seed)
+        for _ in range(steps):
+            store.step()
+        store.settle()
+        for one in store.copies:
+            found = {key: item.value for key, item in one.items.items()}
+            assert found == store.truth(), (found, store.truth())
+
+    context.play = play
+
+
+@behave.then("all copies end as the store's keys once all is written again")
+def then_agree(context):
+    context.play()
+
+
+@behave.given('a copy of era {era:d} at revision {revision:d}')
+def given_era(context, era, revision):
+    context.copy = store_drills.replica()
+    items = [store_drills.item('servers/a', 40)]
+    context.copy.replace(items, revision, 1.0, 1.0, era)
+
+
+@behave.when(
+    'it hears changes, differences and lists of era {era:d} at revision'
+    ' {revision:d}'
+)
+def when_former(context, era, revision):
+    copy = context.copy
+    old = [store_drills.item('servers/a', 90, None)]
+    copy.apply(old, 50, revision, 2.0, 2.0, era)
+    copy.apply_era((2, 50), old, (era, revision), 2.0, 2.0)
+    copy.replace([], revision, 2.0, 2.0, era)
+
+
+@behave.then('it is as before')
+def then_as_before(context):
+    copy = context.copy
+    assert set(copy.items) == {'servers/a'}
+    assert (copy.era, copy.revision, copy.as_of) == (2, 50, 1.0)
+
+
+@behave.given('a copy of era 1 that saw "{key}" deleted')
+def given_deleted(context, key):
+    context.copy = store_replica.StoreReplica(
+        ('servers/',), 2.2, 2.4, ('jasminehold/quarantine/',)
+    )
+    context.copy.replace([store_drills.item(key, 5)], 5, 1.0, 1.0, 1)
+    context.copy.apply([store_drills.item(key, 6, None)], 5, 6, 2.0, 2.0, 1)
+    assert key not in context.copy.items
+
+
+@behave.when('era 2 begins with "{key}" in the store')
+def when_begins(context, key):
+    context.copy.replace([store_drills.item(key, 5)], 5, 3.0, 3.0, 2)
+
+
+@behave.then('the copy does not know "{key}", also 10 s later')
+def then_unknown(context, key):
+    assert key not in context.copy.items
+    context.copy.drop_lapsed(13.0)
+    assert key not in context.copy.accept_leased(13.0)
+    assert key not in context.copy.items
+
+
+@behave.when('era 2 has "{key}" written again')
+def when_written(context, key):
+    item = store_drills.item(key, 6)
+    context.copy.apply([item], 5, 6, 14.0, 14.0, 2)
+
+
+@behave.then('the copy knows "{key}"')
+def then_known(context, key):
+    assert key in context.copy.items
