Tell peers all that a read brought, and no later revision than it reached

Cause: a reader left out of its news what its copy knew when the answer came, not when the read was sent, and stamped them with its copy's revision and age. If another reader's news came in between, a peer that had not heard those yet took the shorter news for complete: it lacked a change for good while its copy looked fresh. An entry that was deleted and came back unchanged in one read, or that had lapsed, was left out too.

Change: news leave out only what every copy at the revision before the read has, and carry the revision and the time of the read.

--- a/src/jasminehold/decisions/store_replica.py
+++ b/src/jasminehold/decisions/store_replica.py
@@ -213,9 +213,39 @@
         self.revision = max(reached, revision)
         return changed
 
-    def awaits(self, key):
-        """Return whether a key counts only once it is written again."""
-        return key in self._unconfirmed
+    def news(self, events, before, is_same):
+        """Return the events that other replicas have to be told.
+
+        Those are left out that say nothing new to a replica at ``before``.
+        Call this before the events are applied.
+
+        Args:
+            events: list of :class:`Item`, oldest first.
+            before: revision after which they begin.
+            is_same: ``(item, known item) -> bool``.
+        """
+        told = []
+        latest = {}
+        for item in events:
+            known = latest.get(item.key) or self._known_at(item.key, before)
+            if (
+                known is None
+                or known.value is None
+                or item.value is None
+                or not is_same(item, known)
+            ):
+                told.append(item)
+                latest[item.key] = item
+        return told
+
+    def _known_at(self, key, revision):
+        # The item that every replica of a revision has, or None if some may
+        # have another: this one may have heard of later changes since.
+        known = self.items.get(key)
+        if known is None or known.revision > revision:
+            return None
+        doubtful = (self._lapsed, self._lost_until, self._unconfirmed)
+        return None if any(key in keys for keys in doubtful) else known
 
     def on_fresh_peer(self, since):
         """Record the time since which a peer's replica had no outage.
--- a/src/jasminehold/front/peering.py
+++ b/src/jasminehold/front/peering.py
@@ -113,35 +113,39 @@
 
     # Replication of the store copy.
 
-    def send_changes(self, events, before, revision):
+    def send_changes(self, events, before, revision, as_of):
         """Send changes read from the store to the region.
 
         Args:
             events: list of items; None after a full read.
             before: revision that the changes follow.
             revision: revision after the changes.
+            as_of: monotonic seconds at which the read was sent.
         """
         first = revision if events is None else before
-        self._tell_region(events or (), {'before': first})
+        fields = {'before': first, 'revision': revision}
+        self._tell_region(events or (), as_of, fields)
 
-    def send_era(self, differences, former):
+    def send_era(self, differences, former, as_of):
         """Send the beginning of a new era of the store to the region.
 
         Args:
             differences: list of items that differ from the former copy.
             former: ``(era, revision)`` of that copy.
+            as_of: monotonic seconds at which the new era was read.
         """
         fields = {
             'before': self.reader.replica.revision,
             'former': list(former),
         }
-        self._tell_region(differences, fields)
+        self._tell_region(differences, as_of, fields)
 
-    def _tell_region(self, items, fields):
+    def _tell_region(self, items, as_of, fields):
         message = {
             'type': 'news',
             'items': [list(item) for item in items],
             **self._position(),
+            'age': int((self._loop.now() - as_of) * 1000),
             **fields,
         }
         for name in self._region_peers:
--- a/src/jasminehold/front/reader.py
+++ b/src/jasminehold/front/reader.py
@@ -33,8 +33,8 @@
         store: the :class:`~jasminehold.platform.kv.Store`.
         rank: ``() -> int``, this instance's rank as a reader.
         on_change: called with the set of changed keys.
-        on_read: called with ``(events, before, revision)`` after a read
-            of the store, to inform the peers.
+        on_read: called with ``(events, before, revision, as_of)`` after a
+            read of the store, to inform the peers.
         on_era_read: called with the differences and the former ``(era,
             revision)`` after a read that found a new era of the store.
         rng: random source.
@@ -127,10 +127,10 @@
                 items, result.revision, sent_at, self._loop.now(), result.era
             )
             if differences is None:
-                self._on_read(None, 0, replica.revision)
+                self._on_read(None, 0, result.revision, sent_at)
             else:
                 self._log_era(before)
-                self._on_era_read(differences, before)
+                self._on_era_read(differences, before, sent_at)
             self._notify(changed)
 
         self._store.range('', done)
@@ -142,7 +142,7 @@
         for item in items:
             former = known.pop(item.key, None)
             if former is None or (
-                former.value != item.value and _is_news(item, former)
+                former.value != item.value and not _is_same(item, former)
             ):
                 changed.append(item)
         return changed + [
@@ -194,11 +194,13 @@
         events = [
             item for item in items if item.key.startswith(wire.COPIED_PREFIXES)
         ]
-        news = [item for item in events if self._must_relay(item)]
+        news = self.replica.news(events, before, _is_same)
         changed = self.replica.apply(
             events, before, revision, as_of, self._loop.now(), era
         )
-        self._on_read(news, before, self.replica.revision)
+        # Not the replica's revision: peers may have told later changes while
+        # the read was under way.
+        self._on_read(news, before, revision, as_of)
         self._notify(changed or set())
 
     def apply_peer_changes(
@@ -263,15 +265,6 @@
             self._log_era(former)
         self._on_peer_copy(changed, steady_since)
 
-    def _must_relay(self, item):
-        known = self.replica.items.get(item.key)
-        return (
-            item.value is None
-            or known is None
-            or self.replica.awaits(item.key)
-            or _is_news(item, known)
-        )
-
     def _notify(self, changed):
         if changed:
             self._on_change(changed)
@@ -294,17 +287,16 @@
             self._log('store read failed', level='warning', error=exc)
 
 
-def _is_news(item, known):
-    # Upstream reports that change nothing but their time are not sent to the
-    # peers.
+def _is_same(item, known):
+    # Reports of an upstream that change nothing but their time.
     if not item.key.startswith(wire.UPSTREAM_PREFIX):
-        return True
+        return False
     try:
-        return not upstream_view.equal_except_time(
+        return upstream_view.equal_except_time(
             wire.decode_upstream(item), wire.decode_upstream(known)
         )
     except wire.MalformedBody:
-        return True
+        return False
 
 
 class Decoder:
--- a/tests/features/front_rules.feature
+++ b/tests/features/front_rules.feature
@@ -72,6 +72,23 @@
     Given histories of a store that are told late, twice and in parts
     Then the copy equals the store's keys at its revision
 
+  # Guards against a drain that an instance never hears of because the news of
+  # one reader, which leaves out what it knows, overtook those of another.
+  Scenario: Copies of the same revision agree, whoever told them
+    Given copies that read a store at any time and tell what is new
+    Then each copy has the store's states at its revision
+
+  # Guards against copies that look fresh and complete but lack changes.
+  Scenario: News reach to the revision and the time of the read, not further
+    Given a reader with a read sent at 101.0 s
+    When a peer tells revision 60 of 101.4 s before the answer with revision 55
+    Then the reader's news have revision 55 and are of 101.0 s
+
+  Scenario: A lapsed entry that returns unchanged is told
+    Given a copy that keeps the lapsed key "servers/a" after an outage
+    When it reads that "servers/a" is back as it was
+    Then it tells "servers/a"
+
   Scenario: A copy with lapsed keys does not bring them back elsewhere
     Given a copy that keeps the lapsed key "servers/a" after an outage
     And a copy of a peer that saw "servers/a" deleted
--- a/tests/features/steps/front_rules_steps.py
+++ b/tests/features/steps/front_rules_steps.py
@@ -19,6 +19,7 @@
 from jasminehold.decisions import weighted_round_robin
 from jasminehold.front import steering
 from tests.builders import front_values
+from tests.builders import told_copies
 
 
 @behave.given('routes for "/a/", "/a/b/" and the root of another host')
@@ -400,6 +401,69 @@
     context.play()
 
 
+@behave.given('copies that read a store at any time and tell what is new')
+def given_told(context):
+    @hypothesis.settings(
+        database=None, derandomize=True, max_examples=800, deadline=None
+    )
+    @hypothesis.given(st.integers(0, 10**9), st.integers(1, 80))
+    def play(seed, steps):
+        told = told_copies.ToldCopies(seed)
+        for _ in range(steps):
+            told.step()
+            for copy in told.copies:
+                found = told_copies.states(copy.items)
+                truth = told.truth(copy.revision)
+                assert found == truth, (copy.revision, found, truth)
+
+    context.play = play
+
+
+@behave.then("each copy has the store's states at its revision")
+def then_states(context):
+    context.play()
+
+
+@behave.given('a reader with a read sent at {now:g} s')
+def given_reader(context, now):
+    context.lone = told_copies.LoneReader()
+    context.lone.told.clear()
+    context.lone.send_read(now)
+
+
+@behave.when(
+    'a peer tells revision {told:d} of {as_of:g} s before the answer with'
+    ' revision {read:d}'
+)
+def when_overtaken(context, told, as_of, read):
+    lone = context.lone
+    lone.now = as_of + 0.1
+    news = [_item('servers/b', told)]
+    assert lone.reader.apply_peer_changes(news, 50, told, as_of, 0.0)
+    lone.answer([_item('servers/a', read)], read)
+
+
+@behave.then(
+    "the reader's news have revision {revision:d} and are of {as_of:g} s"
+)
+def then_news(context, revision, as_of):
+    events, before, told, told_as_of = context.lone.told[0]
+    assert (before, told) == (50, revision), (before, told)
+    assert told_as_of == as_of, told_as_of
+
+
+@behave.when('it reads that "{key}" is back as it was')
+def when_back(context, key):
+    known = context.first.items[key]
+    event = known._replace(revision=11)
+    context.news = context.first.news([event], 9, told_copies.is_same)
+
+
+@behave.then('it tells "{key}"')
+def then_tells(context, key):
+    assert [item.key for item in context.news] == [key]
+
+
 def _item(key, revision, value=b'x'):
     return store_replica.Item(key, value, revision)
 
