Send callers to instances of their own zone, in proportion to their room

Cores and links counted for nothing.

Change: in zones of 8 instances and more a caller is told of 3 instances of its zone and one elsewhere in the region, for when the zone is lost. They are a weighted sample by hash of its address: stable for a caller, in proportion to the instances' room (cores and link, told in their entries) over all callers. Elsewhere all instances of the region are named as before, and a weighted 64 of them if there are more. A log line of changed members names the changes, not all members.

--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -10,6 +10,7 @@
 
 import circuits
 
+from jasminehold.decisions import instance_sample
 from jasminehold.decisions import route_table
 from jasminehold import errors
 from jasminehold.front import caller
@@ -43,6 +44,8 @@
 STOP_CHECK_EVERY_S = 0.05
 # The platform may change the settings file without sending a signal.
 SETTINGS_CHECK_EVERY_S = 2.0
+# Ids of members that one log line names.
+MEMBERS_LOGGED = 16
 
 _log = logs.get('front')
 
@@ -75,6 +78,7 @@
             'place': cfg.place,
             'region': cfg.places[cfg.place],
             'peers': '%s:%d' % cfg.peer_listen,
+            'room': round(instance_sample.room(cfg.cores, cfg.link_mbps), 1),
         }
         self._build_store()
         self._build_path()
@@ -157,8 +161,7 @@
             _log,
         )
         answers = directory.Directory(
-            lambda: self._members,
-            self._own_entry,
+            self._known_instances,
             lambda: not self.leaving and self.steering.table is not None,
             self.cfg.lookup_ttl,
         )
@@ -168,6 +171,15 @@
         self._directory = self._port(answers.on_request, FILES_RESERVED)
         self._metrics = self._port(self._on_scrape, FILES_RESERVED)
 
+    def _known_instances(self):
+        members = self._members or {self.cfg.id: self._own_entry}
+        return [
+            instance_sample.Instance(
+                name, doc['callers'], doc['place'], doc['region'], doc['room']
+            )
+            for name, doc in members.items()
+        ]
+
     def _port(self, on_request, conns):
         return caller.CallerPort(
             self.loop, self.metrics, self._caller_limits, on_request, conns
@@ -317,8 +329,15 @@
 
     def _on_members(self, items):
         members = self._decoder.members(items)
-        if set(members) != set(self._members):
-            _log('members changed', members=sorted(members))
+        joined = sorted(set(members) - set(self._members))
+        left = sorted(set(self._members) - set(members))
+        if joined or left:
+            _log(
+                'members changed',
+                count=len(members),
+                joined=joined[:MEMBERS_LOGGED],
+                left=left[:MEMBERS_LOGGED],
+            )
         self._members = members
         regions = {name: doc['region'] for name, doc in members.items()}
         self.steering.on_members(regions, self.loop.now())
--- a/src/jasminehold/front/reader.py
+++ b/src/jasminehold/front/reader.py
@@ -23,6 +23,8 @@
 PARTIAL_READ_EVENTS = 400
 # Time that a read waits at the store for a change.
 WATCH_WAIT_S = 0.05
+# Room of an instance whose entry tells none, requests a second.
+DEFAULT_ROOM = 100.0
 
 
 class StoreReader:
@@ -300,7 +302,7 @@
 
 
 class Decoder:
-    """Decodes the items of the copy; upstream entries are cached.
+    """Decodes the items of the copy; entries and members are cached.
 
     Args:
         metrics: counters.
@@ -311,6 +313,7 @@
         self._metrics = metrics
         self._log = log
         self._entries = {}
+        self._members = {}
 
     def upstreams(self, items):
         """Return the valid upstream entries of ``{key: Item}``."""
@@ -357,16 +360,31 @@
 
     def members(self, items):
         """Return ``{id: member document}``, without invalid ones."""
-        members = {}
+        kept = {}
         for key, item in items.items():
-            try:
-                doc = json.loads(item.value)
-                members[key[len(wire.MEMBER_PREFIX) :]] = {
-                    name: str(doc[name])
-                    for name in ('callers', 'place', 'region', 'peers')
-                }
-            except errors.MALFORMED_MESSAGE_ERRORS as exc:
-                self._log(
-                    'member skipped', level='warning', key=key, error=exc
-                )
-        return members
+            known = self._members.get(key)
+            if known is None or known[0] != item.value:
+                known = (item.value, self._member(item))
+            kept[key] = known
+        self._members = kept
+        return {
+            key[len(wire.MEMBER_PREFIX) :]: doc
+            for key, (_, doc) in kept.items()
+            if doc is not None
+        }
+
+    def _member(self, item):
+        try:
+            raw = json.loads(item.value)
+            doc = {
+                name: str(raw[name])
+                for name in ('callers', 'place', 'region', 'peers')
+            }
+            # Instances of an older version do not tell theirs.
+            doc['room'] = float(raw.get('room', DEFAULT_ROOM))
+            return doc
+        except errors.MALFORMED_MESSAGE_ERRORS as exc:
+            self._log(
+                'member skipped', level='warning', key=item.key, error=exc
+            )
+            return None
--- a/tests/builders/front_rig.py
+++ b/tests/builders/front_rig.py
@@ -196,6 +196,7 @@
             peer_key=None,
             store=('127.0.0.1', self.store.port),
             max_files=1024,
+            cores=1.0,
             link_mbps=1000.0,
             stop_grace=3.0,
             lookup_ttl=2.0,
--- a/tests/features/front_settings.feature
+++ b/tests/features/front_settings.feature
@@ -31,6 +31,8 @@
       | Limits.LinkMbps     | 0.05      |
       | Limits.LinkMbps     | 10000000  |
       | Limits.LinkMbps     | null      |
+      | Limits.CpuShare     | 2.15      |
+      | Limits.CpuShare     | null      |
       | Seeds               | []        |
       | Seeds               | null      |
 
