Tell differences instead of lists, and read missing changes from the store

Cause: each read of all items, also the first one of an instance that starts, made all peers of the region ask it for its whole list, which is 300 kB at 720 upstreams; so did each gap in the news. Eight instances that started together sent 588 bytes of such requests, and 833 with an outage of 3 s.

Change: the first read is told to nobody; a later one is told as its differences to the copy before, which count at exactly that era and revision. An instance that misses changes reads them from the store within 0.3 s, one call, and asks a peer for a list only if the store does not answer it, or the era changed. An instance that starts asks a peer after 0.5 s without a copy.

Result: three scenarios of front_control.feature failed and pass, and the property over several copies now has lists and differences as well.

--- a/src/jasminehold/decisions/store_replica.py
+++ b/src/jasminehold/decisions/store_replica.py
@@ -146,36 +146,41 @@
                 self._lost_until[key] = now + LOST_KEEP_S
         return changed
 
-    def apply_era(self, before, events, start, as_of, now):
-        """Begin a new era by its differences to the end of the last one.
+    def apply_differences(self, before, events, start, as_of, now):
+        """Apply the differences between two complete lists of the items.
 
         Args:
-            before: ``(era, revision)`` that the differences refer to.
+            before: ``(era, revision)`` of the first list.
             events: list of :class:`Item`.
-            start: ``(era, revision)`` after them.
-            as_of: monotonic seconds at which the new era was read.
+            start: ``(era, revision)`` of the second list.
+            as_of: monotonic seconds at which the second list was read.
             now: monotonic seconds.
 
         Returns:
             Set of the keys that changed, or None if the replica does not
             correspond to exactly ``before``.
         """
-        if start <= (self.era, self.revision):
+        current = (self.era, self.revision)
+        if start < current:
             return set()
-        if (self.era, self.revision) != before:
+        if start != current and current != before:
             return None
+        if start == current:
+            self._refresh(as_of, now)
+            return set()
         era, revision = start
-        listed = {
-            item.key: item._replace(revision=min(item.revision, revision))
-            for item in self.without_lapsed()
-        }
+        listed = {item.key: item for item in self.without_lapsed()}
         for item in events:
             listed[item.key] = item
             if item.value is None:
                 del listed[item.key]
-        return self._begin_era(
-            list(listed.values()), revision, as_of, now, era
-        )
+        if era > self.era:
+            listed = {
+                key: item._replace(revision=min(item.revision, revision))
+                for key, item in listed.items()
+            }
+        items = list(listed.values())
+        return self.replace(items, revision, as_of, now, era)
 
     def apply(self, events, before, revision, as_of, now, era=0):
         """Apply a sequence of changes.
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -112,7 +112,7 @@
             self._peering.rank,
             self._on_change,
             self._peering.send_changes,
-            self._peering.send_era,
+            self._peering.send_list,
             self.rng,
             _log,
         )
--- a/src/jasminehold/front/peering.py
+++ b/src/jasminehold/front/peering.py
@@ -2,8 +2,8 @@
 
 Messages on the authenticated streams between instances:
 ``news``: changes that a reader of the region read from the store. With
-``former``, the era and revision of the reader's copy before a new era of the
-store, they are the differences to that copy.
+``former``, the era and revision of the reader's copy before it read all items,
+they are the differences to that copy.
 ``snapshot``: the full copy, requested when changes are missing.
 """
 
@@ -17,6 +17,8 @@
 
 SNAPSHOT_TIMEOUT_S = 1.0
 SNAPSHOT_INTERVAL_S = 0.5
+# Time in which an instance that starts reads the store, if it can.
+FIRST_READ_S = 0.5
 # Links to instances of other regions, so that a region that cannot reach the
 # store still gets a copy.
 REMOTE_REGION_PEERS = 1
@@ -117,22 +119,21 @@
         """Send changes read from the store to the region.
 
         Args:
-            events: list of items; None after a full read.
+            events: list of items.
             before: revision that the changes follow.
             revision: revision after the changes.
             as_of: monotonic seconds at which the read was sent.
         """
-        first = revision if events is None else before
-        fields = {'before': first, 'revision': revision}
-        self._tell_region(events or (), as_of, fields)
+        fields = {'before': before, 'revision': revision}
+        self._tell_region(events, as_of, fields)
 
-    def send_era(self, differences, former, as_of):
-        """Send the beginning of a new era of the store to the region.
+    def send_list(self, differences, former, as_of):
+        """Send what a read of all items changed to the region.
 
         Args:
             differences: list of items that differ from the former copy.
             former: ``(era, revision)`` of that copy.
-            as_of: monotonic seconds at which the new era was read.
+            as_of: monotonic seconds at which the read was sent.
         """
         fields = {
             'before': self.reader.replica.revision,
@@ -170,7 +171,7 @@
         as_of = now - message['age'] / 1000
         steady_since = now - message['steady'] / 1000
         if 'former' in message:
-            taken = self.reader.apply_peer_era(
+            taken = self.reader.apply_peer_list(
                 items,
                 tuple(message['former']),
                 (era, revision),
@@ -181,14 +182,19 @@
             taken = self.reader.apply_peer_changes(
                 items, message['before'], revision, as_of, steady_since, era
             )
-        if not taken:
+        if not taken and not self.reader.catch_up(era):
             self._request_snapshot(sender)
 
     def _on_up(self, name):
         if not self.reader.replica.revision:
-            self._request_snapshot(name)
+            self._loop.call_later(FIRST_READ_S, self._request_first, name)
         self.on_link_up(name)
 
+    def _request_first(self, name):
+        # Most instances have read the store themselves by now.
+        if not self.reader.replica.revision:
+            self._request_snapshot(name)
+
     def _request_snapshot(self, name):
         now = self._loop.now()
         if now - self._snapshot_requested_at < SNAPSHOT_INTERVAL_S:
--- a/src/jasminehold/front/reader.py
+++ b/src/jasminehold/front/reader.py
@@ -23,6 +23,8 @@
 PARTIAL_READ_EVENTS = 400
 # Time that a read waits at the store for a change.
 WATCH_WAIT_S = 0.05
+# Instances that lack changes read them within this time, not all at once.
+CATCH_UP_SPREAD_S = 0.3
 # Room of an instance whose entry tells none, requests a second.
 DEFAULT_ROOM = 100.0
 
@@ -37,8 +39,9 @@
         on_change: called with the set of changed keys.
         on_read: called with ``(events, before, revision, as_of)`` after a
             read of the store, to inform the peers.
-        on_era_read: called with the differences and the former ``(era,
-            revision)`` after a read that found a new era of the store.
+        on_list: called with ``(differences, former, as_of)`` after a read of
+            all items: the differences to the copy before, and the ``(era,
+            revision)`` of that.
         rng: random source.
         log: structured log.
 
@@ -47,7 +50,7 @@
     """
 
     def __init__(
-        self, loop, store, rank, on_change, on_read, on_era_read, rng, log
+        self, loop, store, rank, on_change, on_read, on_list, rng, log
     ):
         self.replica = store_replica.StoreReplica(
             wire.LEASED_PREFIXES,
@@ -60,11 +63,13 @@
         self._rank = rank
         self._on_change = on_change
         self._on_read = on_read
-        self._on_era_read = on_era_read
+        self._on_list = on_list
         self._rng = rng
         self._log = log
         self._reading = False
         self._retry_at = 0.0
+        self._last_read_failed = False
+        self._catch_up_at = None
         self._lost = False
         self._boot_clock_lead_s = (
             time.clock_gettime(time.CLOCK_BOOTTIME) - loop.now()
@@ -88,6 +93,9 @@
             self._lost = True
             self._log('store lost', level='warning', age_s=round(age, 2))
         due = age >= read_schedule.threshold_s(self._rank()) - TICK_S / 2
+        if self._catch_up_at is not None and now >= self._catch_up_at:
+            self._catch_up_at = None
+            due = True
         if due and not self._reading and now >= self._retry_at:
             self._reading = True
             # After an outage the missed changes would take many responses;
@@ -122,17 +130,16 @@
             ]
             replica = self.replica
             before = (replica.era, replica.revision)
-            differences = None
-            if before[1] and result.era > before[0]:
-                differences = self._differences(items, result.revision)
+            if (result.era, result.revision) < before:
+                return
+            differences = self._differences(items, result.revision)
             changed = replica.replace(
                 items, result.revision, sent_at, self._loop.now(), result.era
             )
-            if differences is None:
-                self._on_read(None, 0, result.revision, sent_at)
-            else:
+            # Peers do not wait for the first read of an instance that starts.
+            if before[1]:
                 self._log_era(before)
-                self._on_era_read(differences, before, sent_at)
+                self._on_list(differences, before, sent_at)
             self._notify(changed)
 
         self._store.range('', done)
@@ -152,6 +159,8 @@
         ]
 
     def _log_era(self, before):
+        if self.replica.era == before[0]:
+            return
         self._log(
             'store went back',
             level='warning',
@@ -223,26 +232,50 @@
         )
         return self._on_peer_copy(changed, steady_since)
 
-    def apply_peer_era(self, items, before, start, as_of, steady_since):
-        """Begin a new era of the store that a peer found.
+    def apply_peer_list(self, items, before, start, as_of, steady_since):
+        """Apply the differences that a peer found in a complete list.
 
         Args:
-            items, before, start: as for :meth:`StoreReplica.apply_era`.
+            items, before, start: as for
+                :meth:`StoreReplica.apply_differences`.
             as_of, steady_since: as for :meth:`apply_peer_changes`.
 
         Returns:
             False if this copy differed from the peer's.
         """
         former = (self.replica.era, self.replica.revision)
-        if start <= former:
+        if start < former:
             return True
-        changed = self.replica.apply_era(
+        changed = self.replica.apply_differences(
             before, items, start, as_of, self._loop.now()
         )
         if changed is not None:
             self._log_era(former)
         return self._on_peer_copy(changed, steady_since)
 
+    def catch_up(self, era):
+        """Read missing changes from the store soon, if it is of use.
+
+        A read costs one call; a list from a peer many times the bytes.
+
+        Args:
+            era: era of the store in which changes are missing.
+
+        Returns:
+            False if the changes have to come from a peer.
+        """
+        if (
+            not self.replica.revision
+            or era != self.replica.era
+            or self._last_read_failed
+        ):
+            return False
+        if self._catch_up_at is None:
+            self._catch_up_at = (
+                self._loop.now() + CATCH_UP_SPREAD_S * self._rng.random()
+            )
+        return True
+
     def _on_peer_copy(self, changed, steady_since):
         if changed is None:
             return False
@@ -263,7 +296,7 @@
         changed = replica.replace(
             items, revision, as_of, self._loop.now(), era
         )
-        if era > former[0] and former[1]:
+        if former[1]:
             self._log_era(former)
         self._on_peer_copy(changed, steady_since)
 
@@ -273,6 +306,7 @@
 
     def _finish_read(self):
         self._reading = False
+        self._last_read_failed = False
         self._on_store_contact()
 
     def _on_store_contact(self):
@@ -282,6 +316,7 @@
 
     def _on_failed(self, exc):
         self._reading = False
+        self._last_read_failed = True
         sent = not isinstance(exc, errors.NotConnected)
         pause = read_schedule.retry_s(self._rank(), sent, self._rng)
         self._retry_at = self._loop.now() + pause
--- a/tests/builders/store_drills.py
+++ b/tests/builders/store_drills.py
@@ -124,7 +124,9 @@
         if kind == 'news':
             one.apply(entries, before, revision, as_of, self.now, era)
         elif kind == 'era':
-            one.apply_era(before, entries, (era, revision), as_of, self.now)
+            one.apply_differences(
+                before, entries, (era, revision), as_of, self.now
+            )
         else:
             one.replace(entries, revision, as_of, self.now, era)
 
--- a/tests/builders/told_copies.py
+++ b/tests/builders/told_copies.py
@@ -45,6 +45,7 @@
         """Carry out a random event."""
         kind = self._rng.choice(
             (self._write, self._write, self._send, self._receive, self._tell)
+            + (self._tell, self._list)
         )
         kind()
 
@@ -69,15 +70,43 @@
         copy, events, before, revision = self._reads.pop(number)
         news = copy.news(events, before, is_same)
         copy.apply(events, before, revision, 0.0, 0.0)
-        self._messages.append((news, before, revision))
+        self._messages.append(
+            lambda copy: copy.apply(news, before, revision, 0.0, 0.0)
+        )
+
+    def _list(self):
+        # A read of all items, as after an outage.
+        copy = self._rng.choice(self.copies)
+        before, start = (0, copy.revision), (0, self._revision)
+        found = self._items(self._revision)
+        known = dict(copy.items)
+        differences = [
+            item
+            for key, item in found.items()
+            if key not in known or not is_same(item, known[key])
+        ]
+        differences += [
+            store_replica.Item(key, None, self._revision)
+            for key in known
+            if key not in found
+        ]
+        copy.replace(list(found.values()), self._revision, 0.0, 0.0)
+        self._messages.append(
+            lambda other: other.apply_differences(
+                before, differences, start, 0.0, 0.0
+            )
+        )
 
     def _tell(self):
         if self._messages:
-            copy = self._rng.choice(self.copies)
-            copy.apply(*self._rng.choice(self._messages[-6:]), 0.0, 0.0)
+            message = self._rng.choice(self._messages[-6:])
+            message(self._rng.choice(self.copies))
 
     def truth(self, revision):
         """Return the ``{key: state}`` of the store at a revision."""
+        return states(self._items(revision))
+
+    def _items(self, revision):
         found = {}
         for item in self._events:
             if item.revision > revision:
@@ -85,7 +114,7 @@
             found[item.key] = item
             if item.value is None:
                 del found[item.key]
-        return states(found)
+        return found
 
 
 def states(items):
--- a/tests/features/front_control.feature
+++ b/tests/features/front_control.feature
@@ -107,3 +107,20 @@
     When an operator asks for the status of both and of an unused address
     Then the first is serving, the second behind and the last silent
     And the exit status is 3
+
+  # Load pattern: a whole region starts, or comes back from an outage, at once.
+  # Guards against lists of all entries that everyone sends to everyone.
+  Scenario: Instances that start together send each other no lists
+    Given 8 instances of one region that start together
+    Then none asked another one for a list
+
+  Scenario: After an outage the differences are told, not the lists
+    Given 8 instances of one region that start together
+    When the store is silent for 3 s while version 9 and 40 entries are written
+    Then all instances have version 9 and the entries within 2.5 s
+    And none asked another one for a list
+
+  Scenario: An instance that missed news reads them from the store
+    Given 8 instances of one region that start together
+    When an instance is told of changes after ones that it missed
+    Then it has read the store and asked no one for a list
--- a/tests/features/steps/front_steps.py
+++ b/tests/features/steps/front_steps.py
@@ -709,3 +709,105 @@
     first = context.found[0]
     assert (first['instance'], first['config']) == ('i1', 9), first
     assert first['upstreams'] == 3 and first['copy_age_s'] < 2, first
+
+
+@behave.given('{count:d} instances of one region that start together')
+def given_region(context, count):
+    rig = _rig(context)
+    names = ['i%d' % number for number in range(count)]
+    for number, name in enumerate(names):
+        seeds = [app.cfg.peer_listen for app in rig.apps.values()][:2]
+        rig.start(name, 'sul-a', seeds, number)
+    for name in names:
+        rig.wait_ready(name)
+        steering = rig.apps[name].steering
+        rig.wait(lambda: set(steering.instances) == set(names), 'members')
+    rig.wait(
+        lambda: all(
+            len(app._peering.mesh.connected()) == count - 1
+            for app in rig.apps.values()
+        ),
+        'links',
+    )
+
+
+def _lists_asked(rig):
+    # Requests for lists that the instances have sent.
+    return sum(
+        app.metrics.value('peer_bytes_sent_by_type', type='snapshot')
+        for app in rig.apps.values()
+    )
+
+
+@behave.then('none asked another one for a list')
+def then_no_lists(context):
+    assert not _lists_asked(context.rig), _lists_asked(context.rig)
+
+
+@behave.when(
+    'the store is silent for {seconds:g} s while version {number:d} and'
+    ' {count:d} entries are written'
+)
+def when_written_silently(context, seconds, number, count):
+    rig = context.rig
+    rig.call(rig.store.set_faults, mode='silent')
+    rules = list(front_rig.RULES)
+    rig.put('op/config', front_rig.configuration(number, rules))
+    entry = rig.upstreams['u1'].entry('loja', 'sul-b')
+    context.entries = {'x%d' % index for index in range(count)}
+    for name in context.entries:
+        rig.put('servers/' + name, entry)
+    time.sleep(seconds)
+    rig.call(rig.store.set_faults)
+
+
+@behave.then(
+    'all instances have version {number:d} and the entries within'
+    ' {seconds:g} s'
+)
+def then_have_entries(context, number, seconds):
+    left = dict(context.rig.apps)
+    end = time.monotonic() + seconds
+    while left and time.monotonic() < end:
+        time.sleep(0.05)
+        left = {
+            name: app
+            for name, app in left.items()
+            if app.steering.table.version != number
+            or not context.entries <= set(app.steering.view.upstreams)
+        }
+    assert not left, sorted(left)
+
+
+@behave.when('an instance is told of changes after ones that it missed')
+def when_missed(context):
+    rig = context.rig
+    app = rig.apps['i0']
+    revision = app._reader.replica.revision
+    context.calls = app.metrics.value(
+        'store_calls_total', call='kv-watch', result='ok'
+    )
+    message = {
+        'type': 'news',
+        'items': [],
+        'era': app._reader.replica.era,
+        'before': revision + 5,
+        'revision': revision + 6,
+        'age': 0,
+        'steady': 1000,
+    }
+    rig.on_loop(app.loop, app._peering._on_news, 'i1', message, None)
+
+
+@behave.then('it has read the store and asked no one for a list')
+def then_caught_up(context):
+    rig = context.rig
+    app = rig.apps['i0']
+    rig.wait(
+        lambda: app.metrics.value(
+            'store_calls_total', call='kv-watch', result='ok'
+        )
+        > context.calls,
+        'a read of its own',
+    )
+    assert not _lists_asked(rig)
--- a/tests/features/steps/front_store_era_steps.py
+++ b/tests/features/steps/front_store_era_steps.py
@@ -284,7 +284,7 @@
     copy = context.copy
     old = [store_drills.item('servers/a', 90, None)]
     copy.apply(old, 50, revision, 2.0, 2.0, era)
-    copy.apply_era((2, 50), old, (era, revision), 2.0, 2.0)
+    copy.apply_differences((2, 50), old, (era, revision), 2.0, 2.0)
     copy.replace([], revision, 2.0, 2.0, era)
 
 
