--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -28,6 +28,9 @@
       | an instance went back to a configuration | newest_configuration_holds |
       | repeats exceed the budget                | repeats_stay_in_budget     |
       | an upstream got more than its limit      | limits_hold                |
+      | an upstream that leaves got a request    | leaving_gets_nothing       |
+      | an upstream got requests in its pause    | pauses_hold                |
+      | an endless answer held a request         | endless_answers_end        |
       | a crashing request was sent on           | crashing_requests_are_stopped |
       | a planned stop cut a request             | planned_stop_cuts_nothing  |
       | nothing is served after the faults       | service_returns            |
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -106,6 +106,30 @@
     return record
 
 
+def _leaving():
+    sent = [_sent('a'), _sent('b', begin=30.0, end=30.1)]
+    record = _record(sent, (20.05, 'u1', 'a', True), (30.05, 'u1', 'b', False))
+    record.leaving['u1'] = 19.0
+    return record
+
+
+def _in_pause():
+    names = ['r%d' % number for number in range(4)]
+    arrivals = [
+        (20.0 + number * 0.7, 'u1', name, False)
+        for number, name in enumerate(names)
+    ]
+    sent = [_sent(name, idempotent=True, status=503) for name in names]
+    record = _record(sent, *arrivals)
+    record.pauses.append(['u1', 3.0, 19.0, 24.0])
+    return record
+
+
+def _held():
+    fault = 'endless-interim'
+    return _record([_sent('a', end=23.0, status=504, fault=fault)])
+
+
 def _sent_on():
     names = ['r%d' % number for number in range(20)]
     arrivals = [
@@ -139,6 +163,9 @@
     'an instance went back to a configuration': _back,
     'repeats exceed the budget': _repeats,
     'an upstream got more than its limit': _over_limit,
+    'an upstream that leaves got a request': _leaving,
+    'an upstream got requests in its pause': _in_pause,
+    'an endless answer held a request': _held,
     'a crashing request was sent on': _sent_on,
     'a planned stop cut a request': _cut,
     'nothing is served after the faults': _nothing,
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -27,6 +27,9 @@
     'encoded',
     'bare',
     'error',
+    'endless-interim',
+    'endless-foreign',
+    'endless-behind',
 )
 
 
@@ -91,6 +94,7 @@
                 reply.complete,
                 _named(reply),
                 read,
+                fault,
             )
         )
         closes = reply.headers.get('connection') == 'close'
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -19,6 +19,13 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_OVER = 1.5
 LIMIT_SLACK = 5
+# Requests that may reach an upstream in a pause that it asked for, this long
+# after its response.
+PAUSE_REQUESTS_MAX = 2
+PAUSE_TOLD_S = 0.5
+# Time after which a request whose upstream answers without end has its own
+# answer.
+ENDLESS_S = 1.5
 # A request that crashed this many upstreams is sent on this often at most.
 CRASHES_MAX = 3
 LATE_COPIES_MAX = 3
@@ -42,6 +49,7 @@
         whole: whether the answer was whole.
         named: id that the answer's body names, None without.
         read: whether the instance had taken the whole request.
+        fault: fault of the upstream that it asked for, '' for none.
     """
 
     id: str
@@ -55,6 +63,7 @@
     whole: bool
     named: str
     read: bool
+    fault: str = ''
 
 
 class Arrival(typing.NamedTuple):
@@ -85,6 +94,11 @@
         # [upstream, requests a second, begin, end] of each stated limit; end
         # is None while it lasts.
         self.limits = []
+        # {upstream: monotonic seconds from which on it says that it leaves}.
+        self.leaving = {}
+        # [upstream, seconds, begin, end] of pauses that upstreams asked for;
+        # end is None while they do.
+        self.pauses = []
         # Paths of requests that crash the upstreams that run them.
         self.crashing = set()
         # (instance, incarnation, at) of each planned stop.
@@ -263,6 +277,81 @@
                 break
 
 
+def leaving_gets_nothing(record):
+    """An upstream that said that it leaves gets nothing soon after."""
+    by_id = {sent.id: sent for sent in record.sent}
+    for upstream, begin in record.leaving.items():
+        told = {}
+        for item in sorted(record.arrivals):
+            sent = by_id.get(item.request_id)
+            if item.upstream != upstream or sent is None or item.at < begin:
+                continue
+            process = (sent.instance, sent.incarnation)
+            if sent.begin > told.get(process, sent.begin) + DRAIN_S + SLACK_S:
+                if record.in_touch(sent.instance, item.at, store=False):
+                    yield '%s reached %s %.1f s after it said so' % (
+                        sent.id,
+                        upstream,
+                        item.at - told[process],
+                    )
+            if item.ran and sent.whole and sent.named == sent.id:
+                told[process] = min(told.get(process, sent.end), sent.end)
+
+
+def pauses_hold(record):
+    """An upstream gets hardly anything in a pause that it asked for."""
+    by_id = {sent.id: sent for sent in record.sent}
+    ran = {
+        (item.upstream, item.request_id)
+        for item in record.arrivals
+        if item.ran
+    }
+    for upstream, seconds, begin, end in record.pauses:
+        times = collections.defaultdict(list)
+        for item in sorted(record.arrivals):
+            sent = by_id.get(item.request_id)
+            if item.upstream != upstream or item.ran or sent is None:
+                continue
+            times[sent.instance, sent.incarnation].append(item)
+        for (instance, _), items in times.items():
+            for asked in items:
+                turned_away = (upstream, asked.request_id) not in ran
+                if not turned_away or not begin <= asked.at < (
+                    end or asked.at
+                ):
+                    continue
+                late = [
+                    item.at
+                    for item in items
+                    if asked.at + PAUSE_TOLD_S
+                    < item.at
+                    < asked.at + seconds - SLACK_S
+                    and record.in_touch(instance, item.at, store=False)
+                ]
+                if len(late) > PAUSE_REQUESTS_MAX:
+                    yield '%s got %d requests from %s in its pause' % (
+                        upstream,
+                        len(late),
+                        instance,
+                    )
+                    break
+
+
+def endless_answers_end(record):
+    """A request whose upstream answers without end has its answer soon."""
+    for sent in record.sent:
+        if (
+            sent.fault.startswith('endless-')
+            and sent.end - sent.begin > ENDLESS_S
+        ):
+            if record.in_touch(sent.instance, sent.end):
+                yield '%s took %.1f s with %s' % (
+                    sent.id,
+                    sent.end - sent.begin,
+                    sent.fault,
+                )
+
+
 def crashing_requests_are_stopped(record):
     """A request that crashes upstreams is not sent on without end."""
     by_id = {sent.id: sent for sent in record.sent}
@@ -315,6 +404,9 @@
     newest_configuration_holds,
     repeats_stay_in_budget,
     limits_hold,
+    leaving_gets_nothing,
+    pauses_hold,
+    endless_answers_end,
     crashing_requests_are_stopped,
     planned_stop_cuts_nothing,
     service_returns,
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -11,8 +11,11 @@
 from jasminehold.decisions import upstream_view
 from jasminehold.front import app
 from jasminehold.front import crash_guard
+from jasminehold.front import departures
 from jasminehold.front import exchange
 from jasminehold.front import steering
+from jasminehold.front import upstream_conn
+from jasminehold.platform import wire
 
 
 def repeats_orders():
@@ -102,6 +105,27 @@
     stated_limits.StatedLimits.admits = lambda self, *args: True
 
 
+def forgets_eras():
+    """Takes a store that went back for one that did not."""
+    wire.decode_era = lambda headers: None
+
+
+def ignores_departures():
+    """Takes upstreams that say that they leave for any others."""
+    departures.Departures.on_response = lambda self, *args: None
+
+
+def ignores_pauses():
+    """Sends to upstreams that asked for a pause."""
+    steering.Steering.on_pause = lambda self, *args: None
+
+
+def reads_without_end():
+    """Reads whatever an upstream sends."""
+    upstream_conn.INTERIM_RESPONSES_MAX = 10**9
+    upstream_conn.FOREIGN_RESPONSES_MAX = 10**9
+
+
 def sends_crashing_requests_on():
     """Takes no request for one that crashes upstreams."""
     crash_guard.CrashGuard.on_lost = lambda self, *args: None
@@ -137,6 +161,10 @@
     'goes_back': 'newest_configuration_holds',
     'repeats_without_end': 'repeats_stay_in_budget',
     'ignores_limits': 'limits_hold',
+    'forgets_eras': 'newest_configuration_holds',
+    'ignores_departures': 'leaving_gets_nothing',
+    'ignores_pauses': 'pauses_hold',
+    'reads_without_end': 'endless_answers_end',
     'sends_crashing_requests_on': 'crashing_requests_are_stopped',
     'stops_at_once': 'planned_stop_cuts_nothing',
     'never_returns': 'service_returns',
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -42,6 +42,8 @@
 CRASHING_NUMBERS = 1000
 # Part of the seeds whose instances have clocks that step.
 CLOCKS_PART = 0.5
+# Age of the oldest copy that the store comes back from, seconds.
+COPY_AGE_MAX_S = 5.0
 # Time in which faults are over at the end of a run.
 CALM_S = 6.0
 
@@ -54,11 +56,18 @@
         self._seed = seed
         self._rng = rng
         self._ends = []
+        # (at, copy of the store) of earlier steps.
+        self._copies = []
         self.crashing = []
 
     def step(self):
         """Begin one fault and end those that are due."""
-        self.finish(time.monotonic())
+        now = time.monotonic()
+        self.finish(now)
+        self._copies = [
+            item for item in self._copies if item[0] > now - COPY_AGE_MAX_S
+        ]
+        self._copies.append((now, self.world.copy_state()))
         kind = self._rng.choice(
             (
                 self._store,
@@ -74,6 +83,9 @@
                 self._send_crashing,
                 self._forget,
                 self._reload,
+                self._go_back,
+                self._leave,
+                self._ask_pause,
             )
         )
         kind()
@@ -161,6 +173,7 @@
     def _drain(self):
         names = [name for name in self.world.upstreams if name[0] == 'u']
         drained = {name for _, name in self.world.record.drains}
+        drained |= set(self.world.record.leaving)
         left = [name for name in names if name not in drained]
         if len(left) > 2:
             self.world.drain(self._rng.choice(left))
@@ -203,6 +216,35 @@
 
         self._later(4.0, 9.0, end)
 
+    def _go_back(self):
+        begin, world = time.monotonic(), self.world
+        state = self._rng.choice(self._copies)[1]
+        after_s = self._rng.uniform(0.1, 1.5)
+        world.on_loop(world.store.set_faults, mode='refuse')
+
+        def end():
+            world.go_back(state, after_s)
+            # What the writers have not written again is not in force.
+            self._later(after_s, after_s, lambda: world.trouble(None, begin))
+
+        self._later(0.1, 1.0, end)
+
+    def _leave(self):
+        world = self.world
+        names = sorted(name for name in world.upstreams if name[0] == 'u')
+        gone = {name for _, name in world.record.drains}
+        left = [n for n in names if n not in gone | set(world.record.leaving)]
+        if len(left) > 2:
+            world.leave(self._rng.choice(left))
+            world.add_upstream('u%d' % len(names))
+
+    def _ask_pause(self):
+        world = self.world
+        name = self._rng.choice(sorted(world.upstreams))
+        if world.upstreams[name].retry_after is None:
+            world.ask_pause(name, self._rng.choice((0.7, 1.5, 3.0)))
+            self._later(1.0, 5.0, lambda: world.end_pause(name))
+
     def _forget(self):
         self.world.on_loop(self.world.store.compact_history)
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -105,6 +105,8 @@
         self.upstreams = {}
         self.version = 0
         self.evacuated = None
+        # What the operator and the upstreams wrote last, by key.
+        self._written = {}
         self._thread = threading.Thread(target=self.root.run, daemon=True)
         self._thread.start()
         for index in range(upstreams):
@@ -131,10 +133,57 @@
             place = places[len(self.upstreams) % len(places)]
             item.place = place
             self.record.places[name] = place
-            self.store.put('servers/' + name, item.entry('loja', place))
+            self._put('servers/' + name, item.entry('loja', place))
 
         self.on_loop(add)
 
+    def _put(self, key, doc):
+        self._written[key] = doc
+        self.store.put(key, doc)
+
+    def copy_state(self):
+        """Return a copy of the store that it can go back to."""
+        return self.on_loop(self.store.copy_state)
+
+    def go_back(self, state, write_after_s):
+        """Let the store come back from a copy, and the writers write again.
+
+        Args:
+            state: result of :meth:`copy_state`.
+            write_after_s: seconds until they do.
+        """
+
+        def write_again():
+            for key, doc in self._written.items():
+                self.store.put(key, doc)
+            found, _ = self.store.state.list('op/', '')
+            for key in {key for key, _ in found} - set(self._written):
+                self.store.delete(key)
+
+        def drill():
+            self.store.go_back(state)
+            self.store.set_faults()
+            self.loop.call_later(write_after_s, write_again)
+
+        self.on_loop(drill)
+
+    def leave(self, name):
+        """Let an upstream say in its responses that it leaves."""
+        self.record.leaving[name] = time.monotonic()
+        self.upstreams[name].leaving = True
+
+    def ask_pause(self, name, seconds):
+        """Let an upstream reject all requests and ask for a pause."""
+        self.record.pauses.append([name, seconds, time.monotonic(), None])
+        self.upstreams[name].retry_after = b'%g' % seconds
+
+    def end_pause(self, name):
+        """Let an upstream take requests again."""
+        self.upstreams[name].retry_after = None
+        for item in self.record.pauses:
+            if item[0] == name and item[3] is None:
+                item[3] = time.monotonic()
+
     def _observe(self, name, request_id, ran):
         self.record.arrivals.append(
             checks.Arrival(time.monotonic(), name, request_id, ran)
@@ -149,14 +198,14 @@
             front_rig.route('gen', '/gen%d/' % self.version, 'loja'),
         ]
         doc = front_rig.configuration(self.version, rules)
-        self.on_loop(self.store.put, 'op/config', doc)
+        self.on_loop(self._put, 'op/config', doc)
         self.record.versions.append((time.monotonic(), self.version))
 
     def drain(self, name):
         """Let an upstream report that it is leaving."""
         item = self.upstreams[name]
         entry = item.entry('loja', item.place, State='draining', Seq=2)
-        self.on_loop(self.store.put, 'servers/' + name, entry)
+        self.on_loop(self._put, 'servers/' + name, entry)
         self.record.drains.append((time.monotonic(), name))
 
     def limit(self, name, per_s):
@@ -174,13 +223,14 @@
     def evacuate(self, place):
         """Ask that nothing more is sent to a place."""
         self.evacuated = place
-        self.on_loop(self.store.put, 'op/evacuate/' + place, {})
+        self.on_loop(self._put, 'op/evacuate/' + place, {})
         self.record.evacuations.append([place, time.monotonic(), None])
 
     def take_back(self):
         """End the evacuation."""
         self.record.evacuations[-1][2] = time.monotonic()
         place, self.evacuated = self.evacuated, None
+        self._written.pop('op/evacuate/' + place)
         self.on_loop(self.store.delete, 'op/evacuate/' + place)
 
     def trouble(self, name, begin):
