--- a/tests/features/front_control.feature
+++ b/tests/features/front_control.feature
@@ -124,3 +124,15 @@
     Given 8 instances of one region that start together
     When an instance is told of changes after ones that it missed
     Then it has read the store and asked no one for a list
+
+  # Guards against work that is given up, or started again elsewhere, because
+  # its upstream did not report for a while.
+  Scenario Outline: Work at an upstream whose entry lapses is neither repeated nor given up
+    Given two upstreams of one service behind an instance
+    When the entry of an upstream is removed during its work on a <method>
+    Then the work is answered and was done once
+
+    Examples:
+      | method |
+      | GET    |
+      | POST   |
--- a/tests/features/steps/front_steps.py
+++ b/tests/features/steps/front_steps.py
@@ -811,3 +811,29 @@
         'a read of its own',
     )
     assert not _lists_asked(rig)
+
+
+@behave.when(
+    'the entry of an upstream is removed during its work on a {method}'
+)
+def when_lapses_in_work(context, method):
+    rig = context.rig
+    for item in rig.upstreams.values():
+        item.work_s = 1.2
+    client = rig.client()
+    path = '/browse/a' if method == 'GET' else '/order/a'
+    headers = front_rig.request_headers({'X_Request_Id': 'work'})
+    client.send(method, path, headers)
+    rig.wait(lambda: rig.runs('work'), 'the work')
+    name = next(n for n, i in rig.upstreams.items() if i.runs['work'])
+    view = rig.apps['i1'].steering.view
+    rig.call(rig.store.delete, 'servers/' + name)
+    rig.wait(lambda: name not in view.upstreams, 'the entry gone')
+    context.reply = client.read()
+    client.close()
+
+
+@behave.then('the work is answered and was done once')
+def then_done_once(context):
+    assert context.reply.status == 200, context.reply
+    assert context.rig.runs('work') == 1
