--- a/src/jasminehold/front/peering.py
+++ b/src/jasminehold/front/peering.py
@@ -17,8 +17,9 @@
 
 SNAPSHOT_TIMEOUT_S = 1.0
 SNAPSHOT_INTERVAL_S = 0.5
-# Time in which an instance that starts reads the store, if it can.
-FIRST_READ_S = 0.5
+# Interval at which an instance without a copy checks whether the store fails
+# to answer it, so that a peer has to.
+FIRST_READ_CHECK_S = 0.25
 # Links to instances of other regions, so that a region that cannot reach the
 # store still gets a copy.
 REMOTE_REGION_PEERS = 1
@@ -186,14 +187,16 @@
             self._request_snapshot(sender)
 
     def _on_up(self, name):
-        if not self.reader.replica.revision:
-            self._loop.call_later(FIRST_READ_S, self._request_first, name)
+        self._request_first(name)
         self.on_link_up(name)
 
     def _request_first(self, name):
-        # Most instances have read the store themselves by now.
-        if not self.reader.replica.revision:
+        if self.reader.replica.revision:
+            return
+        if self.reader.failing:
             self._request_snapshot(name)
+            return
+        self._loop.call_later(FIRST_READ_CHECK_S, self._request_first, name)
 
     def _request_snapshot(self, name):
         now = self._loop.now()
--- a/src/jasminehold/front/reader.py
+++ b/src/jasminehold/front/reader.py
@@ -47,6 +47,7 @@
 
     Attributes:
         replica: the :class:`store_replica.StoreReplica`.
+        failing: whether the last read failed.
     """
 
     def __init__(
@@ -68,7 +69,7 @@
         self._log = log
         self._reading = False
         self._retry_at = 0.0
-        self._last_read_failed = False
+        self.failing = False
         self._catch_up_at = None
         self._lost = False
         self._boot_clock_lead_s = (
@@ -267,7 +268,7 @@
         if (
             not self.replica.revision
             or era != self.replica.era
-            or self._last_read_failed
+            or self.failing
         ):
             return False
         if self._catch_up_at is None:
@@ -306,7 +307,7 @@
 
     def _finish_read(self):
         self._reading = False
-        self._last_read_failed = False
+        self.failing = False
         self._on_store_contact()
 
     def _on_store_contact(self):
@@ -316,7 +317,7 @@
 
     def _on_failed(self, exc):
         self._reading = False
-        self._last_read_failed = True
+        self.failing = True
         sent = not isinstance(exc, errors.NotConnected)
         pause = read_schedule.retry_s(self._rank(), sent, self._rng)
         self._retry_at = self._loop.now() + pause
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -20,6 +20,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 GRACE_S = 3.0
+# Interval of the upstreams' reports.
+HEARTBEAT_S = 0.3
 START_S = 15.0
 
 
@@ -109,6 +111,7 @@
         self._written = {}
         self._thread = threading.Thread(target=self.root.run, daemon=True)
         self._thread.start()
+        self.on_loop(self._beat)
         for index in range(upstreams):
             self.add_upstream('u%d' % index)
         self.configure()
@@ -137,6 +140,13 @@
 
         self.on_loop(add)
 
+    def _beat(self):
+        # Reports that change nothing but their time, as upstreams send them.
+        self.loop.call_later(HEARTBEAT_S, self._beat)
+        for key, doc in list(self._written.items()):
+            if key.startswith('servers/'):
+                self._put(key, dict(doc, Seq=doc['Seq'] + 1))
+
     def _put(self, key, doc):
         self._written[key] = doc
         self.store.put(key, doc)
