Keep test processes off each other's ports

Cause: each test process began to look for free ports at a place that followed from its id, and checked a port before its use only: of 450 ports that three processes chose at once 278 were different.

Change: a process holds a block of 500 ports for as long as it lives.

--- a/tests/builders/front_rig.py
+++ b/tests/builders/front_rig.py
@@ -25,7 +25,30 @@
 # Ports below the range from which the system takes those of connections, and
 # below those of bench/order_fleet.py, so that none is taken between the choice
 # and its use.
-_ports = itertools.cycle(range(12_000, 24_000))
+PORTS_FROM = 12_000
+PORT_BLOCKS = 24
+PORTS_PER_BLOCK = 500
+
+
+def _claim_block():
+    # The first port of a block, held while this process lives, keeps other
+    # processes that run at the same time off its other ports.
+    for number in range(PORT_BLOCKS):
+        block = (os.getpid() + number) % PORT_BLOCKS
+        first = PORTS_FROM + block * PORTS_PER_BLOCK
+        guard = socket.socket()
+        try:
+            guard.bind(('127.0.0.1', first))
+        except OSError:
+            guard.close()
+            continue
+        return guard, itertools.cycle(
+            range(first + 1, first + PORTS_PER_BLOCK)
+        )
+    raise OSError('all blocks of ports are in use')
+
+
+_guard, _ports = _claim_block()
 
 
 def free_port():
@@ -33,6 +56,8 @@
     while True:
         port = next(_ports)
         with socket.socket() as sock:
+            # Closed connections of an earlier test do not count.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
                 sock.bind(('127.0.0.1', port))
             except OSError:
@@ -40,15 +65,6 @@
         return port
 
 
-def _skip_ports():
-    # Processes that run at the same time begin at different ports.
-    for _ in range(os.getpid() * 64 % 12_000):
-        next(_ports)
-
-
-_skip_ports()
-
-
 def route(name, prefix, service, kind='safe', **changes):
     """Return a rule of the configuration."""
     action = {'TimeoutMs': 2000, 'MaxAttempts': 2, 'HomeRegions': []}
