Ignore the list of an instance that had fallen behind

After a suspension an instance reads all items and tells what changed since its old copy. The others, whose copies are newer than that one and older than the read, each took it for a gap and read the store. A copy that is fresh waits for the next news.

--- a/src/jasminehold/front/peering.py
+++ b/src/jasminehold/front/peering.py
@@ -183,8 +183,19 @@
             taken = self.reader.apply_peer_changes(
                 items, message['before'], revision, as_of, steady_since, era
             )
-        if not taken and not self.reader.catch_up(era):
-            self._request_snapshot(sender)
+        if not taken and not self._is_obsolete(message, now):
+            if not self.reader.catch_up(era):
+                self._request_snapshot(sender)
+
+    def _is_obsolete(self, message, now):
+        # The list of an instance that had fallen behind, as after a
+        # suspension, says nothing to the others, which are not behind.
+        copy = self.reader.replica
+        return (
+            'former' in message
+            and message.get('era', 0) == copy.era
+            and copy.age(now) < read_schedule.MIN_TAKEOVER_AGE_S
+        )
 
     def _on_up(self, name):
         self._request_first(name)
--- a/tests/features/front_control.feature
+++ b/tests/features/front_control.feature
@@ -125,6 +125,12 @@
     When an instance is told of changes after ones that it missed
     Then it has read the store and asked no one for a list
 
+  # Guards against a read by each instance whenever one had fallen behind.
+  Scenario: The list of an instance that had fallen behind makes no one read
+    Given 8 instances of one region that start together
+    When an instance is told the differences to another copy than its own
+    Then it neither reads the store for it nor asks for a list
+
   # Guards against work that is given up, or started again elsewhere, because
   # its upstream did not report for a while.
   Scenario Outline: Work at an upstream whose entry lapses is neither repeated nor given up
--- a/tests/features/steps/front_steps.py
+++ b/tests/features/steps/front_steps.py
@@ -799,6 +799,36 @@
     rig.on_loop(app.loop, app._peering._on_news, 'i1', message, None)
 
 
+@behave.when(
+    'an instance is told the differences to another copy than its own'
+)
+def when_other_copy(context):
+    app = context.rig.apps['i0']
+    reader = app._reader
+    context.rig.wait(
+        lambda: reader.replica.age(app.loop.now()) < 0.3, 'a fresh copy'
+    )
+    revision = reader.replica.revision
+    message = {
+        'type': 'news',
+        'items': [],
+        'era': reader.replica.era,
+        'former': [reader.replica.era, revision - 3],
+        'before': revision + 6,
+        'revision': revision + 6,
+        'age': 0,
+        'steady': 1000,
+    }
+    context.rig.on_loop(app.loop, app._peering._on_news, 'i1', message, None)
+    context.planned = reader._catch_up_at
+
+
+@behave.then('it neither reads the store for it nor asks for a list')
+def then_waits(context):
+    assert context.planned is None
+    assert not _lists_asked(context.rig)
+
+
 @behave.then('it has read the store and asked no one for a list')
 def then_caught_up(context):
     rig = context.rig
