Tell no news in the first 2 s of an instance

Cause, suspected: instances that start together know few of the others, each takes itself for the reader of its region and tells all that it reads to all that it knows.

Change: an instance tells nothing until it has had time to learn of the others; they read the store themselves in that time.

Result: the scenario in front_control.feature passes; on the former code it cannot run, as it sets the time of the start.

--- a/src/jasminehold/front/peering.py
+++ b/src/jasminehold/front/peering.py
@@ -9,6 +9,7 @@
 
 import hashlib
 
+from jasminehold.decisions import fleet_size
 from jasminehold.decisions import read_schedule
 from jasminehold.decisions import store_replica
 from jasminehold import errors
@@ -63,6 +64,7 @@
         self._region_peers = ()
         self._rank = 0
         self._leaving = False
+        self._started_at = loop.now()
         self._snapshot_requested_at = 0.0
         key = bytes.fromhex(cfg.peer_key) if cfg.peer_key else derive_key(cfg)
         ring = link.KeyRing([(KEY_ID, key)])
@@ -143,6 +145,11 @@
         self._tell_region(differences, as_of, fields)
 
     def _tell_region(self, items, as_of, fields):
+        # Instances that start together know too few of the others to agree on
+        # a reader, and each would tell all that it reads to all.
+        known_s = self._loop.now() - self._started_at
+        if known_s < fleet_size.DISCOVERY_S:
+            return
         message = {
             'type': 'news',
             'items': [list(item) for item in items],
--- a/tests/features/front_control.feature
+++ b/tests/features/front_control.feature
@@ -114,6 +114,13 @@
     Given 8 instances of one region that start together
     Then none asked another one for a list
 
+  # Load pattern: a whole region starts, while all upstreams register.
+  # Guards against everyone telling everyone what everyone reads.
+  Scenario: Instances that start together tell each other no news at first
+    Given 8 instances of one region that start together
+    Then none told news in its first 2 s
+    And one of them alone tells news 4 s later
+
   Scenario: After an outage the differences are told, not the lists
     Given 8 instances of one region that start together
     When the store is silent for 3 s while version 9 and 40 entries are written
--- a/tests/features/steps/front_steps.py
+++ b/tests/features/steps/front_steps.py
@@ -731,6 +731,41 @@
     )
 
 
+def _news_bytes(app):
+    return app.metrics.value('peer_bytes_sent_by_type', type='news')
+
+
+@behave.then('none told news in its first {seconds:g} s')
+def then_no_news(context, seconds):
+    # Each started within the last seconds, or told nothing but afterwards.
+    for name, app in context.rig.apps.items():
+        now = app.loop.now()
+        if now - app._peering._started_at < seconds:
+            assert not _news_bytes(app), (name, _news_bytes(app))
+    youngest = max(
+        context.rig.apps.values(), key=lambda app: app._peering._started_at
+    )
+    fields = {'before': 1, 'revision': 1}
+    youngest._peering._started_at = youngest.loop.now()
+    before = _news_bytes(youngest)
+    context.rig.on_loop(
+        youngest.loop, youngest._peering._tell_region, (), 0.0, fields
+    )
+    assert _news_bytes(youngest) == before
+
+
+@behave.then('one of them alone tells news {seconds:g} s later')
+def then_one_tells(context, seconds):
+    time.sleep(seconds)
+    apps = context.rig.apps.values()
+    before = {app.cfg.id: _news_bytes(app) for app in apps}
+    time.sleep(2.0)
+    telling = [
+        app.cfg.id for app in apps if _news_bytes(app) > before[app.cfg.id]
+    ]
+    assert len(telling) == 1, telling
+
+
 def _lists_asked(rig):
     # Requests for lists that the instances have sent.
     return sum(
