Read what a response says of its upstream also after the caller has left

Cause: the response to an order whose caller has left was dropped before Retry-After and a stated limit in it were read. The upstream counts it as an answer to this instance, so requests could follow in its pause.

Change: limit, pause and departure are applied before the check of the caller; a 421 comes from another upstream and applies none of them.

--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -212,6 +212,9 @@
         if isinstance(exc, upstream_conn.Disconnected):
             entry = self._choice.upstream.entry
             self._crash_guard.on_lost(self._digests(), entry)
+        limit = None
+        if answer is not None:
+            limit = self._apply_statements(answer, now)
         if self._ended:
             # The caller has disconnected: send nothing more for it.
             self._release('after the caller left')
@@ -223,23 +226,7 @@
         report = wire.decode_load(load) if load else None
         if report is not None:
             self._choice.load.on_report(report[0], report[1], now)
-        limit = answer.get(wire.LIMIT)
-        if limit is not None:
-            limit = wire.decode_limit(limit)
         executed = answer.get(wire.NOT_EXECUTED) is None
-        pause_s = answer.get(wire.RETRY_AFTER)
-        if answer.status == 503 and pause_s is not None:
-            pause_s = wire.decode_retry_after(pause_s)
-            if pause_s is not None:
-                self._steering.on_pause(self._choice.upstream, pause_s, now)
-        if answer.status != 421:
-            complete = executed and answer.get(wire.SEAL) is not None
-            entry = self._choice.upstream.entry
-            self._context.limit_news.on_response(entry, limit, complete)
-            self._context.departures.on_response(
-                self._choice.upstream,
-                wire.decode_leaving(answer.get(wire.LEAVING)),
-            )
         if answer.status == 421 or not executed:
             self._on_not_run(answer, report, limit, now)
             return
@@ -263,6 +250,29 @@
             )
         self._deliver(answer)
 
+    def _apply_statements(self, answer, now):
+        # What a response says of its upstream counts also if the caller has
+        # left. Returns the limit that it states, or None.
+        upstream = self._choice.upstream
+        limit = answer.get(wire.LIMIT)
+        if limit is not None:
+            limit = wire.decode_limit(limit)
+        if answer.status == 421:
+            # It came from another upstream.
+            return limit
+        pause_s = answer.get(wire.RETRY_AFTER)
+        if answer.status == 503 and pause_s is not None:
+            pause_s = wire.decode_retry_after(pause_s)
+            if pause_s is not None:
+                self._steering.on_pause(upstream, pause_s, now)
+        executed = answer.get(wire.NOT_EXECUTED) is None
+        complete = executed and answer.get(wire.SEAL) is not None
+        self._context.limit_news.on_response(upstream.entry, limit, complete)
+        self._context.departures.on_response(
+            upstream, wire.decode_leaving(answer.get(wire.LEAVING))
+        )
+        return limit
+
     def _on_not_run(self, answer, report, limit, now):
         reason = 'misdirected' if answer.status == 421 else 'shed'
         if reason == 'shed' and report is None:
--- a/tests/builders/front_values.py
+++ b/tests/builders/front_values.py
@@ -65,18 +65,21 @@
     return upstream_view.Entry(**values)
 
 
-def steering(name, cold_per_s):
+def steering(name, cold_per_s, **changes):
     """Return the :class:`~steering_module.Steering` of an instance.
 
     Args:
         name: its id.
         cold_per_s: requests a second that a cold upstream of the service
             takes from the fleet.
+        **changes: fields of its route.
     """
     found = steering_module.Steering(
         cfg(id=name), random.Random(1), lambda *args, **kwargs: None
     )
     service = route_table.Service('loja', 100, cold_per_s, 30.0)
     limits = route_table.CallerLimits()
-    found.on_config(route_table.RouteTable(1, [route()], [service], limits))
+    found.on_config(
+        route_table.RouteTable(1, [route(**changes)], [service], limits)
+    )
     return found
--- a/tests/builders/pausing_upstreams.py
+++ b/tests/builders/pausing_upstreams.py
@@ -5,6 +5,7 @@
 import types
 
 from jasminehold.front import exchange
+from jasminehold.front import upstream_conn
 from jasminehold import metrics
 from tests.builders import front_values
 
@@ -40,11 +41,12 @@
         sent_to: ids of upstreams that the request was sent to.
     """
 
-    def __init__(self):
+    def __init__(self, **route):
         self.kept = []
         self.sent_to = []
         self._waiting = []
-        self.steering = front_values.steering('i1', 0.0)
+        self._on_answer = None
+        self.steering = front_values.steering('i1', 0.0, **route)
         entries = [
             front_values.entry(name, port=port)
             for name, port in (('u1', 81), ('u2', 82))
@@ -60,22 +62,22 @@
             self.steering,
             self,
             types.SimpleNamespace(active=False),
-            None,
-            None,
+            types.SimpleNamespace(on_response=lambda *args: None),
+            types.SimpleNamespace(on_response=lambda *args: None),
             metrics.Metrics(),
             random.Random(1),
             lambda *args, **kwargs: None,
         )
-        context.on_request(
-            types.SimpleNamespace(
-                headers=[(b'host', b'shop.example'), (b'x-request-id', b'r')],
-                method=b'GET',
-                target=b'/a/b',
-                body=b'',
-                peer='192.0.2.7',
-                arrived_at=1.0,
-            )
+        self.inbound = types.SimpleNamespace(
+            headers=[(b'host', b'shop.example'), (b'x-request-id', b'r')],
+            method=b'GET',
+            target=b'/a/b',
+            body=b'',
+            peer='192.0.2.7',
+            arrived_at=1.0,
+            on_disconnect=None,
         )
+        context.on_request(self.inbound)
         self.first = self._names[self._waiting[0][0][1]]
         self.second = ({'u1', 'u2'} - {self.first}).pop()
 
@@ -91,15 +93,34 @@
 
     def _conn(self, key):
         name = self._names[key[1]]
-        return types.SimpleNamespace(
-            name=name, send=lambda *args: self.sent_to.append(name)
-        )
+
+        def send(request, body, request_id, on_answer):
+            self.sent_to.append(name)
+            self._on_answer = on_answer
+
+        return types.SimpleNamespace(name=name, send=send, abort=int)
 
     def pause_first(self):
         """Let the first upstream ask for a pause."""
         upstream = self.steering.view.upstreams[self.first]
         self.steering.on_pause(upstream, 5.0, 1.0)
 
+    def reject(self, pause):
+        """Let the upstream reject the request and ask for a pause."""
+        headers = [
+            (b'x-not-executed', b'1'),
+            (b'retry-after', b'%g' % pause),
+        ]
+        answer = upstream_conn.Response(503, headers, b'')
+        self._on_answer(answer, None)
+
+    def pause_left_s(self):
+        """Return for how long the first upstream pauses."""
+        upstream = self.steering.view.upstreams[self.first]
+        return self.steering._pauses.seconds_left(
+            upstream.entry.incarnation, 1.0
+        )
+
     def open_first(self):
         """Complete the connection to the first upstream."""
         key, on_ready = self._waiting[0]
--- a/tests/features/front_pauses.feature
+++ b/tests/features/front_pauses.feature
@@ -49,3 +49,10 @@
     Given an exchange that waits for a connection to a pausing upstream
     When the connection is ready after the pause has begun
     Then the request goes to another upstream and the connection is kept
+
+  # Guards against requests in a pause that the upstream asked for in the
+  # response to an order whose caller had left.
+  Scenario: A pause counts although the caller of the request has left
+    Given an order under way at an upstream, whose caller has left
+    When the upstream rejects it and asks for a pause of 3 s
+    Then the upstream is left alone for 3 s
--- a/tests/features/steps/front_pauses_steps.py
+++ b/tests/features/steps/front_pauses_steps.py
@@ -125,3 +125,20 @@
     waiting = context.waiting
     assert waiting.kept == [waiting.first], waiting.kept
     assert waiting.sent_to == [waiting.second], waiting.sent_to
+
+
+@behave.given('an order under way at an upstream, whose caller has left')
+def given_left(context):
+    context.waiting = pausing_upstreams.WaitingExchange(idempotent=False)
+    context.waiting.open_first()
+    context.waiting.inbound.on_disconnect()
+
+
+@behave.when('the upstream rejects it and asks for a pause of {pause:g} s')
+def when_rejects(context, pause):
+    context.waiting.reject(pause)
+
+
+@behave.then('the upstream is left alone for {seconds:g} s')
+def then_left_alone(context, seconds):
+    assert context.waiting.pause_left_s() == seconds
