Compare stored quarantines as a whole, not by revision alone

Cause: a quarantine at the revision of a former one was taken for the same; after the store went back a revision is given out again.

--- a/src/jasminehold/front/crash_guard.py
+++ b/src/jasminehold/front/crash_guard.py
@@ -60,7 +60,7 @@
         self._metrics = metrics
         self._log = log
         self._members = ()
-        # Revisions of the quarantines in the store, by key.
+        # Quarantines in the store, by key.
         self._stored = {}
         # Crashes that this instance counts as an arbiter, and the states that
         # it announced.
@@ -259,11 +259,11 @@
         Args:
             items: ``{key: Item}`` under :data:`wire.QUARANTINE_PREFIX`.
         """
-        before = self._stored
-        self._stored = {key: item.revision for key, item in items.items()}
+        before, self._stored = self._stored, dict(items)
         self._delete_withdrawn()
         for key, item in items.items():
-            if before.get(key) == item.revision:
+            # A revision alone may have been given out again.
+            if before.get(key) == item:
                 continue
             try:
                 digest = bytes.fromhex(key[len(wire.QUARANTINE_PREFIX) :])
--- a/tests/features/front_crashers.feature
+++ b/tests/features/front_crashers.feature
@@ -86,3 +86,10 @@
       | 0     |
       | 3600  |
       | -3600 |
+
+  # Guards against a quarantine that is not taken in because the store gave its
+  # revision out a second time.
+  Scenario: A quarantine written at a revision that is given out again counts
+    Given a quarantine of 20 s that was read at revision 7
+    When it is over and one of 600 s is read at revision 7
+    Then the request is quarantined there for 500 to 600 s
--- a/tests/features/steps/front_crashers_steps.py
+++ b/tests/features/steps/front_crashers_steps.py
@@ -6,6 +6,7 @@
 import behave
 
 from jasminehold.decisions import quarantine
+from jasminehold.decisions import store_replica
 from jasminehold.platform import wire
 from tests.builders import crashing_requests
 from tests.builders import front_rig
@@ -272,3 +273,30 @@
 @behave.then('the request is quarantined there for {low:d} to {high:d} s')
 def then_left(context, low, high):
     assert low <= context.left_s <= high, context.left_s
+
+
+def _read_quarantine(context, seconds, revision):
+    key = wire.QUARANTINE_PREFIX + context.digest.hex()
+    value = b'{"left_s": %d}' % seconds
+    item = store_replica.Item(key, value, revision)
+    context.lone.guard.on_stored({key: item})
+
+
+@behave.given(
+    'a quarantine of {seconds:d} s that was read at revision {revision:d}'
+)
+def given_read(context, seconds, revision):
+    context.digest = b'12345678'
+    context.lone = crashing_requests.LoneGuard()
+    _read_quarantine(context, seconds, revision)
+    assert context.lone.guard.quarantine_s([context.digest])
+
+
+@behave.when(
+    'it is over and one of {seconds:d} s is read at revision {revision:d}'
+)
+def when_read_again(context, seconds, revision):
+    context.lone.now += 30.0
+    assert not context.lone.guard.quarantine_s([context.digest])
+    _read_quarantine(context, seconds, revision)
+    context.left_s = context.lone.guard.quarantine_s([context.digest])
