--- a/src/jasminehold/decisions/upstream_pauses.py
+++ b/src/jasminehold/decisions/upstream_pauses.py
@@ -14,6 +14,7 @@
 
     def __init__(self):
         self._until = {}
+        self._last_end = 0.0
 
     def pause(self, incarnation, seconds, now):
         """Record a pause; one that ends later stays in force.
@@ -29,6 +30,11 @@
             }
         known = self._until.get(incarnation, now)
         self._until[incarnation] = max(known, now + seconds)
+        self._last_end = max(self._last_end, now + seconds)
+
+    def any_in_force(self, now):
+        """Return whether any upstream pauses."""
+        return now < self._last_end
 
     def seconds_left(self, incarnation, now):
         """Return for how long an upstream wants nothing more, else 0."""
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -385,6 +385,7 @@
         # their own limit, or a pause that they asked for, excludes.
         homes = route.home_regions
         usable, held, limited, paused = {}, {}, [], []
+        any_paused = self._pauses.any_in_force(now)
         for name, upstream in self.view.upstreams.items():
             entry = upstream.entry
             if (
@@ -398,7 +399,9 @@
                 or not self._admits_cold(upstream, service, now)
             ):
                 continue
-            if self._pauses.seconds_left(entry.incarnation, now):
+            if any_paused and self._pauses.seconds_left(
+                entry.incarnation, now
+            ):
                 paused.append(upstream)
                 continue
             if not self._admits_limited(upstream, now):
