--- a/src/jasminehold/decisions/store_replica.py
+++ b/src/jasminehold/decisions/store_replica.py
@@ -38,7 +38,7 @@
         leased: tuple of prefixes of the keys that are attached to leases.
         return_s: grace period for lapsed keys after an outage, in seconds.
         outage_s: age of the replica, in seconds, that counts as an outage.
-        lasting: tuple of prefixes of the other keys that their writers write
+        rewritten: tuple of prefixes of the other keys that their writers write
             again after a new era began.
 
     Attributes:
@@ -50,7 +50,7 @@
         steady_since: monotonic seconds since which there was no outage.
     """
 
-    def __init__(self, leased, return_s, outage_s, lasting=()):
+    def __init__(self, leased, return_s, outage_s, rewritten=()):
         self.items = {}
         self.era = 0
         self.revision = 0
@@ -61,7 +61,7 @@
         self._outage_s = outage_s
         self._lapsed_drop_at = None
         self._lapsed = set()
-        self._lasting_prefixes = lasting
+        self._rewritten_prefixes = rewritten
         # Keys without a lease that a new era lacks, and until when they are
         # kept.
         self._lost_until = {}
@@ -124,7 +124,7 @@
         known, self.items = self.items, {}
         self._lapsed, self._lost_until, self._unconfirmed = set(), {}, {}
         changed = set()
-        written_again = self._leased_prefixes + self._lasting_prefixes
+        written_again = self._leased_prefixes + self._rewritten_prefixes
         for item in items:
             key = item.key
             if key not in known and key.startswith(written_again):
