--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -62,6 +62,8 @@
 CLOCKS_PART = 0.5
 # Age of the oldest copy that the store comes back from, seconds.
 COPY_AGE_MAX_S = 5.0
+# Reports of each upstream that are lost when the store goes back.
+LOST_REPORTS = 60
 # Time in which faults are over at the end of a run.
 CALM_S = 6.0
 
@@ -219,7 +221,12 @@
         begin, world = time.monotonic(), self.world
         state = self._rng.choice(self._copies)[1]
         after_s = self._rng.uniform(0.1, 1.5)
-        world.on_loop(world.store.set_faults, mode='refuse')
+        # The instances hear of these before they are lost.
+        world.on_loop(world.report, LOST_REPORTS)
+
+        def take_away():
+            world.on_loop(world.store.set_faults, mode='refuse')
+            self._later(0.1, 1.0, end)
 
         def end():
             world.go_back(state, after_s)
@@ -230,7 +237,7 @@
             world.trouble(None, begin)
             self._later(0.2, 1.5, world.configure)
 
-        self._later(0.1, 1.0, end)
+        self._later(0.8, 1.2, take_away)
 
     def _leave(self):
         world = self.world
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -143,9 +143,14 @@
     def _beat(self):
         # Reports that change nothing but their time, as upstreams send them.
         self.loop.call_later(HEARTBEAT_S, self._beat)
-        for key, doc in list(self._written.items()):
-            if key.startswith('servers/'):
-                self._put(key, dict(doc, Seq=doc['Seq'] + 1))
+        self.report()
+
+    def report(self, count=1):
+        """Write a number of reports of each upstream."""
+        for _ in range(count):
+            for key, doc in list(self._written.items()):
+                if key.startswith('servers/'):
+                    self._put(key, dict(doc, Seq=doc['Seq'] + 1))
 
     def _put(self, key, doc):
         self._written[key] = doc
