Tell the age of the copy of the store with each request that ended

A request that is denied because the copy lacks its route looked the same in the log whether the copy was current or seconds old, so the hypotheses of the DENIED incident could be told apart only by the lines of other events. 'request ended' now holds copy_age_s.

--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -1,5 +1,7 @@
 """Forwarding of a caller's request to upstreams, with retries."""
 
+import math
+
 import h11
 
 from jasminehold.decisions import request_digest
@@ -430,6 +432,7 @@
         metrics.inc('requests_total', route=route, outcome=outcome)
         metrics.observe('request_seconds', seconds, route=route)
         table = self._steering.table
+        age_s = self._steering.copy_age(now)
         content = ''
         if self._crashes or outcome == Kind.QUARANTINED.value:
             content = self._digests()[0].hex()
@@ -439,6 +442,7 @@
             route=route,
             service=self._service,
             config=table.version if table else None,
+            copy_age_s=None if math.isinf(age_s) else round(age_s, 2),
             object=self._key,
             content=content,
             peer=self._inbound.peer,
