--- a/src/jasminehold/standin/http_server.py
+++ b/src/jasminehold/standin/http_server.py
@@ -5,6 +5,8 @@
 import h11
 
 MAX_BODY_BYTES = 2_000_000
+# Interval at which a slow link takes the next bytes of a response.
+PACE_S = 0.05
 _JSON = (b'content-type', b'application/json')
 
 
@@ -20,11 +22,13 @@
     Attributes:
         conn: the :class:`~jasminehold.loop.Conn`.
         headers: list of ``(name, value)`` that all responses carry.
+        bytes_per_s: rate at which responses are written, 0 for at once.
     """
 
     def __init__(self, loop, conn, on_request):
         self.conn = conn
         self.headers = []
+        self.bytes_per_s = 0
         self._loop = loop
         self._on_request = on_request
         self._http = h11.Connection(h11.SERVER)
@@ -73,7 +77,16 @@
         send = self._http.send
         data = send(h11.Response(status_code=status, headers=headers))
         data += send(h11.Data(data=body)) + send(h11.EndOfMessage())
-        self.conn.write(data)
+        self._write(data)
+
+    def _write(self, data):
+        if self.conn.closed:
+            return
+        step = int(self.bytes_per_s * PACE_S) or len(data)
+        self.conn.write(data[:step])
+        if len(data) > step:
+            self._loop.call_later(PACE_S, self._write, data[step:])
+            return
         if self._http.our_state is h11.MUST_CLOSE:
             self.conn.close()
             return
--- a/src/jasminehold/standin/kv.py
+++ b/src/jasminehold/standin/kv.py
@@ -11,6 +11,7 @@
   the port).
 - ``hosts``: IP addresses of the clients that the mode affects, None for all.
 - ``slow_s``: delay of each call, in seconds.
+- ``bytes_per_s``: rate of each response, 0 for no limit.
 - ``lose_writes``: number of next writes that take effect but whose
   connection is closed without a response; ``lose_probability``: probability
   of the same for each further write.
@@ -58,6 +59,7 @@
     'mode': '',
     'hosts': None,
     'slow_s': 0.0,
+    'bytes_per_s': 0,
     'lose_writes': 0,
     'lose_probability': 0.0,
     'late_s': 0.0,
@@ -282,6 +284,7 @@
         doc = json.loads(body) if body else {}
 
         def call():
+            session.bytes_per_s = self.faults['bytes_per_s']
             if session.conn.closed or self._is_unavailable(session):
                 return
             try:
--- a/tests/builders/front_rig.py
+++ b/tests/builders/front_rig.py
@@ -255,9 +255,9 @@
             self.wait(lambda: set(steering.instances) >= set(names), 'members')
         return names
 
-    def wait(self, check, what='condition'):
+    def wait(self, check, what='condition', wait_s=WAIT_S):
         """Wait until a check holds."""
-        end = time.monotonic() + WAIT_S
+        end = time.monotonic() + wait_s
         while time.monotonic() < end:
             if check():
                 return
--- a/tests/features/front_control.feature
+++ b/tests/features/front_control.feature
@@ -42,6 +42,16 @@
     When the store is "silent" for 3 s
     Then requests are served all the while
 
+  # Guards against a copy that is behind being taken for a denial.
+  Scenario: A route that an old copy lacks is not denied
+    Given two upstreams of one service behind an instance
+    When the store has been silent for the 2 s in which a version takes effect
+    And a caller asks for "/added/a"
+    Then the status is 503 with a time to come back
+    When the store serves again with version 9 that has "/added/"
+    Then version 9 is in force within 2.5 s
+    And a request on "/nowhere/a" gets 404 from within 1 s on
+
   Scenario: A store that forgets its history is read anew
     Given two upstreams of one service behind an instance
     When the store forgets its history while version 9 is stored
@@ -132,6 +142,26 @@
     When an instance is told of changes after ones that it missed
     Then it has read the store and asked no one for a list
 
+  # Load pattern: the configuration grows by 1,400 routes, and is sent again.
+  # Guards against links that are full of copies of it.
+  Scenario: A large configuration is told to a region in few bytes
+    Given 8 instances of one region that start together
+    When versions 9 and 10 with 1400 routes more come 1 s apart
+    Then all instances have version 10 within 2.5 s
+    And an instance has told each of the others at most 31 kB a version
+
+  # Guards against everyone telling everyone what all were told before.
+  Scenario: An instance that catches up tells nobody what it read
+    Given 8 instances of one region that start together
+    When an instance misses version 9 with 1400 routes more and catches up
+    Then it has told nobody of that version
+
+  # Guards against a read that starts from the beginning again and again.
+  Scenario: A response of the store that takes its time is read to its end
+    Given two upstreams of one service behind an instance
+    When the store sends 400 kB a second and version 9 has 4500 routes more
+    Then version 9 is in force within 6 s
+
   # Guards against a read by each instance whenever one had fallen behind.
   Scenario: The list of an instance that had fallen behind makes no one read
     Given 8 instances of one region that start together
--- a/tests/features/steps/front_steps.py
+++ b/tests/features/steps/front_steps.py
@@ -4,6 +4,7 @@
 import io
 import json
 import pathlib
+import random
 import tempfile
 import time
 
@@ -332,6 +333,26 @@
     rig.call(rig.store.set_faults)
 
 
+@behave.when(
+    'the store has been silent for the {seconds:g} s in which a version takes'
+    ' effect'
+)
+def when_store_silent(context, seconds):
+    rig = context.rig
+    rig.call(rig.store.set_faults, mode='silent')
+    time.sleep(seconds)
+
+
+@behave.when(
+    'the store serves again with version {number:d} that has "{prefix}"'
+)
+def when_store_serves(context, number, prefix):
+    rig = context.rig
+    rules = [*front_rig.RULES, front_rig.route('added', prefix, 'loja')]
+    rig.put('op/config', front_rig.configuration(number, rules))
+    rig.call(rig.store.set_faults)
+
+
 @behave.then('requests are served all the while')
 def then_served(context):
     assert set(context.statuses) == {200}, context.statuses
@@ -902,3 +923,98 @@
 def then_done_once(context):
     assert context.reply.status == 200, context.reply
     assert context.rig.runs('work') == 1
+
+
+def _large_configuration(number, count):
+    # A configuration with many routes more, and names as various as theirs.
+    rng = random.Random(number)
+    rules = list(front_rig.RULES)
+    for _ in range(count):
+        name = '%08x' % rng.getrandbits(32)
+        rules.append(front_rig.route('r-' + name, '/%s/' % name, 'loja'))
+    return front_rig.configuration(number, rules)
+
+
+def _has_version(rig, number):
+    return all(
+        app.steering.table.version >= number for app in rig.apps.values()
+    )
+
+
+@behave.when(
+    'versions {first:d} and {second:d} with {count:d} routes more come'
+    ' {seconds:g} s apart'
+)
+def when_grown(context, first, second, count, seconds):
+    rig = context.rig
+    # News begin when the instances have been running for a while.
+    rig.wait(
+        lambda: sum(map(_news_bytes, rig.apps.values())), 'news', wait_s=15
+    )
+    context.told = {app: _news_bytes(app) for app in rig.apps.values()}
+    rig.put('op/config', _large_configuration(first, count))
+    time.sleep(seconds)
+    rig.put('op/config', _large_configuration(second, count))
+
+
+@behave.then('all instances have version {number:d} within {seconds:g} s')
+def then_all_have(context, number, seconds):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end and not _has_version(context.rig, number):
+        time.sleep(0.02)
+    assert _has_version(context.rig, number)
+
+
+# Twenty peers on a link of 10 Mbit/s within half a second.
+@behave.then(
+    'an instance has told each of the others at most {limit:d} kB a version'
+)
+def then_told(context, limit):
+    others = len(context.told) - 1
+    for app, before in context.told.items():
+        sent = _news_bytes(app) - before
+        assert sent <= 2 * others * limit * 1000, (app.cfg.id, sent)
+
+
+@behave.when(
+    'an instance misses version {number:d} with {count:d} routes more and'
+    ' catches up'
+)
+def when_catches_up(context, number, count):
+    rig = context.rig
+    app = max(rig.apps.values(), key=lambda item: item._peering.rank())
+    context.behind = app
+    rig.wait(
+        lambda: sum(map(_news_bytes, rig.apps.values())), 'news', wait_s=15
+    )
+    handlers = app._peering.mesh._handlers
+    handle, handlers['news'] = handlers['news'], lambda *args: None
+    context.told_before = _news_bytes(app)
+    rig.put('op/config', _large_configuration(number, count))
+    rig.wait(
+        lambda: sum(
+            item.steering.table.version == number for item in rig.apps.values()
+        )
+        == len(rig.apps) - 1,
+        'the version at all others',
+    )
+    handlers['news'] = handle
+    rig.wait(lambda: app.steering.table.version == number, 'the version')
+
+
+@behave.then('it has told nobody of that version')
+def then_told_nobody(context):
+    time.sleep(0.2)
+    sent = _news_bytes(context.behind) - context.told_before
+    # Less than the version has to one peer, also when it is compressed.
+    assert sent < 10_000, sent
+
+
+@behave.when(
+    'the store sends {rate:d} kB a second and version {number:d} has'
+    ' {count:d} routes more'
+)
+def when_slow_link(context, rate, number, count):
+    rig = context.rig
+    rig.call(rig.store.set_faults, bytes_per_s=rate * 1000)
+    rig.put('op/config', _large_configuration(number, count))
