Compress large lists of items between instances

Callers got 404 for routes of a configuration that was in force: the fleet had sent 192 MB of news in ten seconds, 270 kB of the same configuration to each of 20 peers by each reader, over links of 10 Mbit/s that also carry the reads of the store, the leases and the callers.

'A large configuration is told to a region in few bytes' failed with 4.27 MB told by one instance of 8 and passes. An instance of an older version drops such a message and reads the store at its next turn.

--- a/src/jasminehold/front/peering.py
+++ b/src/jasminehold/front/peering.py
@@ -5,14 +5,19 @@
 ``former``, the era and revision of the reader's copy before it read all items,
 they are the differences to that copy.
 ``snapshot``: the full copy, requested when changes are missing.
+
+Items are told as ``items``, a list of rows, or, if they are large, as
+``packed``, the same list compressed.
 """
 
 import hashlib
+import zlib
 
 from jasminehold.decisions import fleet_size
 from jasminehold.decisions import read_schedule
 from jasminehold.decisions import store_replica
 from jasminehold import errors
+from jasminehold.peers import frames
 from jasminehold.peers import link
 from jasminehold.peers import mesh as mesh_module
 
@@ -24,6 +29,11 @@
 # Links to instances of other regions, so that a region that cannot reach the
 # store still gets a copy.
 REMOTE_REGION_PEERS = 1
+# Size of the values from which on items are compressed, bytes.
+PACK_MIN_BYTES = 4 * 1024
+# A configuration shrinks to a tenth at the fastest level.
+PACK_LEVEL = 1
+UNPACKED_MAX_BYTES = 16 * 1024 * 1024
 KEY_ID = 'k1'
 
 
@@ -153,7 +163,7 @@
             return
         message = {
             'type': 'news',
-            'items': [list(item) for item in items],
+            **_item_fields(items),
             **self._position(),
             'age': int((self._loop.now() - as_of) * 1000),
             **fields,
@@ -175,7 +185,7 @@
 
     def _on_news(self, sender, message, reply):
         now = self._loop.now()
-        items = _items(message['items'])
+        items = _items(message)
         era, revision = message.get('era', 0), message['revision']
         as_of = now - message['age'] / 1000
         steady_since = now - message['steady'] / 1000
@@ -229,7 +239,7 @@
                 return
             try:
                 self.reader.apply_peer_snapshot(
-                    _items(answer['items']),
+                    _items(answer),
                     answer['revision'],
                     now - answer['age'] / 1000,
                     now - answer['steady'] / 1000,
@@ -245,12 +255,33 @@
         if not copy.revision:
             reply(None, 'no copy yet')
             return
-        items = [list(item) for item in copy.without_lapsed()]
-        reply({'items': items, **self._position()})
+        reply({**_item_fields(copy.without_lapsed()), **self._position()})
+
+
+def _item_fields(items):
+    # The fields of a message that tell items.
+    rows = [list(item) for item in items]
+    if sum(len(item.value or b'') for item in items) < PACK_MIN_BYTES:
+        return {'items': rows}
+    return {'packed': zlib.compress(frames.pack(rows), PACK_LEVEL)}
 
 
-def _items(rows):
+def _items(message):
+    rows = message.get('items')
+    if rows is None:
+        rows = frames.unpack(_decompress(message['packed']))
     return [
         store_replica.Item(str(key), value, int(revision))
         for key, value, revision in rows
     ]
+
+
+def _decompress(data):
+    decompressor = zlib.decompressobj()
+    try:
+        found = decompressor.decompress(data, UNPACKED_MAX_BYTES)
+    except zlib.error as exc:
+        raise errors.PeerError('packed items: %s' % exc) from exc
+    if not decompressor.eof:
+        raise errors.PeerError('packed items are cut off or too large')
+    return found
