Let a response of the store finish while its bytes arrive

A call was given up after 1.5 s whatever had arrived of its response, and the next one began again. A configuration of 980 kB, which the store takes, never got to an instance whose link has 400 kB/s left for it, and each attempt filled that link anew. A response that goes on arriving may now take four times as long; one that stalls is given up as before. Whether the changes or the whole list are read next follows from the time since the store was last heard, not from the age of the copy, which a long read adds to.

'A response of the store that takes its time is read to its end' failed and passes; platform, front_endless and front_control pass.

--- a/src/jasminehold/front/reader.py
+++ b/src/jasminehold/front/reader.py
@@ -72,6 +72,8 @@
         self._retry_at = 0.0
         self.failing = False
         self._catch_up_at = None
+        # When a read last ended, or a peer's was taken over.
+        self._contact_at = -math.inf
         # When a peer last told what it had read.
         self._heard_at = -math.inf
         self._lost = False
@@ -104,7 +106,9 @@
             self._reading = True
             # After an outage the missed changes would take many responses;
             # the current state takes one or two.
-            if self.replica.revision and age < STORE_LOST_S:
+            # Not the copy's age, which a read that takes long adds to.
+            silent_s = now - self._contact_at
+            if self.replica.revision and silent_s < STORE_LOST_S:
                 self._read_changes(now)
             else:
                 self._read_all(now)
@@ -119,6 +123,7 @@
                 for_s=round(lead - self._boot_clock_lead_s, 1),
             )
             self.replica.as_of = None
+            self._contact_at = -math.inf
         self._boot_clock_lead_s = lead
 
     def _read_all(self, sent_at):
@@ -323,6 +328,7 @@
         self._on_store_contact()
 
     def _on_store_contact(self):
+        self._contact_at = self._loop.now()
         if self._lost:
             self._lost = False
             self._log('store regained', revision=self.replica.revision)
--- a/src/jasminehold/platform/http.py
+++ b/src/jasminehold/platform/http.py
@@ -13,6 +13,8 @@
 BACKOFF_FIRST_S = 0.1
 BACKOFF_MAX_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
+# Multiple of its timeout that a response may take while its bytes arrive.
+PROGRESS_FACTOR = 4
 # Interim responses to one request that are read before the connection is
 # closed.
 INTERIM_RESPONSES_MAX = 16
@@ -110,7 +112,9 @@
             method: HTTP method.
             target: path and query.
             body: bytes.
-            timeout: seconds for the complete response.
+            timeout: seconds for the complete response; a response whose
+                bytes go on arriving may take :data:`PROGRESS_FACTOR` times
+                as long.
             done: called once, ``done(Response or None, RequestFailed or
                 None)``, never before this returns.
         """
@@ -224,10 +228,21 @@
         self.done = done
         self.http_conn = None
         self._loop = loop
+        self._timeout = timeout
+        self._give_up_at = loop.now() + PROGRESS_FACTOR * timeout
+        self._received = 0
         self._timer = loop.call_later(timeout, self._expire)
 
     def _expire(self):
         http_conn = self.http_conn
+        received = http_conn.received if http_conn is not None else 0
+        left_s = self._give_up_at - self._loop.now()
+        if received > self._received and left_s > 0:
+            self._received = received
+            self._timer = self._loop.call_later(
+                min(self._timeout, left_s), self._expire
+            )
+            return
         self.fail('timed out', http_conn is not None)
         if http_conn is not None:
             http_conn.conn.abort()
@@ -261,6 +276,11 @@
         conn.on_data = self._on_data
         conn.on_close = self._on_close
 
+    @property
+    def received(self):
+        """Size of the body that was received so far, bytes."""
+        return len(self._body)
+
     def send(self, call):
         """Send a request on this idle connection."""
         self._call = call
