Deny a route only if the copy of the store is recent

Callers got 404 for routes that had been in force for seconds, from instances that knew that their copy was old ('store lost'). An absent route was always taken for a denial. Now a request that fits no route gets 503 with a short Retry-After once the copy is older than 0.8 of the time in which a configuration has to take effect (new setting apply_within_ms, filled in from the platform's bounds).

'A route that an old copy lacks is not denied' failed with 404 and passes; front_control, front_path, front_rules and front_settings pass.

--- a/src/jasminehold/front/cfg.py
+++ b/src/jasminehold/front/cfg.py
@@ -121,6 +121,13 @@
     settings.seconds_key(
         'lookup_ttl', 2, 0.5, 60, 'Validity of an answer of the directory.'
     ),
+    _number(
+        'apply_within_ms',
+        2000,
+        1,
+        86_400_000,
+        'Time in which a configuration has to take effect, ms.',
+    ),
     _number('retry_ratio', 0.1, 0, 1000, 'Repeats allowed, as share.'),
     _number(
         'retry_burst', 10, 0, 1e9, 'Repeats allowed on top, of the fleet.'
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -78,12 +78,13 @@
         inbound = self._inbound
         host = self._header_values.get(b'host', b'').decode('latin-1')
         host = host.partition(':')[0]
-        route = self._steering.route(host, inbound.target.decode('latin-1'))
+        now = inbound.arrived_at
+        target = inbound.target.decode('latin-1')
+        route = self._steering.route(host, target, self._loop.now())
         if isinstance(route, Kind):
-            self._fail(route)
+            self._fail(route, self._retry_after_s())
             return
         self._route = route
-        now = inbound.arrived_at
         remaining_s = route.timeout_s
         stated_ms = self._header_values.get(wire.DEADLINE_MS, b'')
         if stated_ms.isdigit():
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -43,6 +43,9 @@
 # afterwards, not all at once.
 PAUSE_SPREAD_FRACTION = 0.5
 OWNERS_CACHE_MAX = 20_000
+# Fraction of the time in which a configuration has to take effect, up to which
+# a copy of the store shows that there is no route.
+ROUTES_CERTAIN_FRACTION = 0.8
 # Maximum age of the member list at which no member's lease can have expired,
 # also not during the preceding window of the cold start limiter.
 MEMBERS_CERTAIN_AGE_S = (
@@ -250,11 +253,25 @@
 
     # Requests.
 
-    def route(self, host, path):
-        """Return the matching route, or the :class:`~errors.Kind` of error."""
+    def route(self, host, path, now):
+        """Return the matching route, or the :class:`~errors.Kind` of error.
+
+        Args:
+            host: host name without port.
+            path: path with or without a query.
+            now: monotonic seconds.
+        """
         if self.table is None:
             return Kind.UNAVAILABLE
-        return self.table.match(host, path) or Kind.UNKNOWN_SERVICE
+        found = self.table.match(host, path)
+        if found is None and self._may_have_changed(now):
+            return Kind.UNAVAILABLE
+        return found or Kind.UNKNOWN_SERVICE
+
+    def _may_have_changed(self, now):
+        # Whether a configuration that must be in force may be missing here.
+        bound_s = ROUTES_CERTAIN_FRACTION * self._cfg.apply_within_ms / 1000
+        return self.copy_age(now) > bound_s
 
     def service(self, route, now):
         """Choose the target service of a request and count the request.
--- a/tests/builders/front_rig.py
+++ b/tests/builders/front_rig.py
@@ -217,6 +217,7 @@
             link_mbps=1000.0,
             stop_grace=3.0,
             lookup_ttl=2.0,
+            apply_within_ms=2000.0,
             retry_ratio=0.2,
             retry_burst=50,
             retry_window=10.0,
--- a/tests/builders/rendered_settings.py
+++ b/tests/builders/rendered_settings.py
@@ -21,6 +21,7 @@
     'Limits.CpuShare': '0.86',
     'Limits.Cpus': '1',
     'Limits.LinkMbps': '1000.0',
+    'Bounds.ApplyMs': '2500',
     'Bounds.GraceS': '6',
     'Bounds.RetryRatio': '0.2',
     'Bounds.RetryBurst': '58',
--- a/tests/features/front_settings.feature
+++ b/tests/features/front_settings.feature
@@ -22,6 +22,8 @@
       | Bounds.ColdOver     | 1000      |
       | Bounds.ColdSlack    | 0.25      |
       | Bounds.ColdSlack    | 100000    |
+      | Bounds.ApplyMs      | 2500      |
+      | Bounds.ApplyMs      | null      |
       | Bounds.GraceS       | 0.5       |
       | Bounds.GraceS       | 3600      |
       | Bounds.GraceS       | null      |
