Take news for as old as they are after waiting on a full link

News say how old the read was when they were sent. News now tell the sender's boot clock; how much later than usual they arrive is added to their age.

'News that were under way for long do not make a copy look fresh' failed with a copy that looked fresh after 3 s, and passes.

--- a/src/jasminehold/front/peering.py
+++ b/src/jasminehold/front/peering.py
@@ -11,11 +11,13 @@
 """
 
 import hashlib
+import time
 import zlib
 
 from jasminehold.decisions import fleet_size
 from jasminehold.decisions import read_schedule
 from jasminehold.decisions import store_replica
+from jasminehold.decisions import transit_delay
 from jasminehold import errors
 from jasminehold.peers import frames
 from jasminehold.peers import link
@@ -76,6 +78,7 @@
         self._leaving = False
         self._started_at = loop.now()
         self._snapshot_requested_at = 0.0
+        self._delays = {}
         key = bytes.fromhex(cfg.peer_key) if cfg.peer_key else derive_key(cfg)
         ring = link.KeyRing([(KEY_ID, key)])
         self.mesh = mesh_module.Mesh(
@@ -166,6 +169,7 @@
             **_item_fields(items),
             **self._position(),
             'age': int((self._loop.now() - as_of) * 1000),
+            'sent': int(_boot_clock_s() * 1000),
             **fields,
         }
         for name in self._region_peers:
@@ -187,7 +191,7 @@
         now = self._loop.now()
         items = _items(message)
         era, revision = message.get('era', 0), message['revision']
-        as_of = now - message['age'] / 1000
+        as_of = now - message['age'] / 1000 - self._delay_s(sender, message)
         steady_since = now - message['steady'] / 1000
         if 'former' in message:
             taken = self.reader.apply_peer_list(
@@ -205,6 +209,13 @@
             if not self.reader.catch_up(era):
                 self._request_snapshot(sender)
 
+    def _delay_s(self, sender, message):
+        # A message that waited on a full link is older than it says.
+        if 'sent' not in message:
+            return 0.0
+        delay = self._delays.setdefault(sender, transit_delay.TransitDelay())
+        return delay.on_message(message['sent'] / 1000, _boot_clock_s())
+
     def _is_obsolete(self, message, now):
         # The list of an instance that had fallen behind, as after a
         # suspension, says nothing to the others, which are not behind.
@@ -216,6 +227,8 @@
         )
 
     def _on_up(self, name):
+        # Its clock starts anew with its machine.
+        self._delays.pop(name, None)
         self._request_first(name)
         self.on_link_up(name)
 
@@ -258,6 +271,10 @@
         reply({**_item_fields(copy.without_lapsed()), **self._position()})
 
 
+def _boot_clock_s():
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def _item_fields(items):
     # The fields of a message that tell items.
     rows = [list(item) for item in items]
--- a/tests/features/front_control.feature
+++ b/tests/features/front_control.feature
@@ -72,6 +72,13 @@
     And a second instance that the store refuses, with the first as seed
     Then the second instance serves within 4 s
 
+  # Guards against news that waited on a full link being taken for fresh.
+  Scenario: News that were under way for long do not make a copy look fresh
+    Given two upstreams of one service behind an instance
+    And a second instance in place "sul-b"
+    When the second has been told of news, and the next are 3 s under way
+    Then its copy is at least 3 s old
+
   Scenario: The directory names live instances of the caller's region
     Given two upstreams of one service behind an instance
     And a second instance in place "norte-a"
--- a/tests/features/steps/front_steps.py
+++ b/tests/features/steps/front_steps.py
@@ -392,6 +392,47 @@
     rig.start('i2', 'sul-b', [seed], 2)
 
 
+@behave.when(
+    'the second has been told of news, and the next are {seconds:g} s under'
+    ' way'
+)
+def when_news_wait(context, seconds):
+    rig = context.rig
+    app = rig.apps['i2']
+    first = rig.apps['i1']._reader.replica
+    rig.wait(
+        lambda: app._reader.replica.revision == first.revision, 'same copies'
+    )
+    # It reads nothing itself from now on.
+    app._reader._retry_at = float('inf')
+    handlers = app._peering.mesh._handlers
+    handle = handlers['news']
+    told = []
+
+    def keep(sender, message, reply):
+        told.append(message)
+        handle(sender, message, reply)
+
+    handlers['news'] = keep
+    rig.wait(lambda: len(told) >= 2, 'news', wait_s=15)
+    waiting = []
+    handlers['news'] = lambda *args: waiting.append(args)
+    rig.wait(lambda: waiting, 'news that wait')
+    begin = time.monotonic()
+    time.sleep(seconds)
+    revision = app._reader.replica.revision
+    rig.on_loop(app.loop, handle, *waiting[0])
+    assert waiting[0][1]['before'] <= revision, 'changes are missing'
+    context.waited_s = time.monotonic() - begin
+
+
+@behave.then('its copy is at least {seconds:g} s old')
+def then_old(context, seconds):
+    app = context.rig.apps['i2']
+    assert app._reader.replica.age(app.loop.now()) >= seconds
+    assert context.waited_s < seconds + 1.0
+
+
 @behave.then('the second instance serves within {seconds:g} s')
 def then_second(context, seconds):
     rig = context.rig
