Show that an instance which starts after a drill denies routes

Cause: an instance that starts takes the store's list as it is, and a missing route for one that does not exist. After a drill the list lacks what the peers keep.

--- a/tests/features/front_store_era.feature
+++ b/tests/features/front_store_era.feature
@@ -61,3 +61,31 @@
     Then the copy does not know "jasminehold/quarantine/aa", also 10 s later
     When era 2 has "jasminehold/quarantine/aa" written again
     Then the copy knows "jasminehold/quarantine/aa"
+
+  # Guards against an instance that starts after a drill and denies, or uses
+  # again, what its peers know better.
+  Scenario Outline: An instance that starts after a drill knows what peers keep
+    Given a fleet of four instances
+    And a copy of the store's data
+    When <change> is known everywhere
+    And the store goes back to that copy while "i1" restarts
+    Then for 2 s "i1" answers "not run" or knows <change>
+
+    Examples:
+      | change                       |
+      | a new route                  |
+      | an evacuation                |
+      | the leaving of an upstream   |
+      | the removal of an upstream   |
+      | the removal of a quarantine  |
+
+  # Guards against a 404 where nobody can know, and against 503 for ever.
+  Scenario: No route is denied while no instance can know
+    Given a fleet of four instances
+    And a copy of the store's data
+    When a new route is known everywhere
+    And the store goes back to that copy while all instances restart
+    Then for 2 s all instances answer "not run" on the new route
+    When a new route is known everywhere
+    Then all instances serve the new route within 3 s
+    And all instances deny a route that never was within 5 s
--- a/tests/features/steps/front_store_era_steps.py
+++ b/tests/features/steps/front_store_era_steps.py
@@ -327,3 +327,118 @@
 @behave.then('the copy knows "{key}"')
 def then_known(context, key):
     assert key in context.copy.items
+
+
+QUARANTINE = 'jasminehold/quarantine/' + 'ab' * 16
+
+
+def _remove_quarantine(context):
+    rig = context.rig
+    rig.put(QUARANTINE, {'left_s': 60.0})
+    rig.wait(lambda: not _lacks_quarantine(rig.apps['i1']), 'the quarantine')
+    given_copy(context)
+    rig.call(rig.store.delete, QUARANTINE)
+
+
+def _lacks_quarantine(app):
+    return QUARANTINE not in app._reader.replica.items
+
+
+# By change: how it is made, and how an instance shows that it knows it.
+CHANGES = {
+    'a new route': (
+        lambda context: when_route(context, 0),
+        lambda app: app.steering.table.match('shop.example', '/new/a'),
+    ),
+    'an evacuation': (
+        lambda context: context.rig.put('op/evacuate/sul-b', {}),
+        lambda app: app.steering.evacuated,
+    ),
+    'the leaving of an upstream': (
+        lambda context: context.rig.put(
+            'servers/u1', _entry(context.rig, 'u1', State='draining')
+        ),
+        lambda app: app.steering.view.upstreams['u1'].draining,
+    ),
+    'the removal of an upstream': (
+        lambda context: when_removed(context, 'u2'),
+        lambda app: 'u2' not in app.steering.view.upstreams,
+    ),
+    'the removal of a quarantine': (_remove_quarantine, _lacks_quarantine),
+}
+
+
+@behave.when('{change} is known everywhere')
+def when_known(context, change):
+    make, known = CHANGES[change]
+    make(context)
+    apps = context.rig.apps.values()
+    context.rig.wait(lambda: all(known(app) for app in apps), change)
+
+
+@behave.when('the store goes back to that copy while "{name}" restarts')
+def when_back_restarted(context, name):
+    _restart_in_drill(context, [name])
+
+
+@behave.when('the store goes back to that copy while all instances restart')
+def when_all_restarted(context):
+    _restart_in_drill(context, list(context.rig.apps))
+
+
+def _restart_in_drill(context, names):
+    rig = context.rig
+    places = {name: rig.apps[name].cfg.place for name in names}
+    for name in names:
+        rig.stop_instance(name)
+    _drill(context)
+    for name in names:
+        seeds = [app.cfg.peer_listen for app in rig.apps.values()][:2]
+        rig.start(name, places[name], seeds)
+
+
+@behave.then('for {seconds:g} s "{name}" answers "not run" or knows {change}')
+def then_known_at_start(context, seconds, name, change):
+    rig = context.rig
+    app = rig.apps[name]
+    known = CHANGES[change][1]
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        in_force = app.steering.table is not None
+        assert not in_force or known(app), change
+        # Without it in force the answer promises that nothing ran.
+        path = '/new/a' if change == 'a new route' else '/order/a'
+        reply = rig.ask(path, name=name)
+        assert reply.status == 200 or _is_not_run(reply), reply
+        time.sleep(0.02)
+    assert app.steering.table is not None
+
+
+def _is_not_run(reply):
+    return reply.status == 503 and 0 < float(reply.headers['retry-after']) <= 5
+
+
+@behave.then(
+    'for {seconds:g} s all instances answer "not run" on the new route'
+)
+def then_not_run(context, seconds):
+    rig = context.rig
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        for name in rig.apps:
+            reply = rig.ask('/new/a', name=name)
+            assert _is_not_run(reply), (name, reply)
+        time.sleep(0.02)
+    for name in rig.apps:
+        assert rig.ask('/browse/a', name=name).status == 200, name
+
+
+@behave.then('all instances deny a route that never was within {seconds:g} s')
+def then_denied(context, seconds):
+    rig = context.rig
+    end = time.monotonic() + seconds
+    left = set(rig.apps)
+    while left and time.monotonic() < end:
+        left = {n for n in left if rig.ask('/never/a', name=n).status != 404}
+        time.sleep(0.02)
+    assert not left, left
