Let an instance that starts hear what its peers keep beyond the store

Cause: an instance that starts took the store's list as it is. After a drill the list lacks what was acknowledged, so routes got 404, and an evacuated place, upstreams that had left and withdrawn keys were used again.

Change: it asks linked peers (kept_items) what they keep, and puts its first list in force when a confirmed peer has answered, after 0.6 s at most. A route that a copy lacks is denied only once the copy is confirmed: by a confirmed peer, or by being held for 5 s. Peers push departures, limits and quarantines with their reply too: the link of the former process may still be open, so that the new one is not noticed. Departures include those that stand in an entry. The newest configuration is kept raw over an era for this.

Tests: two scenarios expected 404 from an instance less than 1 s old; that instance can't know and answers 503 now. They let it hold its copy for 5 s first, and their bounds are as before.

--- a/src/jasminehold/decisions/store_replica.py
+++ b/src/jasminehold/decisions/store_replica.py
@@ -17,6 +17,9 @@
 # Time after which a leased key of a new era that nobody wrote again must have
 # been renewed: entries lapse after three missed heartbeats, 4.5 s.
 ACCEPT_AFTER_S = 5.0
+# Time for which an instance that starts waits for a peer that confirms its
+# first list: some round trips to another region and a read by that peer.
+FIRST_LIST_WAIT_S = 0.6
 
 
 class Item(typing.NamedTuple):
@@ -27,6 +30,27 @@
     revision: int
 
 
+class Kept(typing.NamedTuple):
+    """What a replica knows beyond the store's list, for one that starts.
+
+    Attributes:
+        lost: ``(Item, seconds left)`` of keys without a lease that the era
+            lacks or has with a former value.
+        lapsed: items whose leases lapsed.
+        lapsed_s: seconds left for these.
+        unconfirmed: ``(key, revision)`` of the era's items that do not count.
+        accept_s: seconds after which leased ones of these count.
+        confirmed: whether what the replica lacks does not exist.
+    """
+
+    lost: list
+    lapsed: list
+    lapsed_s: float
+    unconfirmed: list
+    accept_s: float
+    confirmed: bool
+
+
 class StoreReplica:
     """Local replica of the store's keys.
 
@@ -65,15 +89,40 @@
         # Keys without a lease that a new era lacks, and until when they are
         # kept.
         self._lost_until = {}
+        # Items without a lease that a new era has with another value, and
+        # until when they are kept.
+        self._superseded = {}
         # Items that a new era has and the replica had not: they may have been
         # deleted before. They count once they are written again.
         self._unconfirmed = {}
         self._accept_at = None
+        self._in_force_at = None
+        self._confirmed_at = None
 
     def age(self, now):
         """Return the age of the replica in seconds, infinite before a read."""
         return float('inf') if self.as_of is None else now - self.as_of
 
+    def absence_confirmed(self, now):
+        """Return whether what the replica lacks does not exist.
+
+        The store may have gone back shortly before the first list was read.
+        What it lost is then known to peers, or written again in time.
+        """
+        return self._confirmed_at is not None and now >= self._confirmed_at
+
+    def in_force_in_s(self, now):
+        """Return the seconds until a first list is in force at the latest.
+
+        It is in force earlier if a peer confirms it.
+        """
+        return max(self._in_force_at - now, 0.0)
+
+    def superseded(self, key):
+        """Return the item of a former era that a key had, or None."""
+        found = self._superseded.get(key)
+        return found and found[0]
+
     def lapsed_drop_in_s(self, now):
         """Return the seconds until lapsed keys are dropped, or None."""
         if self._lapsed_drop_at is None:
@@ -98,6 +147,9 @@
         if era > self.era and self.revision:
             return self._begin_era(items, revision, as_of, now, era)
         self.era = era
+        if self._in_force_at is None:
+            self._in_force_at = now + FIRST_LIST_WAIT_S
+            self._confirmed_at = now + LOST_KEEP_S
         self._refresh(as_of, now)
         changed = set()
         seen = set()
@@ -116,12 +168,17 @@
         return changed
 
     def _begin_era(self, items, revision, as_of, now, era):
+        # A replica that was behind may not know what the store lost.
+        if self.age(now) > self._outage_s or not self.absence_confirmed(now):
+            self._confirmed_at = now + LOST_KEEP_S
         self._refresh(as_of, now)
         self.era, self.revision = era, revision
         self.steady_since = as_of
         self._lapsed_drop_at = now + self._return_s
         self._accept_at = now + ACCEPT_AFTER_S
         known, self.items = self.items, {}
+        former = {key: item for key, (item, _) in self._superseded.items()}
+        self._superseded = {}
         self._lapsed, self._lost_until, self._unconfirmed = set(), {}, {}
         changed = set()
         written_again = self._leased_prefixes + self._rewritten_prefixes
@@ -133,6 +190,9 @@
             self.items[key] = item
             if key not in known or known[key].value != item.value:
                 changed.add(key)
+            before = former.get(key) or known.get(key)
+            if before is not None and before.value != item.value:
+                self._supersede(before, revision, now + LOST_KEEP_S)
         for key, item in known.items():
             if key in self.items:
                 continue
@@ -146,6 +206,79 @@
                 self._lost_until[key] = now + LOST_KEEP_S
         return changed
 
+    def _supersede(self, item, revision, until):
+        if not item.key.startswith(self._leased_prefixes):
+            item = item._replace(revision=min(item.revision, revision))
+            self._superseded[item.key] = (item, until)
+
+    def kept(self, now):
+        """Return the :class:`Kept` for a replica that starts."""
+        lost = [
+            (self.items[key], max(until - now, 0.0))
+            for key, until in self._lost_until.items()
+        ]
+        lost += [
+            (item, max(until - now, 0.0))
+            for item, until in self._superseded.values()
+        ]
+        return Kept(
+            lost,
+            [self.items[key] for key in self._lapsed],
+            self.lapsed_drop_in_s(now) or 0.0,
+            [(key, item.revision) for key, item in self._unconfirmed.items()],
+            max((self._accept_at or now) - now, 0.0),
+            self.absence_confirmed(now) and self.age(now) <= self._outage_s,
+        )
+
+    def merge_kept(self, kept, now):
+        """Apply what a replica of the same era knows beyond the list.
+
+        What this replica read counts more, and nothing is kept for longer
+        than there.
+
+        Args:
+            kept: the :class:`Kept` of the other one.
+            now: monotonic seconds.
+
+        Returns:
+            Set of the keys that changed.
+        """
+        changed = set()
+        for item, left_s in kept.lost:
+            until = now + min(left_s, LOST_KEEP_S)
+            own = self.items.get(item.key)
+            if own is None:
+                self._lost_until[item.key] = until
+                self._keep(item, changed)
+            elif own.revision <= item.revision and until > now:
+                self._supersede(item, self.revision, until)
+                changed.add(item.key)
+        for item in kept.lapsed:
+            if item.key not in self.items:
+                self._lapsed.add(item.key)
+                self._keep(item, changed)
+        if kept.lapsed:
+            at = now + min(kept.lapsed_s, self._return_s)
+            if self._lapsed_drop_at is not None:
+                at = min(at, self._lapsed_drop_at)
+            self._lapsed_drop_at = at
+        for key, revision in kept.unconfirmed:
+            own = self.items.get(key)
+            if own is not None and own.revision <= revision:
+                self._unconfirmed[key] = self.items.pop(key)
+                self._accept_at = now + min(kept.accept_s, ACCEPT_AFTER_S)
+                changed.add(key)
+        if kept.confirmed:
+            self._confirmed_at = min(self._confirmed_at, now)
+        return changed
+
+    def _keep(self, item, changed):
+        # Any later write of this era replaces it.
+        self.items[item.key] = item._replace(
+            revision=min(item.revision, self.revision)
+        )
+        changed.add(item.key)
+
     def apply_differences(self, before, events, start, as_of, now):
         """Apply the differences between two complete lists of the items.
 
@@ -268,6 +401,9 @@
         gone = {key for key, at in self._lost_until.items() if now >= at}
         for key in gone:
             del self._lost_until[key]
+        for key, (_, until) in list(self._superseded.items()):
+            if now >= until:
+                del self._superseded[key]
         if self._lapsed_drop_at is not None and now >= self._lapsed_drop_at:
             self._lapsed_drop_at = None
             gone |= self._lapsed
@@ -326,6 +462,7 @@
         self._unconfirmed.pop(item.key, None)
         if known is not None and known.revision >= item.revision:
             return set()
+        self._superseded.pop(item.key, None)
         self.items[item.key] = item
         if known is not None and known.value == item.value:
             return set()
@@ -340,5 +477,6 @@
             return set()
         self._lapsed.discard(key)
         self._lost_until.pop(key, None)
+        self._superseded.pop(key, None)
         del self.items[key]
         return {key}
--- a/src/jasminehold/decisions/upstream_view.py
+++ b/src/jasminehold/decisions/upstream_view.py
@@ -149,8 +149,16 @@
         return not known
 
     def leaving(self):
-        """Return ``{Incarnation: monotonic seconds at which it said so}``."""
-        return dict(self._leaving)
+        """Return ``{Incarnation: monotonic seconds at which it said so}``.
+
+        It said so in a response or in its entry, which the store may lose.
+        """
+        entries = {
+            item.entry.incarnation: item.changed_at
+            for item in self.upstreams.values()
+            if item.draining
+        }
+        return {**entries, **self._leaving}
 
     def _is_withdrawn(self, entry):
         # A delayed copy of an entry of a drained upstream that already left.
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -19,6 +19,7 @@
 from jasminehold.front import departures
 from jasminehold.front import directory
 from jasminehold.front import exchange
+from jasminehold.front import first_copy
 from jasminehold.front import limit_news
 from jasminehold.front import peering
 from jasminehold.front import reader
@@ -138,9 +139,22 @@
         self.departures = departures.Departures(
             self.loop, self._peering.mesh, self.steering, self.metrics
         )
+        self._first_copy = first_copy.FirstCopy(
+            self.loop,
+            self._peering.mesh,
+            self._reader,
+            self._on_change,
+            self._put_in_force,
+            self._tell,
+            self.metrics,
+            _log,
+        )
         self._peering.on_link_up = self._on_link_up
         self.store.on_era = self._on_era
         self.steering.copy_age = self._reader.replica.age
+        self.steering.absence_confirmed = (
+            self._reader.replica.absence_confirmed
+        )
         self._decoder = reader.Decoder(self.metrics, _log)
 
     def _on_era(self, era):
@@ -149,6 +163,11 @@
         self.crash_guard.on_era()
 
     def _on_link_up(self, name):
+        self._tell(name)
+        self._first_copy.on_link_up(name)
+
+    def _tell(self, name):
+        # What an instance that starts cannot read from the store.
         self.crash_guard.on_link_up(name)
         self.limit_news.on_link_up(name)
         self.departures.on_link_up(name)
@@ -193,8 +212,10 @@
         gauges.update(self.crash_guard.gauge_values())
         gauges['requests_in_flight'] = len(self.exchanges.exchanges)
         gauges['instance_leaving'] = int(self.leaving)
-        if self._reader.replica.as_of is not None:
-            gauges['store_copy_age_seconds'] = self._reader.replica.age(now)
+        replica = self._reader.replica
+        gauges['store_copy_confirmed'] = int(replica.absence_confirmed(now))
+        if replica.as_of is not None:
+            gauges['store_copy_age_seconds'] = replica.age(now)
         for name, value in gauges.items():
             self.metrics.set(name, value)
         for service, use in self.steering.retry_uses(now).items():
@@ -304,8 +325,21 @@
     # Changes in the store.
 
     def _on_change(self, keys):
+        copy = self._reader.replica
+        # The members lead to the peers that confirm the rest.
+        if any(key.startswith(wire.MEMBER_PREFIX) for key in keys):
+            self._on_members(copy.with_prefix(wire.MEMBER_PREFIX))
+        self._first_copy.on_copy()
+        if self._first_copy.in_force:
+            self._put_in_force(keys)
+
+    def _put_in_force(self, keys):
         copy = self._reader.replica
         if any(key.startswith(wire.OPERATOR_PREFIX) for key in keys):
+            former = copy.superseded(wire.CONFIG_KEY)
+            table = former and self._decoder.config(former)
+            if table is not None:
+                self.steering.on_config(table)
             table, places = self._decoder.operator(
                 copy.with_prefix(wire.OPERATOR_PREFIX)
             )
@@ -317,8 +351,6 @@
                 copy.with_prefix(wire.UPSTREAM_PREFIX)
             )
             self.steering.on_entries(entries, copy.as_of)
-        if any(key.startswith(wire.MEMBER_PREFIX) for key in keys):
-            self._on_members(copy.with_prefix(wire.MEMBER_PREFIX))
         if any(key.startswith(wire.QUARANTINE_PREFIX) for key in keys):
             self.crash_guard.on_stored(
                 copy.with_prefix(wire.QUARANTINE_PREFIX)
--- a/src/jasminehold/front/reader.py
+++ b/src/jasminehold/front/reader.py
@@ -288,11 +288,15 @@
             or self.failing
         ):
             return False
+        self.read_soon(CATCH_UP_SPREAD_S)
+        return True
+
+    def read_soon(self, spread_s=0.0):
+        """Read the store at a random time within ``spread_s`` seconds."""
         if self._catch_up_at is None:
             self._catch_up_at = (
-                self._loop.now() + CATCH_UP_SPREAD_S * self._rng.random()
+                self._loop.now() + spread_s * self._rng.random()
             )
-        return True
 
     def _on_peer_copy(self, changed, steady_since):
         if changed is None:
@@ -397,10 +401,11 @@
             if place is not None:
                 places.add(place)
             elif key == wire.CONFIG_KEY:
-                table = self._config(item)
+                table = self.config(item)
         return table, frozenset(places)
 
-    def _config(self, item):
+    def config(self, item):
+        """Return the ``RouteTable`` of an item, or None."""
         try:
             return wire.decode_config(item.value)
         except wire.MalformedBody as exc:
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -101,12 +101,15 @@
 
     Attributes:
         copy_age: ``now -> seconds``, the age of the store copy.
+        absence_confirmed: ``now -> bool``, whether a route that the table
+            lacks does not exist.
         instances: ids of the live instances.
         limits: the :class:`~decisions.stated_limits.StatedLimits`.
     """
 
     def __init__(self, cfg, rng, log):
         self.copy_age = lambda now: 0.0
+        self.absence_confirmed = lambda now: True
         self.table = None
         self.view = upstream_view.UpstreamView()
         self.evacuated = frozenset()
@@ -264,14 +267,15 @@
         if self.table is None:
             return Kind.UNAVAILABLE
         found = self.table.match(host, path)
-        if found is None and self._may_have_changed(now):
+        if found is None and not self._is_absence_certain(now):
             return Kind.UNAVAILABLE
         return found or Kind.UNKNOWN_SERVICE
 
-    def _may_have_changed(self, now):
-        # Whether a configuration that must be in force may be missing here.
+    def _is_absence_certain(self, now):
+        # A configuration that must be in force may be missing in a copy that
+        # is old, or that was read just after the store went back.
         bound_s = ROUTES_CERTAIN_FRACTION * self._cfg.apply_within_ms / 1000
-        return self.copy_age(now) > bound_s
+        return self.copy_age(now) <= bound_s and self.absence_confirmed(now)
 
     def service(self, route, now):
         """Choose the target service of a request and count the request.
--- a/src/jasminehold/peers/messages.py
+++ b/src/jasminehold/peers/messages.py
@@ -227,6 +227,28 @@
     leaving: typing.List[typing.List[typing.Any]]
 
 
+class KeptItemsRequest(typing.TypedDict):
+    """Asks what a peer keeps beyond the list of the store."""
+
+    type: str
+    era: int
+
+
+class KeptItems(typing.TypedDict, total=False):
+    """Reply to ``kept_items``; of another era than asked, only ``era``.
+
+    The others are the fields of :class:`~decisions.store_replica.Kept`.
+    """
+
+    era: int
+    lost: typing.List[typing.Any]
+    lapsed: typing.List[typing.Any]
+    lapsed_s: float
+    unconfirmed: typing.List[typing.Any]
+    accept_s: float
+    confirmed: bool
+
+
 class Leave(typing.TypedDict):
     """Last message of an instance that shuts down gracefully."""
 
--- a/tests/builders/store_drills.py
+++ b/tests/builders/store_drills.py
@@ -54,6 +54,7 @@
         kind = self.rng.choice(
             (self._write, self._write, self._read, self._read)
             + (self._tell, self._tell, self._keep, self._drill)
+            + (self._restart,)
         )
         kind()
 
@@ -115,6 +116,15 @@
                 message = ('list', listed, 0, one.era, one.revision)
         self._messages.append((message, self.now))
 
+    def _restart(self):
+        # A copy starts anew, and learns from another one of its era.
+        number = self.rng.randrange(len(self.copies))
+        self.copies[number] = one = replica()
+        self._read(one)
+        for other in self.copies:
+            if other.era == one.era and other is not one:
+                one.merge_kept(other.kept(self.now), self.now)
+
     def _tell(self):
         if not self._messages:
             return
--- a/tests/features/front_control.feature
+++ b/tests/features/front_control.feature
@@ -9,6 +9,7 @@
 
   Scenario: A newer configuration is in force soon and an older one never
     Given two upstreams of one service behind an instance
+    And the instance has held its copy of the store for 5 s
     When the operator stores version 7 without the route "browse"
     And the operator stores version 5 with all routes
     Then a request on "/browse/a" gets 404 from within 1 s on
@@ -45,6 +46,7 @@
   # Guards against a copy that is behind being taken for a denial.
   Scenario: A route that an old copy lacks is not denied
     Given two upstreams of one service behind an instance
+    And the instance has held its copy of the store for 5 s
     When the store has been silent for the 2 s in which a version takes effect
     And a caller asks for "/added/a"
     Then the status is 503 with a time to come back
--- a/tests/features/front_path.feature
+++ b/tests/features/front_path.feature
@@ -15,6 +15,7 @@
     Then the status is 200 and upstream "w1" ran it
 
   Scenario: A path without a route gets 404
+    Given the instance has held its copy of the store for 5 s
     When a caller asks for "/nothing/a"
     Then the status is 404
 
--- a/tests/features/front_store_era.feature
+++ b/tests/features/front_store_era.feature
@@ -89,3 +89,27 @@
     When a new route is known everywhere
     Then all instances serve the new route within 3 s
     And all instances deny a route that never was within 5 s
+
+  # Guards against a start that waits although a peer knows for certain.
+  Scenario: A peer that has held its copy confirms that of one that starts
+    Given a fleet of four instances
+    And it has held its copy for 5 s
+    When "i1" restarts
+    Then "i1" serves and denies a route that never was within 0.6 s
+
+  # Guards against two instances that take each other's list for certain.
+  Scenario Outline: Only a copy that has been held confirms another
+    Given a copy that has been held for <seconds> s, <how>
+    When another copy starts and hears from it
+    Then the other copy is <confirmed>
+
+    Examples:
+      | seconds | how                              | confirmed     |
+      | 0       | without a word from a peer       | not confirmed |
+      | 4.9     | without a word from a peer       | not confirmed |
+      | 5       | without a word from a peer       | confirmed     |
+      | 0       | confirmed by an older one        | confirmed     |
+      | 5       | then without the store for 3 s   | not confirmed |
+      | 4       | then in a new era for 2 s        | not confirmed |
+      | 6       | then in a new era for 2 s        | confirmed     |
+      | 6       | then in a new era after 3 s      | not confirmed |
--- a/tests/features/steps/front_steps.py
+++ b/tests/features/steps/front_steps.py
@@ -265,6 +265,11 @@
         time.sleep(0.1)
 
 
+@behave.given('the instance has held its copy of the store for {seconds:g} s')
+def given_held(context, seconds):
+    time.sleep(seconds)
+
+
 @behave.when('upstream "{name}" reports that it is leaving')
 def when_draining(context, name):
     rig = context.rig
--- a/tests/features/steps/front_store_era_steps.py
+++ b/tests/features/steps/front_store_era_steps.py
@@ -404,14 +404,14 @@
     known = CHANGES[change][1]
     end = time.monotonic() + seconds
     while time.monotonic() < end:
-        in_force = app.steering.table is not None
+        in_force = app.steering.view.upstreams
         assert not in_force or known(app), change
         # Without it in force the answer promises that nothing ran.
         path = '/new/a' if change == 'a new route' else '/order/a'
         reply = rig.ask(path, name=name)
         assert reply.status == 200 or _is_not_run(reply), reply
         time.sleep(0.02)
-    assert app.steering.table is not None
+    assert app.steering.view.upstreams
 
 
 def _is_not_run(reply):
@@ -442,3 +442,85 @@
         left = {n for n in left if rig.ask('/never/a', name=n).status != 404}
         time.sleep(0.02)
     assert not left, left
+
+
+@behave.given('it has held its copy for {seconds:g} s')
+def given_held(context, seconds):
+    time.sleep(seconds)
+
+
+@behave.when('"{name}" restarts')
+def when_restarted(context, name):
+    rig = context.rig
+    place = rig.apps[name].cfg.place
+    rig.stop_instance(name)
+    seeds = [app.cfg.peer_listen for app in rig.apps.values()][:2]
+    rig.start(name, place, seeds)
+
+
+@behave.then(
+    '"{name}" serves and denies a route that never was within {seconds:g} s'
+)
+def then_certain(context, name, seconds):
+    end = time.monotonic() + seconds
+    found = None
+    while found != [200, 404] and time.monotonic() < end:
+        found = [
+            context.rig.ask(path, name=name).status
+            for path in ('/browse/a', '/never/a')
+        ]
+        time.sleep(0.02)
+    assert found == [200, 404], found
+
+
+def _started(now, peers=()):
+    copy = store_drills.replica()
+    copy.replace([store_drills.item('op/config', 5)], 9, now, now, 1)
+    for peer in peers:
+        copy.merge_kept(peer.kept(now), now)
+    return copy
+
+
+def _renewed(copy, now, era):
+    copy.replace([store_drills.item('op/config', 5)], 9, now, now, era)
+
+
+# What happens after a copy was held: seconds without the store, seconds
+# with it after that (None: none), and the era then.
+HELD = {
+    'without a word from a peer': (0, 0, 1),
+    'confirmed by an older one': (0, 0, 1),
+    'then without the store for 3 s': (3, None, 1),
+    'then in a new era for 2 s': (0, 2, 2),
+    'then in a new era after 3 s': (3, 0, 2),
+}
+
+
+@behave.given('a copy that has been held for {seconds:g} s, {how}')
+def given_copy_held(context, seconds, how):
+    away_s, after_s, era = HELD[how]
+    older = [_started(0.0)] if how.startswith('confirmed') else []
+    for copy in older:
+        _renewed(copy, 10.0, 1)
+    context.copy = _started(10.0, older)
+    until = 10.0 + seconds
+    _renewed(context.copy, until, 1)
+    context.now = until + away_s
+    if after_s is not None:
+        _renewed(context.copy, context.now, era)
+        context.now += after_s
+
+
+@behave.when('another copy starts and hears from it')
+def when_other(context):
+    context.other = store_drills.replica()
+    items = [store_drills.item('op/config', 5)]
+    era, now = context.copy.era, context.now
+    context.other.replace(items, 9, now, now, era)
+    context.other.merge_kept(context.copy.kept(now), now)
+
+
+@behave.then('the other copy is {confirmed}')
+def then_confirmed(context, confirmed):
+    found = context.other.absence_confirmed(context.now)
+    assert found == (confirmed == 'confirmed')
