Keep what the store lost over a second list of the era

Cause: a list of the same era, as after an outage or a forgotten history, took the keys that the era lacks for deleted, although their writers had time left.

Change: such keys stay until that time is over.

--- a/src/jasminehold/decisions/store_replica.py
+++ b/src/jasminehold/decisions/store_replica.py
@@ -160,6 +160,8 @@
             if item.key in self.items or item.revision > reached:
                 changed |= self._put(item)
         for key in [key for key in self.items if key not in seen]:
+            if key in self._lost_until:
+                continue
             if self.items[key].revision <= revision:
                 changed |= self._drop(key, now)
         for key in [key for key in self._unconfirmed if key not in seen]:
--- a/tests/features/front_store_era.feature
+++ b/tests/features/front_store_era.feature
@@ -55,6 +55,13 @@
     When it hears changes, differences and lists of era 1 at revision 90
     Then it is as before
 
+  # Guards against keys that a second list of the era drops too early.
+  Scenario: What the store lost outlasts a second list of the era
+    Given a copy of era 1 that knows "op/evacuate/a"
+    When era 2 begins without it and is read again 3 s later
+    Then the copy knows "op/evacuate/a"
+    And not any more 5 s after the era began
+
   Scenario: A withdrawn key does not come back
     Given a copy of era 1 that saw "jasminehold/quarantine/aa" deleted
     When era 2 begins with "jasminehold/quarantine/aa" in the store
--- a/tests/features/steps/front_store_era_steps.py
+++ b/tests/features/steps/front_store_era_steps.py
@@ -524,3 +524,23 @@
 def then_confirmed(context, confirmed):
     found = context.other.absence_confirmed(context.now)
     assert found == (confirmed == 'confirmed')
+
+
+@behave.given('a copy of era 1 that knows "{key}"')
+def given_knows(context, key):
+    context.key = key
+    context.copy = store_drills.replica()
+    context.copy.replace([store_drills.item(key, 5)], 5, 1.0, 1.0, 1)
+
+
+@behave.when('era 2 begins without it and is read again {seconds:g} s later')
+def when_listed_again(context, seconds):
+    for now in (2.0, 2.0 + seconds):
+        context.copy.replace([], 4, now, now, 2)
+        context.copy.drop_lapsed(now)
+
+
+@behave.then('not any more {seconds:g} s after the era began')
+def then_dropped(context, seconds):
+    context.copy.drop_lapsed(2.0 + seconds)
+    assert context.key not in context.copy.items
