Answer no look-up before the first copy is in force

Cause: an instance that has just started, or gets no copy, named itself alone. Callers give up their connections to instances that a look-up leaves out, and this one could not serve them.

Change: it answers 503 until then, so that the caller asks another instance.

Measured: 'An instance without a copy names no one' failed and passes.

--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -186,7 +186,7 @@
             _log,
         )
         answers = directory.Directory(
-            lambda: self._listed_instances,
+            self._instances_to_name,
             lambda: not self.leaving and self.steering.table is not None,
             self.cfg.lookup_ttl,
         )
@@ -196,6 +196,9 @@
         self._directory = self._port(answers.on_request, FILES_RESERVED)
         self._metrics = self._port(self._on_scrape, FILES_RESERVED)
 
+    def _instances_to_name(self):
+        return self._listed_instances if self._first_copy.in_force else ()
+
     def _port(self, on_request, conns):
         return caller.CallerPort(
             self.loop, self.metrics, self._caller_limits, on_request, conns
--- a/src/jasminehold/front/directory.py
+++ b/src/jasminehold/front/directory.py
@@ -13,7 +13,8 @@
 
     Args:
         instances: ``() -> list`` of
-            :class:`~decisions.instance_sample.Instance`, never empty.
+            :class:`~decisions.instance_sample.Instance`; empty if this
+            instance does not know the others yet.
         ready: ``() -> bool``.
         ttl_s: seconds for which a lookup result is valid.
     """
@@ -30,9 +31,14 @@
             status = 200 if self._ready() else 503
             inbound.answer(status, _JSON, b'{}')
         elif path == wire.RESOLVE_PATH:
+            instances = self._instances()
+            if not instances:
+                # The caller asks another instance.
+                inbound.answer(503, _JSON, b'{}')
+                return
             query = wire.decode_query(dict(urllib.parse.parse_qsl(text)))
             addresses = instance_sample.choose(
-                self._instances(), query.region, query.place, inbound.peer
+                instances, query.region, query.place, inbound.peer
             )
             body = wire.encode_addresses(addresses, self._ttl_s)
             inbound.answer(200, _JSON, body)
--- a/tests/features/front_control.feature
+++ b/tests/features/front_control.feature
@@ -81,6 +81,13 @@
     When the second has been told of news, and the next are 3 s under way
     Then its copy is at least 3 s old
 
+  # Guards against callers that give up their connections for an instance that
+  # knows itself only.
+  Scenario: An instance without a copy names no one
+    Given two upstreams of one service behind an instance
+    And a second instance that knows neither the store nor a peer
+    Then the second instance answers no look-up and is not ready
+
   Scenario: The directory names live instances of the caller's region
     Given two upstreams of one service behind an instance
     And a second instance in place "norte-a"
--- a/tests/features/steps/front_steps.py
+++ b/tests/features/steps/front_steps.py
@@ -438,6 +438,29 @@
     assert context.waited_s < seconds + 1.0
 
 
+@behave.given('a second instance that knows neither the store nor a peer')
+def given_alone(context):
+    rig = context.rig
+    rig.call(rig.store.set_faults, mode='busy')
+    rig.start('i2', 'sul-b', (), 2)
+
+
+@behave.then('the second instance answers no look-up and is not ready')
+def then_no_answer(context):
+    cfg = context.rig.apps['i2'].cfg
+    look_up = '/api/resolve?Name=shop.example&Region=sul&Zone=x'
+    end = time.monotonic() + 2.0
+    while time.monotonic() < end:
+        for listen, path in (
+            (cfg.directory_listen, look_up),
+            (cfg.ready_listen, '/api/ready'),
+        ):
+            client = caller.Client(listen.port)
+            assert client.request('GET', path).status == 503, path
+            client.close()
+        time.sleep(0.1)
+
+
 @behave.then('the second instance serves within {seconds:g} s')
 def then_second(context, seconds):
     rig = context.rig
