Leave tombstones out of a relay's digest

Cause: the relay kept an empty value for each document that it passed on, so a deleted one counted in the digest of its head and in no instance's own.

Change: the relay notes which documents are deleted.

Measured: the new scenario of store.feature failed before; with the change the feature passes.

--- a/src/jasminehold/control/relay.py
+++ b/src/jasminehold/control/relay.py
@@ -131,9 +131,12 @@
             return
         self._metrics.inc('relay_documents_total')
         self._publish(key, doc, version)
-        # The head needs only keys and versions. Keeping the values would
-        # store all client blocks a second time after a relay read them again.
-        entry = {'key': key, 'value': {}, 'version': version}
+        # The head needs only keys, versions and what is deleted. Keeping the
+        # values would store all client blocks a second time after a relay
+        # read them again.
+        is_tombstone = isinstance(doc, dict) and doc.get('deleted')
+        value = {'deleted': True} if is_tombstone else {}
+        entry = {'key': key, 'value': value, 'version': version}
         self._relayed.apply([entry], 0)
 
     def _publish_head(self):
--- a/tests/features/steps/store_steps.py
+++ b/tests/features/steps/store_steps.py
@@ -189,22 +189,39 @@
     assert [change['actor'] for change in _audit(context)] == ['ana']
 
 
-@behave.then(
-    'a relay\'s head has the digest of the documents it passed on and it '
-    'keeps none of their values'
-)
-def then_relay_copy(context):
+def _relayed(entries):
     published = {}
 
     def publish(key, value, version):
         published[key] = value
 
     relay = relay_module.Relay(None, None, publish, None, metrics.Metrics())
-    entries = documents.base_entries()
     for item in entries:
         data = json.dumps(item['value']).encode()
         relay._publish_item(item['key'], data, item['version'])
     relay._publish_head()
+    return relay, published
+
+
+@behave.then(
+    "a relay's head after a deletion has the digest of the others' copy"
+)
+def then_relay_deletion(context):
+    entries = documents.base_entries()
+    entries.append(documents.entry('region', 'old', 9, deleted=True))
+    known = config.ConfigSet()
+    known.apply(entries)
+    _, published = _relayed(entries)
+    assert published[relay_module.HEAD_KEY]['digest'] == known.digest()
+
+
+@behave.then(
+    'a relay\'s head has the digest of the documents it passed on and it '
+    'keeps none of their values'
+)
+def then_relay_copy(context):
+    entries = documents.base_entries()
+    relay, published = _relayed(entries)
     known = config.ConfigSet()
     known.apply(entries)
     assert published[relay_module.HEAD_KEY]['digest'] == known.digest()
--- a/tests/features/store.feature
+++ b/tests/features/store.feature
@@ -48,6 +48,11 @@
   Scenario: A relay holds no second copy of the documents
     Then a relay's head has the digest of the documents it passed on and it keeps none of their values
 
+  # The relay counted tombstones, the instances do not: after a deletion no
+  # instance knew its copy to be complete for a day.
+  Scenario: A relay that passed a deletion on agrees with the instances
+    Then a relay's head after a deletion has the digest of the others' copy
+
   Scenario: Old tombstones are purged
     Given region sul is declared
     Then a purge removes its tombstone after the time to keep, not before
