Deny a service only from a complete and recent configuration

Cause: an instance of the product's own interface answered 404 (unknown_service) for each service that its copy of the configuration lacked, however young, partial or old the copy. It learns the documents one by one, from peers and from the relays; look-ups were denied even with an empty copy. Cut off from the relays, or beside a store that went back to an older copy, it went on denying.

Change: relays tell with their reads of the store (a watch of 1 s instead of 20 s) which digest it holds. A copy denies only while its tables have the digest of the newest head and of a read that was sent at most 5 s ago; else the answer is 503 with Retry-After. A relay vouches for a store only after 5 s in one era, and reads it anew in the next one.

--- a/bench/routing_tables.py
+++ b/bench/routing_tables.py
@@ -187,7 +187,7 @@
         name, place = 'i%04d' % number, 'p%02d' % (number % 19)
         entry = lookup_order.Candidate(name, place, made.place_region[place])
         view[name] = (entry, '10.0.0.1', 7000)
-    answer = lookups.make_lookup(made, lambda: (1, view), 2.0)
+    answer = lookups.make_lookup(made, lambda: (1, view), 2.0, lambda: True)
     count = max(20, 20000 // instances)
     blocks = ['10.1.%d.0' % number for number in range(min(count, 250))]
 
--- a/src/jasminehold/app.py
+++ b/src/jasminehold/app.py
@@ -24,6 +24,7 @@
 from jasminehold.control import statuses
 from jasminehold.control import temporary_drains
 from jasminehold.decisions import claim_log
+from jasminehold.decisions import config_freshness
 from jasminehold.decisions import duty_lease
 from jasminehold.decisions import limit_table
 from jasminehold.decisions import lookup_order
@@ -118,7 +119,10 @@
         self.effective = effective.EffectiveConfig(self.config)
         self.tables = tables_module.Tables()
         self.holder = share_holder.ShareHolder(cfg.id)
+        self.freshness = config_freshness.ConfigFreshness()
         self._head_document = None
+        # Digest of the configuration from which the tables were built.
+        self._tables_digest = None
         # Version, and {instance id: (candidate, caller host, caller port)}.
         self._view = (0, {})
         self._rebuild_timer = None
@@ -191,7 +195,12 @@
             self.metrics,
         )
         self.relay = relay_module.Relay(
-            self.loop, self.client, self.publish, self.rng, self.metrics
+            self.loop,
+            self.client,
+            self.publish,
+            self.rng,
+            self.metrics,
+            self._on_config_read,
         )
         self.planner = planner_module.Planner(
             self.loop,
@@ -275,12 +284,16 @@
             idle_s=cfg.idle_timeout,
         )
         answer_lookup = lookups.make_lookup(
-            self.tables, lambda: self._view, cfg.lookup_ttl
+            self.tables,
+            lambda: self._view,
+            cfg.lookup_ttl,
+            self._may_deny_service,
         )
         self.proxy = proxy_server.ProxyServer(
             self.loop, hooks, self.metrics, answer_lookup, limits, cfg.id
         )
         self.picker.has_idle = self.proxy.pool.has_idle
+        self.picker.may_deny = self._may_deny_service
         listener = self.proxy.listen(*cfg.caller_listen)
         self.caller_port = listener.port
         peer_address = cfg.peer_advertise or (
@@ -462,6 +475,7 @@
             self._on_plan(value)
         elif key == relay_module.HEAD_KEY:
             self._head_document = value
+            self.freshness.on_head(value['digest'])
             self._update_config_revision()
 
     def on_notice(self, key, value, seconds_left):
@@ -472,6 +486,12 @@
         if key.startswith(temporary_drains.PREFIX):
             self.drains.on_notice(key, value, seconds_left)
             return
+        if key == config_freshness.NOTICE_KEY:
+            sent_at = config_freshness.sent_at(
+                value['age_s'], seconds_left, self.loop.now()
+            )
+            self.freshness.on_read(value['digest'], sent_at)
+            return
         self.picker.on_notice(key, value, seconds_left, self.loop.now())
         if key.startswith(picker_module.LEAVING_PREFIX):
             self._rebuild_soon()
@@ -504,6 +524,18 @@
                 self.tables.set_blocks(name, self.config.get(kind, name))
         self._rebuild_soon()
 
+    def _on_config_read(self, digest, sent_at):
+        now = self.loop.now()
+        if self.freshness.is_news(digest, sent_at, now):
+            self.notify(
+                config_freshness.NOTICE_KEY,
+                {'digest': digest, 'age_s': now - sent_at},
+                config_freshness.NOTICE_TTL_S,
+            )
+
+    def _may_deny_service(self):
+        return self.freshness.may_deny(self._tables_digest, self.loop.now())
+
     def _update_config_revision(self):
         head = self._head_document
         if head is not None and head['digest'] == self.config.digest():
@@ -517,6 +549,7 @@
 
     def _rebuild(self):
         self._rebuild_timer = None
+        self._tables_digest = self.config.digest()
         steps = {'movements': {}, 'legacy': {}}
         for plan in self.holder.plans.values():
             for part, values in plan.get('steps', {}).items():
--- a/src/jasminehold/control/relay.py
+++ b/src/jasminehold/control/relay.py
@@ -3,19 +3,22 @@
 A relay reads all keys below ``state/`` once and then keeps one watch open.
 Besides the documents it publishes the head: the revision and the digest of the
 configuration. An instance with the same digest has exactly that configuration
-in force.
+in force. Each answer to the watch shows that the digest still holds.
 """
 
 import json
 
 from jasminehold import config as config_module
+from jasminehold.decisions import config_freshness
 from jasminehold import errors
 from jasminehold import logs
 from jasminehold import store
 
 PREFIX = 'state/'
 HEAD_KEY = 'head/config'
-WATCH_WAIT_S = 20.0
+# Short, so that each answer proves the copy recent, see
+# ``config_freshness.RENEW_AGE_S``.
+WATCH_WAIT_S = 1.0
 RETRY_S = 0.5
 RETRY_MAX_S = 5.0
 
@@ -32,14 +35,26 @@
             instances.
         rng: random source of the jitter.
         metrics: counters.
+        on_read: ``on_read(digest, sent_at)``, called after each read that
+            shows what the store holds.
     """
 
-    def __init__(self, loop, client, publish, rng, metrics):
+    def __init__(
+        self,
+        loop,
+        client,
+        publish,
+        rng,
+        metrics,
+        on_read=lambda digest, sent_at: None,
+    ):
         self._loop = loop
         self._client = client
         self._publish = publish
         self._rng = rng
         self._metrics = metrics
+        self._on_read = on_read
+        self._reads = config_freshness.StoreReads()
         self._duties = set()
         self._duty_epoch = 0
         self._failures = 0
@@ -64,6 +79,7 @@
         self._duty_epoch += 1
         if self.active:
             self._relayed = config_module.ConfigSet()
+            self._reads = config_freshness.StoreReads()
             self._read_pages('', self._duty_epoch)
 
     def _retry_later(self, func, *args):
@@ -76,6 +92,9 @@
         """Read all pages, then watch from the revision of the first page."""
         if epoch != self._duty_epoch:
             return
+        if not after and self._reads.is_outdated(self._client.era):
+            self._relayed = config_module.ConfigSet()
+            self._reads.start(self._client.era)
 
         def done(page, exc):
             if epoch != self._duty_epoch:
@@ -84,6 +103,9 @@
                 self._retry_later(self._read_pages, after, epoch, revision)
                 return
             self._failures = 0
+            if self._reads.is_outdated(self._client.era):
+                self._read_pages('', epoch)
+                return
             start = page.revision if revision is None else revision
             for item in page.items:
                 self._publish_item(item.key, item.value, item.version)
@@ -91,6 +113,7 @@
                 self._read_pages(page.items[-1].key, epoch, start)
                 return
             self._publish_head()
+            self._reads.complete(self._loop.now())
             self._watch(start, epoch)
 
         self._client.list(PREFIX, after, done)
@@ -98,6 +121,7 @@
     def _watch(self, revision, epoch):
         if epoch != self._duty_epoch:
             return
+        sent_at = self._loop.now()
 
         def done(changes, exc):
             if epoch != self._duty_epoch:
@@ -107,9 +131,15 @@
                 self._read_pages('', epoch)
             elif exc is not None:
                 self._retry_later(self._watch, revision, epoch)
+            elif self._reads.is_outdated(self._client.era):
+                # The store came back from an older copy.
+                self._metrics.inc('relay_resyncs_total')
+                self._read_pages('', epoch)
             else:
                 self._failures = 0
                 self._on_changes(changes)
+                if self._reads.is_conclusive(sent_at):
+                    self._on_read(self._relayed.digest(), sent_at)
                 self._watch(changes.revision, epoch)
 
         self._client.watch(PREFIX, revision, WATCH_WAIT_S, done)
--- a/src/jasminehold/platform/client.py
+++ b/src/jasminehold/platform/client.py
@@ -86,6 +86,11 @@
         ]
         self._current = self._rng.randrange(len(addrs))
 
+    @property
+    def era(self):
+        """Highest era of the store that is known."""
+        return max(store.era for store in self._stores)
+
     def close(self):
         """Close all connections."""
         for store in self._stores:
--- a/src/jasminehold/steering/lookups.py
+++ b/src/jasminehold/steering/lookups.py
@@ -10,7 +10,7 @@
 MAX_CACHED_ANSWERS = 20000
 
 
-def make_lookup(tables, view, ttl):
+def make_lookup(tables, view, ttl, may_deny):
     """Return the function that answers lookups.
 
     Args:
@@ -20,6 +20,8 @@
             port)}``; ``version`` is a number that changes with them or with
             the tables.
         ttl: seconds for which a caller may cache an answer.
+        may_deny: function that returns whether a service that is not in the
+            tables is certainly not declared.
 
     Returns:
         ``answer(service, block) -> dict``, which raises ``RequestError`` for
@@ -31,15 +33,18 @@
         return _answer(tables, view()[1], ttl, service, block)
 
     def answer(service, block):
+        if service not in tables.services:
+            kind = errors.Kind.UNAVAILABLE
+            if may_deny():
+                kind = errors.Kind.UNKNOWN_SERVICE
+            raise errors.RequestError(kind)
         return cached_answer(service, block, view()[0])
 
     return answer
 
 
 def _answer(tables, instances, ttl, service, block):
-    declared = tables.services.get(service)
-    if declared is None:
-        raise errors.RequestError(errors.Kind.UNKNOWN_SERVICE)
+    declared = tables.services[service]
     try:
         region, _ = tables.locate(block)
     except ValueError as exc:
--- a/src/jasminehold/steering/picker.py
+++ b/src/jasminehold/steering/picker.py
@@ -60,6 +60,8 @@
     Attributes:
         has_idle: ``has_idle(name, host, port)`` returns whether an upstream
             has an idle open connection.
+        may_deny: ``may_deny()`` returns whether a service that this instance
+            does not know is certainly not declared.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         self._last_id = 0
         self._reported_loads = {}
         self.has_idle = lambda name, host, port: False
+        self.may_deny = lambda: False
         self.suspects = crash_suspects.CrashSuspects()
         self.leaving = {}
         self.in_flight = collections.Counter()
@@ -119,9 +122,9 @@
         """Return a :class:`hooks.RequestPlan`, or the kind of refusal."""
         service = self._tables.services.get(req.service)
         if service is None:
-            # A new instance can get requests before the configuration.
-            known = self._tables.services
-            return Kind.UNKNOWN_SERVICE if known else Kind.NOT_RUN
+            return (
+                Kind.UNKNOWN_SERVICE if self.may_deny() else Kind.UNAVAILABLE
+            )
         path = req.path
         idempotent = req.method in service.methods or any(
             path.startswith(prefix) for prefix in service.paths
--- a/tests/features/steps/store_steps.py
+++ b/tests/features/steps/store_steps.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+import types
 
 import behave
 
@@ -11,6 +12,7 @@
 from jasminehold.control import relay as relay_module
 from jasminehold import errors
 from jasminehold import metrics
+from jasminehold.platform import client
 from jasminehold import store
 
 KEY = 'state/config/region/sul'
@@ -229,6 +231,80 @@
     assert not any(item['value'] for item in relay._relayed.snapshot())
 
 
+class _Store:
+    """A store whose answers come when the test asks for them."""
+
+    era = 1
+
+    def __init__(self, names):
+        self.set(names)
+
+    def set(self, names):
+        self.items = [
+            client.Item(e['key'], json.dumps(e['value']).encode(), 1)
+            for e in [documents.entry('region', name, 1) for name in names]
+        ]
+
+    def list(self, prefix, after, done):
+        done(client.Page(self.items, 9, False), None)
+
+    def watch(self, prefix, revision, wait, done):
+        self.answer = lambda: done(client.Changes([], revision), None)
+
+
+def _vouched(context, seconds):
+    """Answer watches of a second each and return what the relay told."""
+    context.told = []
+    for _ in range(seconds):
+        context.now += 1.0
+        context.store.answer()
+    return [(digest, at - context.read_at) for digest, at in context.told]
+
+
+@behave.given('a relay that has just read the store')
+def given_relay(context):
+    context.now = context.read_at = 100.0
+    context.store = _Store(['sul', 'norte'])
+    context.told = []
+    relay = relay_module.Relay(
+        types.SimpleNamespace(now=lambda: context.now),
+        context.store,
+        lambda *args: None,
+        None,
+        metrics.Metrics(),
+        lambda *args: context.told.append(args),
+    )
+    relay.on_duty_change('relay/sul/0', 1)
+
+
+def _digest(store):
+    known = config.ConfigSet()
+    known.apply(
+        [
+            {'key': item.key, 'value': {}, 'version': item.version}
+            for item in store.items
+        ]
+    )
+    return known.digest()
+
+
+@behave.then(
+    'it tells of the reads that it sends 5 s later, not of earlier ones'
+)
+@behave.then('the same holds for its digest of that copy')
+def then_vouches(context):
+    digest = _digest(context.store)
+    assert _vouched(context, 7) == [(digest, 5.0), (digest, 6.0)]
+
+
+@behave.when('the store comes back from a copy without region sul')
+def when_back(context):
+    context.store.set(['norte'])
+    context.store.era += 1
+    assert not _vouched(context, 1)
+    context.read_at = context.now
+
+
 @behave.then(
     'a purge removes its tombstone after the time to keep, not before'
 )
--- a/tests/features/store.feature
+++ b/tests/features/store.feature
@@ -53,6 +53,13 @@
   Scenario: A relay that passed a deletion on agrees with the instances
     Then a relay's head after a deletion has the digest of the others' copy
 
+  # A relay that starts after the store went back cannot tell that it did.
+  Scenario: A relay vouches for the store once it has settled
+    Given a relay that has just read the store
+    Then it tells of the reads that it sends 5 s later, not of earlier ones
+    When the store comes back from a copy without region sul
+    Then the same holds for its digest of that copy
+
   Scenario: Old tombstones are purged
     Given region sul is declared
     Then a purge removes its tombstone after the time to keep, not before
