Tests of instances that are cut off from all upstreams

Relays of tests gain two faults: what is sent is held until the end of the fault, and connections are closed.

--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -1,8 +1,9 @@
 """Loopback relay between an instance and the world, with faults."""
 
 # Modes of a relay. 'one way' drops what the far side sends; 'silent' drops
-# both directions without closing anything.
-MODES = ('', 'delay', 'reset', 'one way', 'silent')
+# both directions without closing anything. 'held' keeps what is sent until
+# the fault ends; 'reset' and 'closed' end each connection that way.
+MODES = ('', 'delay', 'reset', 'one way', 'silent', 'held', 'closed')
 DELAY_S = 0.15
 
 
@@ -23,20 +24,31 @@
         self.target = target
         self._loop = loop
         self._pairs = set()
+        self._held = []
         self._listener = loop.listen('127.0.0.1', 0, self._on_accept)
         self.port = self._listener.port
 
     def set_mode(self, mode):
-        """Begin or end a fault; a reset hits the open connections once."""
+        """Begin or end a fault; it ends the open connections once."""
         self.mode = mode
-        if mode == 'reset':
+        if mode in ('reset', 'closed'):
             for pair in list(self._pairs):
                 for conn in pair:
-                    conn.reset()
+                    self._end(conn)
+        if mode != 'held':
+            held, self._held = self._held, []
+            for func, *args in held:
+                func(*args)
 
-    def _on_accept(self, near):
+    def _end(self, conn):
         if self.mode == 'reset':
-            near.reset()
+            conn.reset()
+        else:
+            conn.abort()
+
+    def _on_accept(self, near):
+        if self.mode in ('reset', 'closed'):
+            self._end(near)
             return
         early = []
         near.on_data = early.append
@@ -64,12 +76,16 @@
                 return
             if self.mode == 'delay':
                 self._loop.call_later(DELAY_S, sink.write, data)
+            elif self.mode == 'held':
+                self._held.append((sink.write, data))
             else:
                 sink.write(data)
 
         def on_close(exc):
             self._pairs.discard(pair)
-            if self.mode not in ('silent', 'one way'):
+            if self.mode == 'held':
+                self._held.append((sink.close,))
+            elif self.mode not in ('silent', 'one way'):
                 sink.close()
 
         source.on_data = on_data
