Serve callers through another instance while there is no path

Change: an instance that fails at two upstreams, or hears nothing, opens connections to three others. If none opens, it sends requests through an instance that has a path, one hop, with a marker that is authenticated by the key of the streams. It tells the others, whose directories leave it out. Failures and losses of that time count neither against upstreams nor as crashes.

--- a/src/jasminehold/decisions/instance_sample.py
+++ b/src/jasminehold/decisions/instance_sample.py
@@ -55,7 +55,7 @@
     return min(cores / REQUEST_CORE_S, link_bytes / REQUEST_LINK_BYTES)
 
 
-def choose(instances, region, place, caller):
+def choose(instances, region, place, caller, cut_off=frozenset()):
     """Return the addresses for a caller, a list of at most 64.
 
     Args:
@@ -63,8 +63,12 @@
         region: the caller's region.
         place: the caller's availability zone.
         caller: what tells callers apart, such as an IP address.
+        cut_off: ids of instances without a path to the upstreams, which are
+            left out while others of the region remain.
     """
     in_region = [item for item in instances if item.region == region]
+    served = [item for item in in_region if item.id not in cut_off]
+    in_region = served or in_region
     own = [item for item in in_region if item.place == place]
     if len(own) < OWN_PLACE_MIN:
         found = _sample(in_region or instances, ADDRESSES_MAX, caller)
--- a/src/jasminehold/decisions/upstream_load.py
+++ b/src/jasminehold/decisions/upstream_load.py
@@ -34,6 +34,7 @@
         self.in_flight = 0
         self.service_s = service_s
         self.ejected_until = 0.0
+        self._failed_at = 0.0
         self._failures = 0
         self._ejections = 0
         self._rejections = 0
@@ -79,6 +80,7 @@
 
     def on_failure(self, now, at_once=False):
         """Record a failure; return whether it ejects the upstream."""
+        self._failed_at = now
         self._failures += 1
         if not at_once and self._failures < MAX_CONSECUTIVE_FAILURES:
             return False
@@ -90,6 +92,18 @@
         self.ejected_until = now + ejection_s
         return True
 
+    def forget_failures(self, since):
+        """Take back an ejection and the failures of a time without a path.
+
+        Args:
+            since: monotonic seconds; an upstream that failed last before then
+                is judged as before.
+        """
+        if self._failed_at >= since:
+            self._failures = 0
+            self._ejections = 0
+            self.ejected_until = 0.0
+
     def load(self, now):
         """Return the estimated number of requests at the upstream."""
         age = now - self._reported_at
--- a/src/jasminehold/errors.py
+++ b/src/jasminehold/errors.py
@@ -269,6 +269,18 @@
 )
 
 
+def kind_of(value):
+    """Return the :class:`Kind` of the value of an error header, or None.
+
+    Args:
+        value: bytes, or None.
+    """
+    try:
+        return Kind((value or b'').decode('latin-1'))
+    except ValueError:
+        return None
+
+
 def answer_for(kind):
     """Return the answer for an error kind.
 
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -21,9 +21,11 @@
 from jasminehold.front import exchange
 from jasminehold.front import first_copy
 from jasminehold.front import limit_news
+from jasminehold.front import path_check
 from jasminehold.front import peering
 from jasminehold.front import reader
 from jasminehold.front import registration
+from jasminehold.front import relay
 from jasminehold.front import steering as steering_module
 from jasminehold.front import upstream_conn
 from jasminehold import logs
@@ -149,6 +151,7 @@
             self.metrics,
             _log,
         )
+        self._build_relay()
         self._peering.on_link_up = self._on_link_up
         self.store.on_era = self._on_era
         self.steering.copy_age = self._reader.replica.age
@@ -157,6 +160,36 @@
         )
         self._decoder = reader.Decoder(self.metrics, _log)
 
+    def _build_relay(self):
+        self.path = path_check.PathCheck(
+            self.loop,
+            self._pool,
+            self.steering.view,
+            self.rng,
+            self.metrics,
+            _log,
+        )
+        self.path.on_lost = self._on_path_lost
+        self.path.on_still_lost = lambda: self.exchanges.on_path_lost()
+        self.crash_guard.path = self.path
+        self.relay = relay.Relay(
+            self.loop,
+            self.cfg,
+            self._peering.key,
+            self._peering.mesh,
+            self._pool,
+            self.path,
+            self.rng,
+            self.metrics,
+            _log,
+        )
+        self.path.on_regained = self.relay.tell
+
+    def _on_path_lost(self, since):
+        self.steering.forget_failures(since)
+        self.relay.tell()
+        self.exchanges.on_path_lost()
+
     def _on_era(self, era):
         # What this instance wrote to the store may be lost.
         self._registration.on_era(era)
@@ -171,6 +204,7 @@
         self.crash_guard.on_link_up(name)
         self.limit_news.on_link_up(name)
         self.departures.on_link_up(name)
+        self.relay.on_link_up(name)
 
     def _build_path(self):
         files = self._files()
@@ -181,6 +215,8 @@
             self.crash_guard,
             self.limit_news,
             self.departures,
+            self.path,
+            self.relay,
             self.metrics,
             self.rng,
             _log,
@@ -189,6 +225,7 @@
             self._instances_to_name,
             lambda: not self.leaving and self.steering.table is not None,
             self.cfg.lookup_ttl,
+            self.relay.cut_off,
         )
         callers = int(files * CALLER_FILES_FRACTION)
         self.callers = self._port(self.exchanges.on_request, callers)
@@ -213,6 +250,7 @@
         now = self.loop.now()
         gauges = self.steering.gauge_values(now)
         gauges.update(self.crash_guard.gauge_values())
+        gauges.update(self.relay.gauge_values())
         gauges['requests_in_flight'] = len(self.exchanges.exchanges)
         gauges['instance_leaving'] = int(self.leaving)
         replica = self._reader.replica
@@ -374,6 +412,7 @@
         self._listed_instances = _instances(
             members or {self.cfg.id: self._own_entry}
         )
+        self.relay.on_members(self._listed_instances)
         regions = {name: doc['region'] for name, doc in members.items()}
         self.steering.on_members(regions, self.loop.now())
         self._peering.on_members(members)
--- a/src/jasminehold/front/crash_guard.py
+++ b/src/jasminehold/front/crash_guard.py
@@ -31,6 +31,8 @@
 CRASHES_TO_SUSPECT = 2
 # Time in which all connections to a crashed upstream are closed.
 CRASH_EVIDENCE_S = 0.05
+# Time to wait for an answer of any upstream before the path is checked.
+PATH_EVIDENCE_S = 0.08
 # Requests whose last success is remembered.
 MAX_ANSWERED = 2000
 EXPIRE_EVERY_S = 10.0
@@ -49,9 +51,13 @@
         pool: the :class:`~jasminehold.front.upstream_conn.UpstreamPool`.
         metrics: counters.
         log: structured log.
+
+    Attributes:
+        path: the :class:`~jasminehold.front.path_check.PathCheck`, or None.
     """
 
     def __init__(self, loop, mesh, own_id, store, pool, metrics, log):
+        self.path = None
         self._loop = loop
         self._mesh = mesh
         self._own_id = own_id
@@ -111,26 +117,43 @@
         )
 
     def _check_crash(self, digests, entry, lost_at):
-        closed, still_open = self._pool.closed_around(
+        conns = self._pool.closed_around(
             (entry.host, entry.port), lost_at, CRASH_EVIDENCE_S
         )
-        crashed = quarantine.is_crash(closed, still_open)
+        self._judge(digests, entry, lost_at, conns)
+
+    def _judge(self, digests, entry, lost_at, conns):
+        cause = 'crash' if quarantine.is_crash(*conns) else 'connection'
+        if cause == 'crash' and self.path is not None:
+            # Connections end also when the path to all upstreams is lost.
+            if self.path.lost:
+                cause = 'path'
+            elif not self.path.is_proven_since(lost_at):
+                self._await_path(digests, entry, lost_at, conns)
+                return
+        closed, still_open = conns
         self._log(
             'request lost',
             content=digests[0].hex(),
             upstream=entry.id,
             connections_closed=closed,
             connections_open=still_open,
-            crash=crashed,
-        )
-        self._metrics.inc(
-            'requests_lost_total', cause='crash' if crashed else 'connection'
+            crash=cause == 'crash',
         )
-        if crashed:
+        self._metrics.inc('requests_lost_total', cause=cause)
+        if cause == 'crash':
             age_s = self._loop.now() - lost_at
             for digest in digests:
                 self._report(digest, entry.id, age_s, False)
 
+    def _await_path(self, digests, entry, lost_at, conns):
+        # Usually an answer of another upstream proves it soon.
+        if self._loop.now() - lost_at > PATH_EVIDENCE_S:
+            self.path.request()
+        self._loop.call_later(
+            CRASH_EVIDENCE_S, self._judge, digests, entry, lost_at, conns
+        )
+
     def on_answered(self, digests):
         """Remember that a request ran without a crash, and report it if known.
 
--- a/src/jasminehold/front/directory.py
+++ b/src/jasminehold/front/directory.py
@@ -17,12 +17,15 @@
             instance does not know the others yet.
         ready: ``() -> bool``.
         ttl_s: seconds for which a lookup result is valid.
+        cut_off: ``() -> set`` of the ids of instances without a path to the
+            upstreams.
     """
 
-    def __init__(self, instances, ready, ttl_s):
+    def __init__(self, instances, ready, ttl_s, cut_off):
         self._instances = instances
         self._ready = ready
         self._ttl_s = ttl_s
+        self._cut_off = cut_off
 
     def on_request(self, inbound):
         """Answer a request."""
@@ -38,7 +41,11 @@
                 return
             query = wire.decode_query(dict(urllib.parse.parse_qsl(text)))
             addresses = instance_sample.choose(
-                instances, query.region, query.place, inbound.peer
+                instances,
+                query.region,
+                query.place,
+                inbound.peer,
+                self._cut_off(),
             )
             body = wire.encode_addresses(addresses, self._ttl_s)
             inbound.answer(200, _JSON, body)
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -4,8 +4,10 @@
 
 import h11
 
+from jasminehold.decisions import relay_choice
 from jasminehold.decisions import request_digest
 from jasminehold import errors
+from jasminehold.front import relay as relay_module
 from jasminehold.front import steering as steering_module
 from jasminehold.front import upstream_conn
 from jasminehold.platform import wire
@@ -31,6 +33,7 @@
     b'content-length',
     wire.DEADLINE_MS,
     wire.EXPECT_INSTANCE,
+    relay_module.MARKER,
 }
 _RESPONSE_HEADERS_DROPPED = proxy_exchange.HOP_BY_HOP | {b'content-length'}
 
@@ -72,10 +75,27 @@
         self._ended = False
         self._last_failure = None
         self._cached_digests = None
+        # Set for a request that another instance relayed.
+        self._origin = None
+        self._relay_send = None
+        self._relays = 0
+        self._helpers_tried = set()
+        self._connect_failures = 0
+        self._path_retry_asked = False
 
     def start(self):
         """Match the route and send the request, or answer with an error."""
         inbound = self._inbound
+        relay = self._context.relay
+        origin = relay.origin(inbound)
+        if origin is not None:
+            has_room = relay.has_room()
+            self._origin = origin
+            self._sends = origin.sends
+            relay.helped += 1
+            if not has_room:
+                self._fail(Kind.UNAVAILABLE, None, 'too many relayed')
+                return
         host = self._header_values.get(b'host', b'').decode('latin-1')
         host = host.partition(':')[0]
         now = inbound.arrived_at
@@ -89,12 +109,19 @@
         stated_ms = self._header_values.get(wire.DEADLINE_MS, b'')
         if stated_ms.isdigit():
             stated_s = min(int(stated_ms), _MAX_DEADLINE_MS) / 1000
-            self._caller_retry = self._steering.is_caller_retry(
-                route, stated_s
-            )
+            if origin is None:
+                self._caller_retry = self._steering.is_caller_retry(
+                    route, stated_s
+                )
             remaining_s = min(remaining_s, stated_s)
         self._deadline = now + remaining_s
-        self._service = self._steering.service(route, now)
+        if origin is None:
+            self._service = self._steering.service(route, now)
+        else:
+            self._caller_retry = origin.returned
+            self._service = self._steering.relayed_service(
+                route, origin.service
+            )
         self._key = wire.object_key(inbound.headers)
         if self._key:
             # Upstreams cache an object separately for each route.
@@ -112,6 +139,9 @@
         if quarantine_s:
             self._end_quarantined(quarantine_s)
             return
+        if self._context.path.lost:
+            self._start_relay()
+            return
         remaining_s = self._deadline - now
         found = self._steering.pick(
             self._route,
@@ -135,7 +165,11 @@
         self._tried.add(entry.id)
         self._steering.on_sent(found, now)
 
+        path = self._context.path
+
         def ready(conn, reused):
+            if not reused:
+                path.on_opened()
             if self._choice is not found:
                 self._context.pool.put_back(conn)
             elif self._steering.is_usable(found, self._loop.now()):
@@ -149,6 +183,7 @@
             if self._choice is found:
                 self._on_connect_failed(exc)
 
+        path.begin(self, entry.id, False)
         self._context.pool.acquire(
             (entry.host, entry.port),
             not self._route.idempotent,
@@ -157,9 +192,12 @@
         )
 
     def _allowed_upstreams(self):
-        if len(self._sent_to) < self._route.max_attempts:
-            return None
-        return self._sent_to
+        return None if self._attempts_left() > 0 else self._sent_to
+
+    def _attempts_left(self):
+        # Upstreams that may still get the request.
+        before = self._origin.sends if self._origin else 0
+        return self._route.max_attempts - before - len(self._sent_to)
 
     def _send(self, conn, reused):
         now = self._loop.now()
@@ -168,6 +206,7 @@
         self._sends += 1
         self._sent_to.add(self._choice.upstream.entry.id)
         self._may_have_run = True
+        self._context.path.begin(self, self._choice.upstream.entry.id, True)
         left_ms = max(int((self._deadline - now) * 1000), 1)
         headers = proxy_exchange.strip_headers(
             self._inbound.headers, _REQUEST_HEADERS_DROPPED
@@ -190,6 +229,7 @@
     def _release(self, outcome, limit=None):
         choice, self._choice = self._choice, None
         self._conn = None
+        self._context.path.end(self)
         choice.load.on_end()
         attempt = dict(
             choice.why, upstream=choice.upstream.entry.id, end=outcome
@@ -202,7 +242,14 @@
     def _on_connect_failed(self, exc):
         choice = self._release('connect: %s' % exc)
         now = self._loop.now()
-        self._steering.on_failed(choice, 'connect', now)
+        path = self._context.path
+        self._connect_failures += 1
+        if not isinstance(exc, upstream_conn.LimitReached):
+            path.on_failed(choice.upstream.entry.id, True)
+        if not path.lost:
+            self._steering.on_failed(choice, 'connect', now)
+        if self._start_single_relay():
+            return
         if len(self._tried) <= UPSTREAMS_TRIED_MAX:
             self._start_attempt()
         elif self._last_failure is not None:
@@ -210,8 +257,156 @@
         else:
             self._fail(Kind.NOT_RUN, None, 'no upstream could be reached')
 
+    # Through another instance.
+
+    def _start_relay(self):
+        # This instance has no path to the upstreams.
+        helper = self._helper()
+        if helper is not None:
+            self._relay(helper, False)
+        elif self._last_failure is not None:
+            self._end_failed('no path')
+        elif self._origin is not None and not self._sent_to:
+            self._fail(Kind.UNAVAILABLE, self._retry_after_s(), 'no path')
+        else:
+            self._fail(Kind.NOT_RUN, self._retry_after_s(), 'no path')
+
+    def _start_single_relay(self):
+        # Connections that are open may live on while new ones fail.
+        if (
+            self._connect_failures != relay_choice.CONNECT_FAILURES
+            or self._sent_to
+            or self._relays
+            or not self._context.relay.may_relay_one(self._service)
+        ):
+            return False
+        helper = self._helper()
+        if helper is None:
+            return False
+        self._relay(helper, True)
+        return True
+
+    def _helper(self):
+        if (
+            self._origin is not None
+            or self._relays >= relay_choice.RELAYS_MAX
+            or self._attempts_left() <= 0
+        ):
+            return None
+        return self._context.relay.helper(
+            self._route.home_regions, self._helpers_tried
+        )
+
+    def _relay(self, helper, single):
+        self._relays += 1
+        self._helpers_tried.add(helper.id)
+        origin = relay_module.Origin(
+            self._context.relay.own_id,
+            self._inbound.peer,
+            self._caller_retry,
+            self._service,
+            len(self._sent_to),
+        )
+
+        def done(send, answer, exc):
+            self._on_relayed(send, answer, exc, single)
+
+        self._relay_send = self._context.relay.send(
+            helper,
+            self._inbound,
+            origin,
+            self._deadline,
+            not self._route.idempotent,
+            done,
+        )
+
+    def _end_relay(self, outcome):
+        send, self._relay_send = self._relay_send, None
+        send.cancel()
+        self._context.relay.on_end(send, outcome)
+        self._attempts.append({'instance': send.helper.id, 'end': outcome})
+
+    def _on_relayed(self, send, answer, exc, single):
+        kind = None
+        if answer is not None and answer.get(wire.SEAL) is None:
+            kind = errors.kind_of(answer.get(b'jasminehold-error'))
+        if answer is not None and kind is not None:
+            self._end_relay(kind.value)
+            self._on_relay_error(kind, answer, single)
+        elif isinstance(exc, relay_module.NotReached):
+            self._end_relay('not reached: %s' % exc)
+            self._start_attempt()
+        elif answer is None or answer.get(wire.SEAL) is None:
+            self._end_relay('lost: %s' % (exc or 'not its response'))
+            self._may_have_run = True
+            self._last_failure = exc or ValueError('not its response')
+            self._end_failed('lost')
+        else:
+            self._end_relay('%d' % answer.status)
+            self._deliver(answer)
+
+    def _on_relay_error(self, kind, answer, single):
+        step, kind = relay_choice.after_error(kind)
+        retry_after_s = wire.decode_retry_after(
+            answer.get(wire.RETRY_AFTER) or b''
+        )
+        now = self._loop.now()
+        if step is relay_choice.Step.OTHER:
+            self._start_attempt()
+            return
+        if step is relay_choice.Step.RETRY:
+            if single:
+                self._context.relay.pause_service(self._service)
+            elif self._helper() is not None and self._allow_retry(now):
+                self._start_attempt()
+                return
+        not_run = errors.answer_for(kind).run is errors.Run.NOT_RUN
+        if not_run and self._last_failure is not None:
+            self._end_failed('through another instance')
+        else:
+            self._fail(kind, retry_after_s, 'through another instance')
+
+    def on_path_lost(self):
+        """Act on the news that this instance has no path to the upstreams.
+
+        What was not sent is sent through another instance; what may have
+        reached an upstream only if it is idempotent and nothing is heard.
+        """
+        if self._choice is None:
+            return
+        if self._conn is None:
+            self._release('not sent: no path')
+            self._start_attempt()
+            return
+        if (
+            not self._route.idempotent
+            or self._path_retry_asked
+            or not self._context.path.is_silent(self._sent_at)
+            or self._helper() is None
+        ):
+            return
+        self._path_retry_asked = True
+        granted, note = self._take_retry(self._loop.now())
+        if granted:
+            self._cancel('no path')
+            self._attempts[-1]['repeat'] = note
+            self._last_failure = upstream_conn.ResponseError('no path')
+            self._start_attempt()
+
+    # Responses of upstreams.
+
     def _on_answer(self, answer, exc):
         now = self._loop.now()
+        path = self._context.path
+        entry = self._choice.upstream.entry
+        cut = isinstance(exc, (upstream_conn.Disconnected, OSError))
+        if cut:
+            path.on_failed(entry.id, False)
+        else:
+            path.on_answer()
+        if cut and path.lost:
+            self._on_lost_to_path(exc, now)
+            return
         if isinstance(exc, upstream_conn.Disconnected):
             entry = self._choice.upstream.entry
             self._crash_guard.on_lost(self._digests(), entry)
@@ -296,6 +491,17 @@
         else:
             self._fail(Kind.NOT_RUN, self._retry_after_s(), reason)
 
+    def _on_lost_to_path(self, exc, now):
+        # The upstream is not to blame.
+        self._release('lost with the path: %s' % exc)
+        if self._ended:
+            return
+        self._last_failure = exc
+        if self._route.idempotent and self._allow_retry(now):
+            self._start_attempt()
+        else:
+            self._end_failed('no path')
+
     def _on_loss(self, exc, now):
         conn = self._conn
         choice = self._release('lost: %s' % exc)
@@ -317,14 +523,21 @@
             self._end_failed('lost')
 
     def _allow_retry(self, now):
+        granted, note = self._take_retry(now)
+        if note:
+            self._attempts[-1]['repeat'] = note
+        return granted
+
+    def _take_retry(self, now):
+        # Returns whether a token was taken, and the log's note on it.
         remaining_s = self._deadline - now
         if self._sends >= self._route.max_attempts + SAME_UPSTREAM_RETRIES_MAX:
-            return False
+            return False, None
         if (
             remaining_s
             <= MIN_TIME_LEFT_FRACTION * self._route.latency_target_s
         ):
-            return False
+            return False, None
         use = self._steering.retry_use(self._service, now)
         granted = self._steering.allow_retry(
             self._route, self._service, self._caller_retry, now
@@ -337,8 +550,7 @@
         usage = {
             name: round(value, 1) for name, value in use._asdict().items()
         }
-        self._attempts[-1]['repeat'] = dict(usage, granted=granted)
-        return granted
+        return granted, dict(usage, granted=granted)
 
     def _digests(self):
         # Of the content, and of the content from this caller: requests of
@@ -351,10 +563,13 @@
             )
             self._cached_digests = (
                 content,
-                request_digest.of_request((content, inbound.peer.encode())),
+                request_digest.of_request((content, self._peer().encode())),
             )
         return self._cached_digests
 
+    def _peer(self):
+        return self._origin.peer if self._origin else self._inbound.peer
+
     def _end_quarantined(self, seconds):
         self._context.metrics.inc('requests_quarantined_total')
         if self._last_failure is not None:
@@ -410,6 +625,9 @@
         self._finish('caller gone')
 
     def _cancel(self, reason):
+        if self._relay_send is not None:
+            self._may_have_run = self._may_have_run or self._relay_send.sent
+            self._end_relay(reason)
         if self._choice is None:
             return
         conn = self._conn
@@ -426,6 +644,8 @@
         if self._timer is not None:
             self._timer.cancel()
         self._context.exchanges.discard(self)
+        if self._origin is not None:
+            self._context.relay.on_helped(outcome)
         now = self._loop.now()
         seconds = now - self._inbound.arrived_at
         route = self._route.name if self._route else ''
@@ -446,10 +666,11 @@
             copy_age_s=None if math.isinf(age_s) else round(age_s, 2),
             object=self._key,
             content=content,
-            peer=self._inbound.peer,
+            peer=self._peer(),
             outcome=outcome,
             reason=reason,
             returned=self._caller_retry,
+            relayed_by=self._origin.instance if self._origin else '',
             seconds=round(seconds, 4),
             left_s=round(self._deadline - now, 3),
             sends=self._attempts,
@@ -472,6 +693,8 @@
         crash_guard,
         limit_news,
         departures,
+        path,
+        relay,
         metrics,
         rng,
         log,
@@ -482,6 +705,8 @@
         self.crash_guard = crash_guard
         self.limit_news = limit_news
         self.departures = departures
+        self.path = path
+        self.relay = relay
         self.metrics = metrics
         self.rng = rng
         self.log = log
@@ -490,3 +715,8 @@
     def on_request(self, inbound):
         """Start the exchange for a complete request."""
         Exchange(self, inbound).start()
+
+    def on_path_lost(self):
+        """Let all exchanges act on it; see :meth:`Exchange.on_path_lost`."""
+        for item in list(self.exchanges):
+            item.on_path_lost()
--- a/src/jasminehold/front/peering.py
+++ b/src/jasminehold/front/peering.py
@@ -63,6 +63,7 @@
         reader: the :class:`~jasminehold.front.reader.StoreReader`.
         on_link_up: called with the id of an instance after its first link
             is ready.
+        key: the secret that the instances share, bytes.
     """
 
     def __init__(self, loop, cfg, rng, metrics, log):
@@ -79,8 +80,10 @@
         self._started_at = loop.now()
         self._snapshot_requested_at = 0.0
         self._delays = {}
-        key = bytes.fromhex(cfg.peer_key) if cfg.peer_key else derive_key(cfg)
-        ring = link.KeyRing([(KEY_ID, key)])
+        self.key = (
+            bytes.fromhex(cfg.peer_key) if cfg.peer_key else derive_key(cfg)
+        )
+        ring = link.KeyRing([(KEY_ID, self.key)])
         self.mesh = mesh_module.Mesh(
             loop, cfg.id, ring, self._address_of, rng, metrics
         )
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -286,6 +286,17 @@
         self._retry_share(name).on_request(now)
         return name
 
+    def relayed_service(self, route, stated):
+        """Return the target service of a request that another one counted.
+
+        Args:
+            route: the request's route.
+            stated: the service that the other instance chose.
+        """
+        if stated in dict(route.targets):
+            return stated
+        return self._target_turns.pick(route.name, route.targets)
+
     def allow_retry(self, route, service, returned, now):
         """Take one retry from the budget; returns whether it was granted.
 
@@ -646,6 +657,15 @@
             now,
         )
 
+    def forget_failures(self, since):
+        """Take back the ejections of a time without a path to the upstreams.
+
+        Args:
+            since: monotonic seconds at which it began.
+        """
+        for load in self._loads.values():
+            load.forget_failures(since)
+
     def on_pause(self, upstream, seconds, now):
         """Send nothing more to an upstream for a number of seconds.
 
--- a/src/jasminehold/front/upstream_conn.py
+++ b/src/jasminehold/front/upstream_conn.py
@@ -49,6 +49,10 @@
     """Raised when an upstream closes the connection without a response."""
 
 
+class LimitReached(ConnectionError):
+    """Raised when this instance may open no more connections."""
+
+
 class EndlessResponse(ResponseError):
     """Raised when an upstream sends more than a response can have."""
 
@@ -336,7 +340,9 @@
         self._closed_at = {}
         loop.call_later(self.SWEEP_S, self._sweep)
 
-    def acquire(self, key, fresh, on_ready, on_error):
+    def acquire(
+        self, key, fresh, on_ready, on_error, timeout_s=CONNECT_TIMEOUT_S
+    ):
         """Get an idle connection or open a new one.
 
         Args:
@@ -345,6 +351,7 @@
             on_ready: called with the :class:`UpstreamConn` and whether it
                 is reused.
             on_error: called with the exception; nothing was sent.
+            timeout_s: seconds for opening a connection.
         """
         now = self.loop.now()
         idle = self._idle.get(key, [])
@@ -362,11 +369,15 @@
             if not conn.closed:
                 on_ready(conn, True)
                 return
+        self.open(key, on_ready, on_error, timeout_s)
+
+    def open(self, key, on_ready, on_error, timeout_s=CONNECT_TIMEOUT_S):
+        """Open a new connection; see :meth:`acquire`."""
         if self._open >= self._max_conns:
             self._close_longest_idle()
         if self._open >= self._max_conns:
             self.metrics.inc('upstream_connections_refused_total')
-            exc = ConnectionError('upstream connection limit reached')
+            exc = LimitReached('upstream connection limit reached')
             self.loop.call_soon(on_error, exc)
             return
         self._open += 1
@@ -381,7 +392,7 @@
             self._open -= 1
             on_error(exc)
 
-        self.loop.connect(*key, opened, failed, CONNECT_TIMEOUT_S, KEEPALIVE)
+        self.loop.connect(*key, opened, failed, timeout_s, KEEPALIVE)
 
     def put_back(self, conn):
         """Return an idle connection to the pool."""
--- a/tests/builders/pausing_upstreams.py
+++ b/tests/builders/pausing_upstreams.py
@@ -5,6 +5,7 @@
 import types
 
 from jasminehold.front import exchange
+from jasminehold.front import path_check
 from jasminehold.front import upstream_conn
 from jasminehold import metrics
 from tests.builders import front_values
@@ -64,6 +65,10 @@
             types.SimpleNamespace(active=False),
             types.SimpleNamespace(on_response=lambda *args: None),
             types.SimpleNamespace(on_response=lambda *args: None),
+            path_check.PathCheck(
+                loop, self, self.steering.view, None, metrics.Metrics(), None
+            ),
+            types.SimpleNamespace(origin=lambda inbound: None),
             metrics.Metrics(),
             random.Random(1),
             lambda *args, **kwargs: None,
