Let keep-alive probes to upstreams say when they give up

Cause: on Linux a set TCP_USER_TIMEOUT decides when probes give up, whatever their number, so 3 probes (5 s) never counted beside a time-out of 4 s. Change: 2 probes, which is the same 4 s, and the docstring says so. The store's single probe and 1.5 s both end at 2 s and stay. From the source of Linux; not measured, as it takes a path that drops packets.

--- a/src/jasminehold/front/upstream_conn.py
+++ b/src/jasminehold/front/upstream_conn.py
@@ -20,7 +20,7 @@
 # Keepalive probes detect a broken path to an upstream and end its request; a
 # busy upstream answers them, however long its work takes.
 KEEPALIVE = loop_module.KeepAlive(
-    idle_s=2, interval_s=1, probes=3, user_timeout_ms=4000
+    idle_s=2, interval_s=1, probes=2, user_timeout_ms=4000
 )
 # Time for which the closing of a connection is remembered.
 CLOSED_KEEP_S = 1.0
--- a/src/jasminehold/loop.py
+++ b/src/jasminehold/loop.py
@@ -44,6 +44,8 @@
         interval_s: time between probes, in whole seconds.
         probes: unanswered probes after which the connection is closed.
         user_timeout_ms: longest time that sent bytes may stay unacknowledged.
+            On Linux it also ends an idle connection, whatever the number of
+            probes: at the first probe after that time without an answer.
     """
 
     idle_s: int
