--- /dev/null
+++ b/tests/features/relay_rules.feature
@@ -0,0 +1,103 @@
+Feature: Whether an instance has a path, and who helps one that has none
+  Guards against instances that take trouble of upstreams for their own, or
+  their own for that of upstreams.
+
+  # Open: a connection is being opened; opened: it is; send: a request was sent;
+  # refuse: none could be opened; lost: it was lost with its request.
+  Scenario Outline: What makes the path suspect: <case>
+    When an instance that knows 8 upstreams sees "<events>" in 3 s
+    Then its path is suspect for "<reason>" within <seconds> s
+
+    Examples:
+      | case                    | events                                        | reason   | seconds |
+      | new connections hang    | 0.0 open u1                                   | opening  | 0.5     |
+      | requests are swallowed  | 0.0 send u1, 0.1 send u2                      | silence  | 1.0     |
+      | the only one is too     | 0.0 send u1                                   | silence  | 1.2     |
+      | connections are refused | 0.0 refuse u1, 0.1 refuse u2                  | failures | 0.3     |
+      | held ones live on       | 0.0 refuse u1, 0.1 answer u3, 0.2 refuse u2   | failures | 0.5     |
+      | accepted and reset      | 0.0 opened u1, 0.1 lost u1, 0.2 opened u2, 0.2 lost u2 | failures | 0.5 |
+      | one upstream is down    | 0.0 refuse u1, 0.5 refuse u1                  | nothing  | 0       |
+      | two crash, others work  | 0.0 lost u1, 0.1 answer u3, 0.2 lost u2       | nothing  | 0       |
+      | long ago and now        | 0.0 refuse u1, 0.1 opened u3, 2.0 refuse u2   | nothing  | 0       |
+      | slow, others open       | 0.0 send u1, 0.4 opened u2, 0.8 opened u3, 1.2 opened u4, 1.6 opened u2, 2.0 end u1 | nothing | 0 |
+      | answers come            | 0.0 send u1, 0.3 send u2, 0.4 answer u3, 0.8 answer u3, 1.2 end u1, 1.2 end u2 | nothing | 0 |
+      | a connection opens      | 0.0 open u1, 0.2 opened u1, 0.2 end u1        | nothing  | 0       |
+      | no requests             |                                               | nothing  | 0       |
+
+  # Each round: the upstreams that accepted a connection, or a hyphen.
+  Scenario Outline: What checks tell: <rounds> of <known>
+    When a suspect path of <known> upstreams is checked: "<rounds>"
+    Then the path is <state>
+
+    Examples:
+      | rounds   | known | state |
+      | u1       | 8     | clear |
+      | -        | 8     | lost  |
+      | - u1     | 8     | lost  |
+      | - u1 u1  | 8     | lost  |
+      | - u1 - u2 | 8    | lost  |
+      | - u1 u2  | 8     | clear |
+      | - u1+u2  | 8     | clear |
+      | - u1     | 1     | clear |
+
+  # Guards against slow work that opens connections without end.
+  Scenario: Silence after a check that found a path is checked rarely
+    When 10 sends wait for 20 s and each check finds a path
+    Then at most 2 checks were made
+
+  Scenario: A process that stood still takes its own silence for nothing
+    When a process stands still for 5 s with sends at two upstreams
+    Then its path is not suspect
+
+  Scenario Outline: Who helps: homes <homes>, full <full>
+    Given helpers "near" in sul-a, "region" in sul-b and "far" in norte-a
+    When an instance of sul-a asks for help with homes "<homes>" and full "<full>"
+    Then "<helper>" helps
+
+    Examples:
+      | homes | full        | helper |
+      |       |             | near   |
+      |       | near        | region |
+      |       | near region | far    |
+      | norte |             | far    |
+      | norte | far         | nobody |
+      | oeste |             | nobody |
+
+  Scenario Outline: What follows an error of the instance that helps: <kind>
+    Then after the error "<kind>" the next step is "<step>" with "<told>"
+
+    Examples:
+      | kind             | step   | told             |
+      | overloaded       | answer | overloaded       |
+      | quarantined      | answer | quarantined      |
+      | outcome_unknown  | answer | outcome_unknown  |
+      | upstream_failed  | answer | upstream_failed  |
+      | deadline_unknown | answer | deadline_unknown |
+      | not_run          | retry  | not_run          |
+      | unavailable      | other  | not_run          |
+      | unknown_service  | other  | not_run          |
+      | bad_request      | other  | not_run          |
+
+  # Guards against callers who pass for an instance.
+  Scenario Outline: A marker holds for its request only: <change>
+    When a relayed request arrives with another <change>
+    Then it counts as <whose>
+
+    Examples:
+      | change   | whose     |
+      | nothing  | relayed   |
+      | key      | a caller's |
+      | receiver | a caller's |
+      | method   | a caller's |
+      | target   | a caller's |
+      | host     | a caller's |
+      | id       | a caller's |
+      | deadline | a caller's |
+      | body     | a caller's |
+      | origin   | a caller's |
+      | form     | a caller's |
+
+  # Guards against a rush on a few upstreams after the end of a cut.
+  Scenario: Failures of a time without a path are taken back, others stay
+    When upstreams failed at 10 s and at 20 s, and the path was lost from 15 s
+    Then only the one of 10 s is still left out
