Keep headers of instances from upstreams; name others for a cut-off region

Cause: front_cut_off_answers showed a caller's forged headers at upstreams, and the directory naming the only instance of a region though it was cut off. Change: no header that begins with jasminehold- is passed on; callers of a region without an instance that has a path get those of other regions, as in a region without instances.

--- a/src/jasminehold/decisions/instance_sample.py
+++ b/src/jasminehold/decisions/instance_sample.py
@@ -64,11 +64,10 @@
         place: the caller's availability zone.
         caller: what tells callers apart, such as an IP address.
         cut_off: ids of instances without a path to the upstreams, which are
-            left out while others of the region remain.
+            left out while others remain.
     """
+    instances = [it for it in instances if it.id not in cut_off] or instances
     in_region = [item for item in instances if item.region == region]
-    served = [item for item in in_region if item.id not in cut_off]
-    in_region = served or in_region
     own = [item for item in in_region if item.place == place]
     if len(own) < OWN_PLACE_MIN:
         found = _sample(in_region or instances, ADDRESSES_MAX, caller)
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -33,7 +33,6 @@
     b'content-length',
     wire.DEADLINE_MS,
     wire.EXPECT_INSTANCE,
-    relay_module.MARKER,
 }
 _RESPONSE_HEADERS_DROPPED = proxy_exchange.HOP_BY_HOP | {b'content-length'}
 
@@ -209,7 +208,9 @@
         self._context.path.begin(self, self._choice.upstream.entry.id, True)
         left_ms = max(int((self._deadline - now) * 1000), 1)
         headers = proxy_exchange.strip_headers(
-            self._inbound.headers, _REQUEST_HEADERS_DROPPED
+            self._inbound.headers,
+            _REQUEST_HEADERS_DROPPED,
+            relay_module.OWN_PREFIX,
         )
         headers.append((wire.DEADLINE_MS, b'%d' % left_ms))
         expected = self._choice.upstream.entry.id.encode()
--- a/src/jasminehold/front/relay.py
+++ b/src/jasminehold/front/relay.py
@@ -21,6 +21,8 @@
 from jasminehold.platform import wire
 from jasminehold.proxy import exchange as proxy_exchange
 
+# Headers of instances; what a caller sends under such a name goes no further.
+OWN_PREFIX = b'jasminehold-'
 MARKER = b'jasminehold-relay'
 _DOMAIN = b'jasminehold relay 1'
 # A helping instance has a link to this one, so it answers at once.
@@ -32,7 +34,6 @@
     b'expect',
     b'content-length',
     wire.DEADLINE_MS,
-    MARKER,
 }
 
 
@@ -342,7 +343,7 @@
 
     def _request(self, inbound, origin, receiver, deadline):
         headers = proxy_exchange.strip_headers(
-            inbound.headers, _REQUEST_HEADERS_DROPPED
+            inbound.headers, _REQUEST_HEADERS_DROPPED, OWN_PREFIX
         )
         headers.append((wire.DEADLINE_MS, deadline))
         value = marker(self._key, receiver, origin, inbound, headers)
--- a/src/jasminehold/proxy/exchange.py
+++ b/src/jasminehold/proxy/exchange.py
@@ -73,12 +73,13 @@
     deadline: float
 
 
-def strip_headers(headers, dropped):
+def strip_headers(headers, dropped, prefix=None):
     """Remove headers by name, and those that ``Connection`` lists.
 
     Args:
         headers: list of ``(lower-case name, value)``, bytes.
         dropped: set of lower-case names to remove.
+        prefix: begin of further names to remove, bytes, or None.
     """
     listed = set()
     for name, value in headers:
@@ -87,7 +88,9 @@
     return [
         (name, value)
         for name, value in headers
-        if name not in dropped and name not in listed
+        if name not in dropped
+        and name not in listed
+        and not (prefix and name.startswith(prefix))
     ]
 
 
