--- a/src/jasminehold/explain.py
+++ b/src/jasminehold/explain.py
@@ -20,6 +20,8 @@
     'evacuated places changed',
     'instance started',
     'instance leaving',
+    'upstream path lost',
+    'upstream path regained',
 )
 REQUEST_END_EVENT = 'request ended'
 
@@ -151,7 +153,15 @@
             ', retry of the caller' if fields.get('returned') else '',
         ),
     ]
+    if fields.get('relayed_by'):
+        report.append('  for instance %s' % fields['relayed_by'])
     for send in fields.get('sends', ()):
+        if 'instance' in send:
+            report.append(
+                '  sent through instance %s: %s'
+                % (send['instance'], send.get('end'))
+            )
+            continue
         report.append(
             '  sent to %s, owner %s of %s, load %s, answer expected in %s s, '
             'entry %s s old: %s'
--- a/src/jasminehold/peers/messages.py
+++ b/src/jasminehold/peers/messages.py
@@ -249,6 +249,17 @@
     confirmed: bool
 
 
+class PathState(typing.TypedDict):
+    """Whether the sender has lost its path to the upstreams.
+
+    ``age``: seconds for which it has known it.
+    """
+
+    type: str
+    lost: bool
+    age: float
+
+
 class Leave(typing.TypedDict):
     """Last message of an instance that shuts down gracefully."""
 
--- a/tests/features/explain.feature
+++ b/tests/features/explain.feature
@@ -16,6 +16,11 @@
     When the story of request "r1" is asked for
     Then it tells the events before the request in their order
 
+  Scenario: A request that went through another instance makes one story
+    Given log lines of an instance without a path and of the one that helped
+    When the story of request "r1" is asked for
+    Then it tells the lost path, the way and the upstream
+
   Scenario: An unknown request is said to be unknown
     Given log lines of two instances, one behind a collector's prefix
     When the story of request "r9" is asked for
--- a/tests/features/steps/explain_steps.py
+++ b/tests/features/steps/explain_steps.py
@@ -67,6 +67,37 @@
     context.add_cleanup(pathlib.Path(stream.name).unlink)
 
 
+@behave.given(
+    'log lines of an instance without a path and of the one that helped'
+)
+def given_helped(context):
+    end = {'id': 'r1', 'outcome': '200', 'monotonic': 9.0}
+    far = [{'instance': 'front-2', 'end': '200'}]
+    near = [{'upstream': 'u1', 'rank': 0, 'end': '200'}]
+    lines = [
+        'front-1 ' + _line(1, 'upstream path lost', monotonic=8.0),
+        'front-1 ' + _line(2, 'request ended', sends=far, **end),
+        'front-2 '
+        + _line(2, 'request ended', sends=near, relayed_by='front-1', **end),
+    ]
+    with tempfile.NamedTemporaryFile('w', delete=False) as stream:
+        stream.write('\n'.join(lines))
+    context.paths = [stream.name]
+    context.add_cleanup(pathlib.Path(stream.name).unlink)
+
+
+@behave.then('it tells the lost path, the way and the upstream')
+def then_way(context):
+    told = '\n'.join(context.story)
+    for text in (
+        'upstream path lost',
+        'sent through instance front-2: 200',
+        'for instance front-1',
+        'sent to u1',
+    ):
+        assert text in told, (text, told)
+
+
 @behave.then('it tells the events before the request in their order')
 def then_ordered(context):
     told = '\n'.join(context.story)
