Soak: cut instances off from the upstreams

Change: the kind 'cut' (hang, reset, refuse) is drawn beside the others from random numbers of its own, so that the seeds kept so far draw what they drew; their scenarios name the kinds without it. At least one instance keeps its paths.

The planted fault was not played.

--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -14,6 +14,15 @@
       | 26120542 | popular contents that shared crashes stayed quarantined   |
       | 26120549 | popular contents that shared crashes stayed quarantined   |
 
+  Scenario Outline: A seeded run with cut-off instances breaks no promise
+    When the soak plays seed <seed> for 20 s with cuts from the upstreams
+    Then no promise is broken
+
+    Examples:
+      | seed | cause of an earlier failure                              |
+      | 41   | contents whose connections were reset stayed quarantined |
+      | 42   | requests waited for upstreams that the instance lost     |
+
   Scenario Outline: The checks notice a broken record
     Given a record in which <what>
     Then the check "<check>" fails and no other
@@ -33,4 +42,5 @@
       | an endless answer held a request         | endless_answers_end        |
       | a crashing request was sent on           | crashing_requests_are_stopped |
       | a planned stop cut a request             | planned_stop_cuts_nothing  |
+      | callers of a cut-off instance go unserved | cut_off_is_served         |
       | nothing is served after the faults       | service_returns            |
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -7,13 +7,27 @@
 import behave
 
 from tests.soak import checks
+from tests.soak import run
 
 RUN = pathlib.Path(__file__).parents[2] / 'soak' / 'run.py'
 
 
 @behave.when('the soak plays seed {seed:d} for {seconds:d} s')
 def when_soak(context, seed, seconds):
+    _play(context, seed, seconds, run.KINDS)
+
+
+@behave.when(
+    'the soak plays seed {seed:d} for {seconds:d} s with cuts from the'
+    ' upstreams'
+)
+def when_soak_cuts(context, seed, seconds):
+    _play(context, seed, seconds, run.KINDS + run.BESIDE_KINDS)
+
+
+def _play(context, seed, seconds, kinds):
     command = [sys.executable, str(RUN), '--first', str(seed)]
+    command += ['--kinds', ','.join(kinds)]
     context.done = subprocess.run(
         command + ['--seconds', str(seconds)],
         stdout=subprocess.PIPE,
@@ -148,6 +162,18 @@
     return record
 
 
+def _unserved():
+    record = _record(
+        [
+            _sent('%s-%d' % (name, turn), instance=name, status=status)
+            for name, status in (('i1', 503), ('i2', 200))
+            for turn in range(20)
+        ]
+    )
+    record.cuts.append(['i1', 16.0, 24.0])
+    return record
+
+
 def _nothing():
     record = _record([])
     record.sent = [_sent('a', begin=60.0, status=503, idempotent=True)]
@@ -168,6 +194,7 @@
     'an endless answer held a request': _held,
     'a crashing request was sent on': _sent_on,
     'a planned stop cut a request': _cut,
+    'callers of a cut-off instance go unserved': _unserved,
     'nothing is served after the faults': _nothing,
 }
 
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -136,6 +136,16 @@
     app.FrontApplication.leave = lambda self: os._exit(0)
 
 
+def gives_up_without_a_path():
+    """Rejects what an upstream could not be reached for."""
+
+    def patched(self, exc):
+        self._release('planted')
+        self._fail(steering.Kind.NOT_RUN, 0.1, 'planted')
+
+    exchange.Exchange._on_connect_failed = patched
+
+
 def never_returns():
     """Refuses everything after some requests."""
     on_request = exchange.ExchangeContext.on_request
@@ -167,6 +177,7 @@
     'reads_without_end': 'endless_answers_end',
     'sends_crashing_requests_on': 'crashing_requests_are_stopped',
     'stops_at_once': 'planned_stop_cuts_nothing',
+    'gives_up_without_a_path': 'cut_off_is_served',
     'never_returns': 'service_returns',
 }
 
