Reject what cannot be sent without a path to the upstreams

Cause: an instance of the product's own interface that reached no upstream judged each of them by itself. With connections that hang, requests waited until their deadline and ended as deadline_unknown; with refused ones each was tried at several upstreams. Look-ups went on naming the instance. Reset connections whose probe is refused were told to all instances as crashes, which can quarantine requests everywhere.

While the path is lost, requests that were not sent end at once as unavailable, not run, with Retry-After 2 s; sent ones that may be repeated and hear nothing end as upstream_failed; sent unsafe ones wait. Failures since the loss are taken back, no crash is reported, readiness fails. The instance tells the others with a notice (5 s, renewed every 2 s), whose look-up answers leave it out while others remain. Back again, it starts with new connections, bounded by its slots.

--- a/src/jasminehold/app.py
+++ b/src/jasminehold/app.py
@@ -26,6 +26,7 @@
 from jasminehold.decisions import claim_log
 from jasminehold.decisions import config_freshness
 from jasminehold.decisions import duty_lease
+from jasminehold.decisions import instance_path
 from jasminehold.decisions import limit_table
 from jasminehold.decisions import lookup_order
 from jasminehold.decisions import membership
@@ -120,6 +121,8 @@
         self.tables = tables_module.Tables()
         self.holder = share_holder.ShareHolder(cfg.id)
         self.freshness = config_freshness.ConfigFreshness()
+        self.instance_paths = instance_path.InstancePaths()
+        self._path_told_at = None
         self._head_document = None
         # Digest of the configuration from which the tables were built.
         self._tables_digest = None
@@ -275,6 +278,8 @@
             may_retry=self.picker.may_retry,
             record_result=self.picker.note_result,
             record_crash=self.picker.note_crash,
+            upstreams=self._upstream_addresses,
+            path_checked=self._on_path_checked,
         )
         limits = proxy_server.Limits(
             callers=cfg.max_connections,
@@ -443,6 +448,8 @@
         reasons = []
         if self.leaving:
             reasons.append('leaving')
+        if self.proxy.path.lost:
+            reasons.append('no path to the upstreams')
         if not self.tables.services:
             reasons.append('no configuration yet')
         elif self.cfg.region not in self.holder.plans:
@@ -486,6 +493,9 @@
         if key.startswith(temporary_drains.PREFIX):
             self.drains.on_notice(key, value, seconds_left)
             return
+        if key.startswith(instance_path.NOTICE_PREFIX):
+            self._on_path_notice(key, value, seconds_left)
+            return
         if key == config_freshness.NOTICE_KEY:
             sent_at = config_freshness.sent_at(
                 value['age_s'], seconds_left, self.loop.now()
@@ -500,6 +510,9 @@
         """Handle a changed member; the view is updated after a delay."""
         if member.state == membership.GONE and member.left:
             self.planner.on_member_left(member.id)
+        self._update_view_soon()
+
+    def _update_view_soon(self):
         # Building the view takes 5 to 9 ms with 5,800 members. Doing it for
         # each of the 300 members of a failed availability zone would block
         # the loop for seconds.
@@ -524,6 +537,33 @@
                 self.tables.set_blocks(name, self.config.get(kind, name))
         self._rebuild_soon()
 
+    def _on_path_checked(self, lost, since):
+        now = self.loop.now()
+        told_at = self._path_told_at
+        if lost and told_at is None:
+            self.picker.forgive_failures(since)
+        elif lost and now - told_at < instance_path.RENEW_INTERVAL_S:
+            return
+        self._path_told_at = now if lost else None
+        self.notify(
+            instance_path.NOTICE_PREFIX + self.cfg.id,
+            {'lost': lost},
+            instance_path.NOTICE_TTL_S,
+        )
+
+    def _on_path_notice(self, key, value, seconds_left):
+        ident = key[len(instance_path.NOTICE_PREFIX) :]
+        now = self.loop.now()
+        if self.instance_paths.on_notice(
+            ident, value['lost'], seconds_left, now
+        ):
+            self._update_view_soon()
+        self.loop.call_later(seconds_left, self._expire_path_notices)
+
+    def _expire_path_notices(self):
+        if self.instance_paths.remove_expired(self.loop.now()):
+            self._update_view_soon()
+
     def _on_config_read(self, digest, sent_at):
         now = self.loop.now()
         if self.freshness.is_news(digest, sent_at, now):
@@ -572,6 +612,7 @@
             self._view_timer.cancel()
             self._view_timer = None
         instances = {}
+        now = self.loop.now()
         members = self.agent.state.members
         for member in members.all():
             if member.state in (membership.LIVE, membership.SUSPECT):
@@ -581,6 +622,7 @@
                         member.place,
                         member.region,
                         member.state == membership.SUSPECT,
+                        self.instance_paths.is_lost(member.id, now),
                     )
                     instances[member.id] = (
                         candidate,
@@ -628,6 +670,12 @@
             key=lambda name: (instances[name][0].region != own_region, name),
         )
 
+    def _upstream_addresses(self):
+        return [
+            (item.name, item.place, item.host, item.port)
+            for item in self.tables.upstreams.values()
+        ]
+
     def _upstreams_in_use(self):
         now = self.loop.now()
         return [
--- a/src/jasminehold/decisions/health.py
+++ b/src/jasminehold/decisions/health.py
@@ -44,6 +44,7 @@
         self.consecutive_failures = 0
         self.failure_rate = 0.0
         self.samples = 0
+        self.ejected_at = None
         self.ejected_until = None
         self.ejections = 0
         self.last_failure = None
@@ -118,6 +119,21 @@
         state.last_failure = now
         return self._eject(name, state, now)
 
+    def forgive(self, since):
+        """Take back the failures from a time on.
+
+        Args:
+            since: seconds, monotonic.
+        """
+        for state in self._states.values():
+            if state.last_failure is None or state.last_failure < since:
+                continue
+            state.consecutive_failures = state.samples = 0
+            state.failure_rate = 0.0
+            if state.ejected_until is not None and state.ejected_at >= since:
+                state.ejected_until = None
+                state.ejections -= 1
+
     def report(self, name, load, healthy, now):
         """Record the report of a health or load endpoint.
 
@@ -188,6 +204,7 @@
         if len(self.ejected(now)) >= self._max_ejected():
             return False
         ejection_s = self._cfg.eject_s * 2**state.ejections
+        state.ejected_at = now
         state.ejected_until = now + min(ejection_s, self._cfg.max_eject_s)
         state.ejections += 1
         state.consecutive_failures = 0
--- a/src/jasminehold/decisions/lookup_order.py
+++ b/src/jasminehold/decisions/lookup_order.py
@@ -18,12 +18,14 @@
         place: its availability zone.
         region: its region.
         suspect: whether its peers have stopped hearing from it.
+        cut_off: whether it has told that it has no path to the upstreams.
     """
 
     ident: str
     place: str
     region: str
     suspect: bool = False
+    cut_off: bool = False
 
 
 def order(
@@ -36,6 +38,7 @@
     last one in another region, so that callers have an alternative when a
     place or region fails. Suspect instances come last, because the instances
     of a failed region become suspect after 5 s but stay listed for 15 s.
+    Instances without a path to the upstreams are left out while others remain.
 
     Args:
         entries: live instances as :class:`Candidate`, without those that are
@@ -55,8 +58,10 @@
         if region is not None and entry.region != region:
             latency_s = latencies.get((region, entry.region), float('inf'))
         hash_value = hashing.number(service, block, entry.ident)
-        return (entry.suspect, latency_s, hash_value)
+        return (entry.suspect, entry.cut_off, latency_s, hash_value)
 
+    if any(not (entry.suspect or entry.cut_off) for entry in entries):
+        entries = [entry for entry in entries if not entry.cut_off]
     ranked = sorted(entries, key=rank)
     if len(ranked) > 2:
         first = ranked[0]
--- a/src/jasminehold/errors.py
+++ b/src/jasminehold/errors.py
@@ -99,7 +99,7 @@
         502, Run.UNKNOWN, False, 'The request may have run; check first.'
     ),
     Kind.UNAVAILABLE: Answer(
-        503, Run.NOT_RUN, True, 'The platform service is not available.'
+        503, Run.NOT_RUN, True, 'What the request needs is not available.'
     ),
     Kind.OVERLOADED: Answer(
         503, Run.NOT_RUN, True, 'No capacity is left; the request was shed.'
--- a/src/jasminehold/proxy/exchange.py
+++ b/src/jasminehold/proxy/exchange.py
@@ -11,6 +11,7 @@
 
 import h11
 
+from jasminehold.decisions import instance_path
 from jasminehold.decisions import request
 from jasminehold.decisions import request_digest
 from jasminehold import errors
@@ -19,6 +20,7 @@
 Action = request.Action
 Event = request.Event
 Kind = errors.Kind
+State = request.State
 
 # Bodies up to this size are buffered completely before the request is sent.
 # A slow or malformed body then takes no upstream slot, and the request can be
@@ -130,6 +132,8 @@
         self._deadline = 0.0
         self._tried = ()
         self._target = None
+        # Identifies the current attempt in the check of the path.
+        self._attempt = None
         self._upstream = None
         self._sent_at = 0.0
         self._refused = False
@@ -246,6 +250,22 @@
         """Fail the request immediately because the process stops."""
         self.on_event(Event.STOP)
 
+    def on_path_lost(self):
+        """Give up what waits for an upstream that cannot be reached."""
+        state = self._state.state
+        if state is State.QUEUED:
+            self._on_target(_NO_PATH)
+        elif state is State.OPENING:
+            self._end_attempt('cancel')
+            self.on_event(Event.CONNECT_FAILED)
+        elif (
+            state is State.SENT
+            and self._state.idempotent
+            and self._server.path.is_silent(self._sent_at)
+        ):
+            self._end_attempt('cancel')
+            self.on_event(Event.LOSS)
+
     def on_caller_drain(self):
         """Resume reading the response after the send buffer drained."""
         if self._upstream is not None:
@@ -297,6 +317,9 @@
             self.on_event(Event.CLAIM_ANSWERED)
 
     def _find_target(self, arg):
+        if self._server.path.lost:
+            self._on_target(_NO_PATH)
+            return
         now = self._loop.now()
         found = self._hooks.pick(self._req, self._tried, now)
         overloaded = (
@@ -319,6 +342,9 @@
             self.on_event(Event.NO_TARGET, found.kind)
         elif self._state.ended:
             found.release('unused')
+        elif self._server.path.lost:
+            found.release('unused')
+            self._on_target(_NO_PATH)
         else:
             self._target = found
             self.on_event(Event.TARGET)
@@ -327,6 +353,8 @@
         target = self._target
         self._tried += (target.upstream,)
         self._refused = False
+        self._attempt = object()
+        self._server.path.begin(self._attempt, target.upstream, False)
 
         def ready(conn):
             if self._target is target:
@@ -346,6 +374,7 @@
         self._upstream = conn
         conn.handler = self
         self._sent_at = self._loop.now()
+        self._server.path.begin(self._attempt, self._target.upstream, True)
         self._server.pool.add_in_flight(
             self._target, self, self._request_digest
         )
@@ -383,6 +412,10 @@
 
     def _ask_retry(self, arg):
         delay = None
+        if self._server.path.lost:
+            self._retry_after = instance_path.RETRY_AFTER_S
+            self.on_event(Event.RETRY_DENIED, Kind.UNAVAILABLE)
+            return
         if self._replayable:
             attempt = Attempt(self._last_result, self._tried, self._deadline)
             now = self._loop.now()
@@ -451,17 +484,24 @@
         if target is None:
             return
         now = self._loop.now()
+        path = self._server.path
+        path.end(self._attempt)
+        if result == 'loss':
+            path.on_failed(target.upstream, False)
         self._last_result = result
         self._server.pool.remove_in_flight(target, self)
         self._server.metrics.inc('attempts_total', result=result)
         latency = now - (self._sent_at or now)
-        self._hooks.record_result(target.upstream, result, latency, now)
+        # Without a path, the failures say nothing about the upstreams.
+        if result not in ('connect', 'loss', 'deadline') or not path.lost:
+            self._hooks.record_result(target.upstream, result, latency, now)
         target.release(result)
 
     # Events of the upstream connection
 
     def on_response_head(self, event):
         """Process the status line and headers of the response."""
+        self._server.path.on_answer()
         headers = list(event.headers)
         values = dict(headers)
         echo = values.get(b'jasminehold-request')
@@ -569,6 +609,7 @@
         self.on_event(Event.LOSS)
 
 
+_NO_PATH = hooks_module.Refusal(Kind.UNAVAILABLE, instance_path.RETRY_AFTER_S)
 _BODILESS_STATUSES = (204, 304)
 _ACTIONS = {
     Action.CLAIM: Exchange._claim,
--- a/src/jasminehold/proxy/hooks.py
+++ b/src/jasminehold/proxy/hooks.py
@@ -109,6 +109,12 @@
             ``attempt`` is a :class:`~jasminehold.proxy.exchange.Attempt`.
         record_result: ``(upstream, result, latency_s, now)``.
         record_crash: ``(upstream, fingerprints)``.
+        upstreams: ``() -> [(id, place, host, port)]``, the known upstreams,
+            with which the path to them is checked.
+        path_checked: ``(lost, since)``, called when this instance finds that
+            it has no path to the upstreams, again and again while that lasts,
+            and when it has one again. Failures after ``since`` (seconds,
+            monotonic) say nothing about the upstreams.
     """
 
     route: typing.Callable
@@ -121,6 +127,8 @@
     may_retry: typing.Callable
     record_result: typing.Callable
     record_crash: typing.Callable
+    upstreams: typing.Callable = lambda: ()
+    path_checked: typing.Callable = lambda lost, since: None
 
 
 class AnswerStore:
--- a/src/jasminehold/proxy/server.py
+++ b/src/jasminehold/proxy/server.py
@@ -7,6 +7,7 @@
 
 import json
 import math
+import random
 import re
 import typing
 
@@ -15,6 +16,7 @@
 from jasminehold import errors
 from jasminehold import lookup_handler
 from jasminehold.proxy import exchange as exchange_module
+from jasminehold.proxy import path_check
 from jasminehold.proxy import upstream
 
 Kind = errors.Kind
@@ -451,6 +453,7 @@
         exchanges: set of exchanges in flight.
         callers: set of open connections.
         draining: whether new requests are refused with ``leaving``.
+        path: the :class:`~jasminehold.proxy.path_check.PathCheck`.
     """
 
     def __init__(
@@ -469,7 +472,14 @@
         self.limits = limits or Limits()
         self.body_max_bytes = self.limits.body_bytes
         self.instance_id = instance_id.encode()
-        self.pool = upstream.Pool(loop, metrics, hooks.record_crash)
+        self.path = path_check.PathCheck(
+            loop,
+            hooks.upstreams,
+            metrics,
+            random.Random(instance_id),
+            self._on_path_checked,
+        )
+        self.pool = upstream.Pool(loop, metrics, hooks.record_crash, self.path)
         self.exchanges = set()
         self.callers = set()
         self.draining = False
@@ -510,6 +520,13 @@
             caller.expire()
         self.loop.call_later(self._sweep_interval_s, self._sweep)
 
+    def _on_path_checked(self, lost):
+        if lost:
+            self.pool.close_idle()
+            for exchange in list(self.exchanges):
+                exchange.on_path_lost()
+        self.hooks.path_checked(lost, self.path.since)
+
     def exchange_ended(self, exchange):
         """Remove an exchange that has ended."""
         self.exchanges.discard(exchange)
@@ -547,6 +564,7 @@
         may have run.
         """
         self._stopped = True
+        self.path.stop()
         self.draining = True
         for listener in self._listeners:
             listener.close()
--- a/src/jasminehold/proxy/upstream.py
+++ b/src/jasminehold/proxy/upstream.py
@@ -196,12 +196,14 @@
         metrics: the :class:`~jasminehold.metrics.Metrics`.
         record_crash: ``(upstream, fingerprints)``, called after a crash with
             the digests of the requests in flight at it.
+        path: the :class:`~jasminehold.proxy.path_check.PathCheck`.
     """
 
-    def __init__(self, loop, metrics, record_crash):
+    def __init__(self, loop, metrics, record_crash, path):
         self.metrics = metrics
         self._loop = loop
         self._record_crash = record_crash
+        self._path = path
         self._entries = {}
 
     def _entry(self, target):
@@ -251,10 +253,12 @@
         self.metrics.inc('upstream_connections_total')
 
         def opened(conn):
+            self._path.on_opened()
             on_ready(UpstreamConn(self, entry, conn))
 
         def failed(exc):
             entry.open_connections -= 1
+            self._path.on_failed(target.upstream, True)
             on_error(exc)
 
         self._loop.connect(
@@ -327,6 +331,8 @@
         notify_timer = self._loop.call_later(PROBE_WAIT_S, notify)
 
         def finish(crashed):
+            # Without a path, any upstream seems to refuse connections.
+            crashed = crashed and not self._path.lost
             suspects, entry.suspects = entry.suspects, []
             entry.probing = False
             notify_timer.cancel()
--- a/src/jasminehold/steering/picker.py
+++ b/src/jasminehold/steering/picker.py
@@ -243,6 +243,11 @@
             'upstream_seconds', latency_s, service=declared.service
         )
 
+    def forgive_failures(self, since):
+        """Take back the failures of upstreams from a time on."""
+        for state in self._service_states.values():
+            state.health.forgive(since)
+
     def note_crash(self, upstream, fingerprints):
         """Record a crash and notify the other instances."""
         now = self._loop.now()
--- a/tests/builders/proxy_rig.py
+++ b/tests/builders/proxy_rig.py
@@ -4,6 +4,8 @@
 
 import circuits
 
+from builders import cut_path
+from jasminehold.decisions import health
 from jasminehold import errors
 from jasminehold import loop as loop_module
 from jasminehold import metrics as metrics_module
@@ -73,6 +75,7 @@
         timeout_s=2.0,
         rng=None,
         connections=300,
+        cuttable=False,
     ):
         self.root = circuits.Component()
         self.faults = _Faults().register(self.root)
@@ -84,6 +87,7 @@
         self.current = {}
         self.all = []
         self.crashes = []
+        self.health = health.Health()
         self.taken = self.released = 0
         self.connections = connections
         self.stopping = False
@@ -96,12 +100,21 @@
             release_claim=self.claims.release,
             keep_answer=self.claims.keep,
             find_answer=lambda key: None,
+            record_result=self._record_result,
             record_crash=lambda *args: self.crashes.append(args),
+            path_checked=self._path_checked,
+            upstreams=lambda: [
+                (item[0], 'p', *item[1:]) for item in self.list
+            ],
         )
+        self.loops = [
+            cut_path.CutLoop(self.loop) if cuttable else self.loop
+            for _ in range(proxies)
+        ]
         self.proxies, self.ports = [], []
         for index in range(proxies):
             proxy = server_module.ProxyServer(
-                self.loop,
+                self.loops[index],
                 self.hooks,
                 self.metrics,
                 answer=lambda service, block: {'service': service},
@@ -125,6 +138,17 @@
 
         return counted
 
+    def _record_result(self, upstream, result, latency_s, now):
+        if result == 'connect':
+            self.health.record_refused_connection(upstream, now)
+        else:
+            bad = result in ('loss', 'error', 'deadline')
+            self.health.record_result(upstream, not bad, now)
+
+    def _path_checked(self, lost, since):
+        if lost:
+            self.health.forgive(since)
+
     def _release(self, result):
         self.released += 1
 
@@ -142,6 +166,8 @@
         entry = (name, item.host, item.port)
         if entry not in self.list:
             self.list.append(entry)
+            names = [item[0] for item in self.list]
+            self.health.set_upstreams(names, self.loop.now())
 
     def restart(self, name):
         if not self.stopping:
