Say what a user timeout does to keepalive probes

Cause: on Linux a set TCP_USER_TIMEOUT decides when keepalive probes give up, whatever TCP_KEEPCNT says, and ends a connection whose peer answers but reads nothing for as long. The texts named the number of probes and unacknowledged bytes only.

Change: texts.

The end of unanswered probes was not measured, as nothing drops packets here; it follows from the kernel's keepalive timer.

--- a/src/jasminehold/loop.py
+++ b/src/jasminehold/loop.py
@@ -39,13 +39,18 @@
 class KeepAlive(typing.NamedTuple):
     """TCP keepalive settings, which detect a dead connection.
 
+    On Linux ``user_timeout_ms`` also decides when unanswered probes end the
+    connection: at the first probe time at which nothing was received for as
+    long. ``probes`` counts only on systems without it.
+
     Attributes:
         idle_s: idle time before the first probe, in whole seconds.
         interval_s: time between probes, in whole seconds.
         probes: unanswered probes after which the connection is closed.
-        user_timeout_ms: longest time that sent bytes may stay unacknowledged.
-            On Linux it also ends an idle connection, whatever the number of
-            probes: at the first probe after that time without an answer.
+        user_timeout_ms: longest time that sent bytes may stay unacknowledged,
+            or wait for a peer that answers but reads nothing. On Linux it
+            also ends an idle connection, whatever the number of probes: at
+            the first probe after that time without an answer.
     """
 
     idle_s: int
--- a/src/jasminehold/platform/kv.py
+++ b/src/jasminehold/platform/kv.py
@@ -14,7 +14,8 @@
 CALL_TIMEOUT_S = 1.5
 MAX_CONNS = 4
 # The connection of a waiting watch is silent, so only keepalive probes detect
-# that it is broken. A change must take effect within 2.5 s.
+# that it is broken: the probe at 1 s gets no answer, and at 2 s the silence is
+# longer than the user timeout. A change must take effect within 2.5 s.
 KEEPALIVE = loop_module.KeepAlive(
     idle_s=1, interval_s=1, probes=1, user_timeout_ms=1500
 )
