--- a/src/jasminehold/loop.py
+++ b/src/jasminehold/loop.py
@@ -39,10 +39,6 @@
 class KeepAlive(typing.NamedTuple):
     """TCP keepalive settings, which detect a dead connection.
 
-    On Linux ``user_timeout_ms`` also decides when unanswered probes end the
-    connection: at the first probe time at which nothing was received for as
-    long. ``probes`` counts only on systems without it.
-
     Attributes:
         idle_s: idle time before the first probe, in whole seconds.
         interval_s: time between probes, in whole seconds.
