Compress what peers keep for an instance that starts

An instance that starts just after a drill asked two peers at a time for what they keep, which can hold a large configuration. Replies are compressed now, by the same functions as news, and at most four may fail.

--- a/src/jasminehold/front/first_copy.py
+++ b/src/jasminehold/front/first_copy.py
@@ -11,10 +11,12 @@
 
 from jasminehold.decisions import store_replica
 from jasminehold import errors
+from jasminehold.peers import packed
 
 ASK_TIMEOUT_S = 0.5
-# A reply may repeat a large configuration.
-MAX_ASKED = 2
+MAX_ASKED_AT_ONCE = 2
+# A reply may repeat a large configuration, and arrives also when it is late.
+MAX_FAILED = 4
 # Pause before a peer is asked again whose copy is of another era.
 ASK_AGAIN_S = 0.1
 
@@ -54,6 +56,7 @@
         self._held_since = None
         self._waiting = []
         self._asked = set()
+        self._failed = 0
         mesh.handle('kept_items', self._on_asked)
 
     def on_copy(self):
@@ -76,10 +79,13 @@
     def _ask_next(self):
         if self._held_since is None:
             return
-        if self._replica.absence_confirmed(self._loop.now()):
+        if (
+            self._replica.absence_confirmed(self._loop.now())
+            or self._failed >= MAX_FAILED
+        ):
             self._waiting.clear()
             return
-        while self._waiting and len(self._asked) < MAX_ASKED:
+        while self._waiting and len(self._asked) < MAX_ASKED_AT_ONCE:
             name = self._waiting.pop(0)
             self._asked.add(name)
             self._mesh.ask(
@@ -98,6 +104,7 @@
             except errors.MALFORMED_MESSAGE_ERRORS as fault:
                 exc = fault
         if exc is not None:
+            self._failed += 1
             self._log('no kept items from peer', peer=name, error=exc)
         self._metrics.inc('kept_items_asked_total', result=outcome)
         self._ask_next()
@@ -110,7 +117,7 @@
                 self._reader.read_soon()
             self._loop.call_later(ASK_AGAIN_S, self.on_link_up, name)
             return 'other_era'
-        kept = _decode(answer)
+        kept = _decode(packed.unpack(answer['packed']))
         changed = self._replica.merge_kept(kept, self._loop.now())
         if changed:
             self._on_change(changed)
@@ -146,7 +153,7 @@
             return
         self._tell(sender)
         kept = replica.kept(self._loop.now())
-        reply({'era': era, **kept._asdict()})
+        reply({'era': era, 'packed': packed.pack(kept._asdict())})
 
 
 def _decode(answer):
--- a/src/jasminehold/front/peering.py
+++ b/src/jasminehold/front/peering.py
@@ -12,16 +12,15 @@
 
 import hashlib
 import time
-import zlib
 
 from jasminehold.decisions import fleet_size
 from jasminehold.decisions import read_schedule
 from jasminehold.decisions import store_replica
 from jasminehold.decisions import transit_delay
 from jasminehold import errors
-from jasminehold.peers import frames
 from jasminehold.peers import link
 from jasminehold.peers import mesh as mesh_module
+from jasminehold.peers import packed
 
 SNAPSHOT_TIMEOUT_S = 1.0
 SNAPSHOT_INTERVAL_S = 0.5
@@ -33,9 +32,6 @@
 REMOTE_REGION_PEERS = 1
 # Size of the values from which on items are compressed, bytes.
 PACK_MIN_BYTES = 4 * 1024
-# A configuration shrinks to a tenth at the fastest level.
-PACK_LEVEL = 1
-UNPACKED_MAX_BYTES = 16 * 1024 * 1024
 KEY_ID = 'k1'
 
 
@@ -283,25 +279,14 @@
     rows = [list(item) for item in items]
     if sum(len(item.value or b'') for item in items) < PACK_MIN_BYTES:
         return {'items': rows}
-    return {'packed': zlib.compress(frames.pack(rows), PACK_LEVEL)}
+    return {'packed': packed.pack(rows)}
 
 
 def _items(message):
     rows = message.get('items')
     if rows is None:
-        rows = frames.unpack(_decompress(message['packed']))
+        rows = packed.unpack(message['packed'])
     return [
         store_replica.Item(str(key), value, int(revision))
         for key, value, revision in rows
     ]
-
-
-def _decompress(data):
-    decompressor = zlib.decompressobj()
-    try:
-        found = decompressor.decompress(data, UNPACKED_MAX_BYTES)
-    except zlib.error as exc:
-        raise errors.PeerError('packed items: %s' % exc) from exc
-    if not decompressor.eof:
-        raise errors.PeerError('packed items are cut off or too large')
-    return found
--- a/src/jasminehold/peers/messages.py
+++ b/src/jasminehold/peers/messages.py
@@ -237,16 +237,12 @@
 class KeptItems(typing.TypedDict, total=False):
     """Reply to ``kept_items``; of another era than asked, only ``era``.
 
-    The others are the fields of :class:`~decisions.store_replica.Kept`.
+    ``packed``: the fields of :class:`~decisions.store_replica.Kept`,
+    compressed.
     """
 
     era: int
-    lost: typing.List[typing.Any]
-    lapsed: typing.List[typing.Any]
-    lapsed_s: float
-    unconfirmed: typing.List[typing.Any]
-    accept_s: float
-    confirmed: bool
+    packed: bytes
 
 
 class PathState(typing.TypedDict):
