Take a peer's doubts about the store's list only if it knows better

An instance that started after a drill dropped for 5 s all upstreams that any peer took for unconfirmed. Only what a confirmed peer doubts counts now. A key that one peer keeps and another doubts is no longer left in both states, which ended in a KeyError.

--- a/src/jasminehold/decisions/store_replica.py
+++ b/src/jasminehold/decisions/store_replica.py
@@ -264,10 +264,14 @@
             if self._lapsed_drop_at is not None:
                 at = min(at, self._lapsed_drop_at)
             self._lapsed_drop_at = at
-        for key, revision in kept.unconfirmed:
+        # A replica that was behind doubts whatever it had not heard of.
+        doubted = kept.unconfirmed if kept.confirmed else ()
+        for key, revision in doubted:
             own = self.items.get(key)
             if own is not None and own.revision <= revision:
                 self._unconfirmed[key] = self.items.pop(key)
+                self._lapsed.discard(key)
+                self._lost_until.pop(key, None)
                 self._accept_at = now + min(kept.accept_s, ACCEPT_AFTER_S)
                 changed.add(key)
         if kept.confirmed:
--- a/tests/features/front_store_era.feature
+++ b/tests/features/front_store_era.feature
@@ -120,3 +120,9 @@
       | 4       | then in a new era for 2 s        | not confirmed |
       | 6       | then in a new era for 2 s        | confirmed     |
       | 6       | then in a new era after 3 s      | not confirmed |
+
+  # Guards against live upstreams that drop out because a peer missed them.
+  Scenario: What a peer that was behind doubts is no doubt for others
+    Given a copy that has been held for 10 s without the store, and a new era
+    When another copy starts and hears from it
+    Then the other copy still has all that it read
--- a/tests/features/steps/front_store_era_steps.py
+++ b/tests/features/steps/front_store_era_steps.py
@@ -544,3 +544,25 @@
 def then_dropped(context, seconds):
     context.copy.drop_lapsed(2.0 + seconds)
     assert context.key not in context.copy.items
+
+
+@behave.given(
+    'a copy that has been held for {seconds:g} s without the store, and a new'
+    ' era'
+)
+def given_copy_behind(context, seconds):
+    context.copy = _started(10.0)
+    context.now = 10.0 + seconds
+    context.listed = [
+        store_drills.item('op/config', 5),
+        store_drills.item('servers/late', 8),
+    ]
+    context.copy.replace(context.listed, 9, context.now, context.now, 2)
+
+
+@behave.then('the other copy still has all that it read')
+def then_has_all(context):
+    other = store_drills.replica()
+    other.replace(context.listed, 9, context.now, context.now, 2)
+    other.merge_kept(context.copy.kept(context.now), context.now)
+    assert set(other.items) == {item.key for item in context.listed}
