Deny no route in the first seconds of an era of the store

A copy now denies nothing for 5 s of an era, the time for which the operator's keys are kept, and tells an instance that starts how much of that is left.

'No copy denies anything just after the store went back' needs the new rule; whether a copy confirms others is judged as before.

--- a/src/jasminehold/decisions/store_replica.py
+++ b/src/jasminehold/decisions/store_replica.py
@@ -40,7 +40,8 @@
         lapsed_s: seconds left for these.
         unconfirmed: ``(key, revision)`` of the era's items that do not count.
         accept_s: seconds after which leased ones of these count.
-        confirmed: whether what the replica lacks does not exist.
+        confirmed: whether the replica knows all that the store lost.
+        denies_in_s: seconds until what the replica lacks does not exist.
     """
 
     lost: list
@@ -49,6 +50,7 @@
     unconfirmed: list
     accept_s: float
     confirmed: bool
+    denies_in_s: float
 
 
 class StoreReplica:
@@ -98,14 +100,23 @@
         self._accept_at = None
         self._in_force_at = None
         self._confirmed_at = None
+        self._may_deny_at = None
 
     def age(self, now):
         """Return the age of the replica in seconds, infinite before a read."""
         return float('inf') if self.as_of is None else now - self.as_of
 
-    def absence_confirmed(self, now):
+    def may_deny(self, now):
         """Return whether what the replica lacks does not exist.
 
+        Until the writers have written again, the store may lack what was
+        written last before it went back, and no replica need have read it.
+        """
+        return self._may_deny_at is not None and now >= self._may_deny_at
+
+    def is_confirmed(self, now):
+        """Return whether the replica tells others what the store lost.
+
         The store may have gone back shortly before the first list was read.
         What it lost is then known to peers, or written again in time.
         """
@@ -149,7 +160,7 @@
         self.era = era
         if self._in_force_at is None:
             self._in_force_at = now + FIRST_LIST_WAIT_S
-            self._confirmed_at = now + LOST_KEEP_S
+            self._confirmed_at = self._may_deny_at = now + LOST_KEEP_S
         self._refresh(as_of, now)
         changed = set()
         seen = set()
@@ -171,8 +182,9 @@
 
     def _begin_era(self, items, revision, as_of, now, era):
         # A replica that was behind may not know what the store lost.
-        if self.age(now) > self._outage_s or not self.absence_confirmed(now):
+        if self.age(now) > self._outage_s or not self.is_confirmed(now):
             self._confirmed_at = now + LOST_KEEP_S
+        self._may_deny_at = now + LOST_KEEP_S
         self._refresh(as_of, now)
         self.era, self.revision = era, revision
         self.steady_since = as_of
@@ -229,7 +241,8 @@
             self.lapsed_drop_in_s(now) or 0.0,
             [(key, item.revision) for key, item in self._unconfirmed.items()],
             max((self._accept_at or now) - now, 0.0),
-            self.absence_confirmed(now) and self.age(now) <= self._outage_s,
+            self.is_confirmed(now) and self.age(now) <= self._outage_s,
+            max(self._may_deny_at - now, 0.0),
         )
 
     def merge_kept(self, kept, now):
@@ -276,6 +289,8 @@
                 changed.add(key)
         if kept.confirmed:
             self._confirmed_at = min(self._confirmed_at, now)
+            at = now + kept.denies_in_s
+            self._may_deny_at = min(self._may_deny_at, at)
         return changed
 
     def _keep(self, item, changed):
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -155,9 +155,7 @@
         self._peering.on_link_up = self._on_link_up
         self.store.on_era = self._on_era
         self.steering.copy_age = self._reader.replica.age
-        self.steering.absence_confirmed = (
-            self._reader.replica.absence_confirmed
-        )
+        self.steering.copy_may_deny = self._reader.replica.may_deny
         self._decoder = reader.Decoder(self.metrics, _log)
 
     def _build_relay(self):
@@ -254,7 +252,7 @@
         gauges['requests_in_flight'] = len(self.exchanges.exchanges)
         gauges['instance_leaving'] = int(self.leaving)
         replica = self._reader.replica
-        gauges['store_copy_confirmed'] = int(replica.absence_confirmed(now))
+        gauges['store_copy_confirmed'] = int(replica.may_deny(now))
         if replica.as_of is not None:
             gauges['store_copy_age_seconds'] = replica.age(now)
         for name, value in gauges.items():
--- a/src/jasminehold/front/first_copy.py
+++ b/src/jasminehold/front/first_copy.py
@@ -80,7 +80,7 @@
         if self._held_since is None:
             return
         if (
-            self._replica.absence_confirmed(self._loop.now())
+            self._replica.is_confirmed(self._loop.now())
             or self._failed >= MAX_FAILED
         ):
             self._waiting.clear()
@@ -164,6 +164,7 @@
         [(str(key), int(rev)) for key, rev in answer['unconfirmed']],
         float(answer['accept_s']),
         bool(answer['confirmed']),
+        float(answer['denies_in_s']),
     )
 
 
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -101,7 +101,7 @@
 
     Attributes:
         copy_age: ``now -> seconds``, the age of the store copy.
-        absence_confirmed: ``now -> bool``, whether a route that the table
+        copy_may_deny: ``now -> bool``, whether a route that the table
             lacks does not exist.
         instances: ids of the live instances.
         limits: the :class:`~decisions.stated_limits.StatedLimits`.
@@ -109,7 +109,7 @@
 
     def __init__(self, cfg, rng, log):
         self.copy_age = lambda now: 0.0
-        self.absence_confirmed = lambda now: True
+        self.copy_may_deny = lambda now: True
         self.table = None
         self.view = upstream_view.UpstreamView()
         self.evacuated = frozenset()
@@ -267,15 +267,18 @@
         if self.table is None:
             return Kind.UNAVAILABLE
         found = self.table.match(host, path)
-        if found is None and not self._is_absence_certain(now):
+        if found is None and not self.may_deny(now):
             return Kind.UNAVAILABLE
         return found or Kind.UNKNOWN_SERVICE
 
-    def _is_absence_certain(self, now):
-        # A configuration that must be in force may be missing in a copy that
-        # is old, or that was read just after the store went back.
+    def may_deny(self, now):
+        """Return whether what the configuration does not allow is denied.
+
+        A configuration that must be in force may be missing in a copy that is
+        old, or that was read just after the store went back.
+        """
         bound_s = ROUTES_CERTAIN_FRACTION * self._cfg.apply_within_ms / 1000
-        return self.copy_age(now) <= bound_s and self.absence_confirmed(now)
+        return self.copy_age(now) <= bound_s and self.copy_may_deny(now)
 
     def service(self, route, now):
         """Choose the target service of a request and count the request.
--- a/tests/features/front_store_era.feature
+++ b/tests/features/front_store_era.feature
@@ -126,3 +126,9 @@
     Given a copy that has been held for 10 s without the store, and a new era
     When another copy starts and hears from it
     Then the other copy still has all that it read
+
+  # Guards against denials by a copy that had not read the newest version.
+  Scenario: No copy denies anything just after the store went back
+    Given a copy that has been held for 6 s, then in a new era for 2 s
+    When another copy starts and hears from it
+    Then neither denies what it lacks before 5 s of the era have passed
--- a/tests/features/steps/front_store_era_steps.py
+++ b/tests/features/steps/front_store_era_steps.py
@@ -522,7 +522,7 @@
 
 @behave.then('the other copy is {confirmed}')
 def then_confirmed(context, confirmed):
-    found = context.other.absence_confirmed(context.now)
+    found = context.other.is_confirmed(context.now)
     assert found == (confirmed == 'confirmed')
 
 
@@ -566,3 +566,13 @@
     other.replace(context.listed, 9, context.now, context.now, 2)
     other.merge_kept(context.copy.kept(context.now), context.now)
     assert set(other.items) == {item.key for item in context.listed}
+
+
+@behave.then(
+    'neither denies what it lacks before {seconds:g} s of the era have passed'
+)
+def then_no_denial(context, seconds):
+    begun_at = context.now - 2
+    for copy in (context.copy, context.other):
+        assert not copy.may_deny(begun_at + seconds - 0.1)
+        assert copy.may_deny(begun_at + seconds)
