Let late news silence no other reader

Whoever had heard news in the last 0.95 s told nothing of its own reads, also if those news had been under way for seconds. What counts now is the age of the read that the news tell of.

--- a/src/jasminehold/decisions/read_schedule.py
+++ b/src/jasminehold/decisions/read_schedule.py
@@ -65,7 +65,7 @@
 
     Args:
         own_rank: the instance's rank.
-        heard_s: seconds since another instance told what it had read.
+        heard_s: age of the newest read that another instance told of.
     """
     return own_rank == 0 or heard_s >= MIN_TAKEOVER_AGE_S
 
--- a/src/jasminehold/front/reader.py
+++ b/src/jasminehold/front/reader.py
@@ -74,7 +74,7 @@
         self._catch_up_at = None
         # When a read last ended, or a peer's was taken over.
         self._contact_at = -math.inf
-        # When a peer last told what it had read.
+        # When the read was sent that a peer told of last.
         self._heard_at = -math.inf
         self._lost = False
         self._boot_clock_lead_s = (
@@ -243,7 +243,7 @@
         """
         if era < self.replica.era:
             return True
-        self._heard_at = self._loop.now()
+        self._heard_at = max(self._heard_at, as_of)
         changed = self.replica.apply(
             items, before, revision, as_of, self._loop.now(), era
         )
@@ -263,7 +263,7 @@
         former = (self.replica.era, self.replica.revision)
         if start < former:
             return True
-        self._heard_at = self._loop.now()
+        self._heard_at = max(self._heard_at, as_of)
         changed = self.replica.apply_differences(
             before, items, start, as_of, self._loop.now()
         )
