Remember the usual delay of a link over its end

News that wait on a full link count as so much older. It is kept by sender now, and begins anew when the sender's boot clock has.

Five rows in front_rules; a queue that lasts over a minute still counts as usual.

--- a/src/jasminehold/decisions/transit_delay.py
+++ b/src/jasminehold/decisions/transit_delay.py
@@ -8,6 +8,9 @@
 # Clocks drift apart, so a difference counts for this long, seconds, and at
 # least half as long.
 WINDOW_S = 60.0
+# The sender's clock goes back by more than this if its machine has started
+# again. Messages of two links may overtake each other.
+RESTART_S = 10.0
 
 
 class TransitDelay:
@@ -19,6 +22,7 @@
     def __init__(self):
         self._least = [float('inf'), float('inf')]
         self._turned_at = None
+        self._sent_at = 0.0
 
     def on_message(self, sent_at, now):
         """Return the seconds that a message spent under way beyond the usual.
@@ -27,6 +31,10 @@
             sent_at: seconds by the sender's clock.
             now: seconds by the receiver's clock.
         """
+        if sent_at < self._sent_at - RESTART_S:
+            self._turned_at = None
+            self._least = [float('inf'), float('inf')]
+        self._sent_at = sent_at
         if self._turned_at is None or now - self._turned_at > WINDOW_S / 2:
             self._turned_at = now
             self._least = [float('inf'), self._least[0]]
--- a/src/jasminehold/front/peering.py
+++ b/src/jasminehold/front/peering.py
@@ -226,8 +226,6 @@
         )
 
     def _on_up(self, name):
-        # Its clock starts anew with its machine.
-        self._delays.pop(name, None)
         self._request_first(name)
         self.on_link_up(name)
 
--- a/tests/features/front_rules.feature
+++ b/tests/features/front_rules.feature
@@ -110,3 +110,18 @@
     Given an upstream that reported that it is leaving
     When an older report without the drain is listed again
     Then it stays out of use, also after its entry went and came back
+
+  # Guards against news that look fresh after the links of a choked instance
+  # were opened again, or that look old after its machine started again.
+  Scenario Outline: The delay of a message is told by the others: <sent> at <now>
+    Given messages of 100 s and 101 s by the sender's clock took 0.1 s
+    When one of <sent> s by the sender's clock arrives at <now> s
+    Then it was under way for <delay> s beyond the usual
+
+    Examples:
+      | sent | now   | delay |
+      | 102  | 2.1   | 0     |
+      | 102  | 5.1   | 3     |
+      | 3    | 5.1   | 0     |
+      | 131  | 31.1  | 0     |
+      | 200  | 100.1 | 0     |
--- a/tests/features/steps/front_rules_steps.py
+++ b/tests/features/steps/front_rules_steps.py
@@ -14,6 +14,7 @@
 from jasminehold.decisions import retry_token_bucket
 from jasminehold.decisions import route_table
 from jasminehold.decisions import store_replica
+from jasminehold.decisions import transit_delay
 from jasminehold.decisions import upstream_load
 from jasminehold.decisions import upstream_view
 from jasminehold.decisions import weighted_round_robin
@@ -591,3 +592,22 @@
 @behave.then('it has no room for a request {seconds:g} s later')
 def then_no_room(context, seconds):
     assert not _has_room(context, seconds)
+
+
+@behave.given(
+    "messages of 100 s and 101 s by the sender's clock took {seconds:g} s"
+)
+def given_messages(context, seconds):
+    context.delay = transit_delay.TransitDelay()
+    for sent_at in (100.0, 101.0):
+        context.delay.on_message(sent_at, sent_at - 100.0 + seconds)
+
+
+@behave.when("one of {sent:g} s by the sender's clock arrives at {now:g} s")
+def when_message(context, sent, now):
+    context.seconds = context.delay.on_message(sent, now)
+
+
+@behave.then('it was under way for {seconds:g} s beyond the usual')
+def then_delayed(context, seconds):
+    assert abs(context.seconds - seconds) < 1e-6, context.seconds
