Tell doubts about the store's list unless the copy was behind

A fleet that is younger than 5 s when the store goes back has none, although its instances saw the removals: 'An instance that starts after a drill knows what peers keep' failed for the removal of an upstream and of a quarantine. What tells whether a doubt counts is whether the copy was behind when the era began; only then it is not told.

--- a/src/jasminehold/decisions/store_replica.py
+++ b/src/jasminehold/decisions/store_replica.py
@@ -101,6 +101,7 @@
         self._in_force_at = None
         self._confirmed_at = None
         self._may_deny_at = None
+        self._was_behind = False
 
     def age(self, now):
         """Return the age of the replica in seconds, infinite before a read."""
@@ -182,7 +183,8 @@
 
     def _begin_era(self, items, revision, as_of, now, era):
         # A replica that was behind may not know what the store lost.
-        if self.age(now) > self._outage_s or not self.is_confirmed(now):
+        self._was_behind = self.age(now) > self._outage_s
+        if self._was_behind or not self.is_confirmed(now):
             self._confirmed_at = now + LOST_KEEP_S
         self._may_deny_at = now + LOST_KEEP_S
         self._refresh(as_of, now)
@@ -239,12 +241,20 @@
             lost,
             [self.items[key] for key in self._lapsed],
             self.lapsed_drop_in_s(now) or 0.0,
-            [(key, item.revision) for key, item in self._unconfirmed.items()],
+            self._doubted(),
             max((self._accept_at or now) - now, 0.0),
             self.is_confirmed(now) and self.age(now) <= self._outage_s,
             max(self._may_deny_at - now, 0.0),
         )
 
+    def _doubted(self):
+        # A replica that was behind doubts whatever it had not heard of.
+        if self._was_behind:
+            return []
+        return [
+            (key, item.revision) for key, item in self._unconfirmed.items()
+        ]
+
     def merge_kept(self, kept, now):
         """Apply what a replica of the same era knows beyond the list.
 
@@ -277,9 +287,7 @@
             if self._lapsed_drop_at is not None:
                 at = min(at, self._lapsed_drop_at)
             self._lapsed_drop_at = at
-        # A replica that was behind doubts whatever it had not heard of.
-        doubted = kept.unconfirmed if kept.confirmed else ()
-        for key, revision in doubted:
+        for key, revision in kept.unconfirmed:
             own = self.items.get(key)
             if own is not None and own.revision <= revision:
                 self._unconfirmed[key] = self.items.pop(key)
