Take a path for lost or back on the right evidence

Upstreams that are full reset new connections, so a check took the path for lost although held connections went on answering; in a whole fleet that is the end of service. An answer during the check now counts. And a lost path came back only when two different upstreams opened, tried with those last that had failed before the loss: with one upstream alive it stayed lost for ever. Three rounds in a row at one upstream count too, and the rounds try all alike.

--- a/src/jasminehold/decisions/path_monitor.py
+++ b/src/jasminehold/decisions/path_monitor.py
@@ -19,6 +19,9 @@
 # round while the path is lost.
 CHECK_UPSTREAMS = 3
 PROBE_UPSTREAMS = 2
+# Successive rounds in which one upstream alone shows that the path is back:
+# the others may be down.
+OPEN_ROUNDS = 3
 # Time for an upstream to accept the connection of a check. Round trips
 # between regions take a tenth of a second at most.
 OPEN_TIMEOUT_S = 0.35
@@ -80,6 +83,7 @@
         self._cleared_at = -math.inf
         self._looked_at = -math.inf
         self._regained = set()
+        self._open_rounds = 0
 
     @property
     def waiting(self):
@@ -240,13 +244,21 @@
             self.on_opened(now)
         if before is State.LOST:
             self._regained = self._regained | set(opened) if opened else set()
-            if len(self._regained) >= min(PROBE_UPSTREAMS, known):
+            self._open_rounds = self._open_rounds + 1 if opened else 0
+            if (
+                len(self._regained) >= min(PROBE_UPSTREAMS, known)
+                or self._open_rounds >= OPEN_ROUNDS
+            ):
                 self._clear(now)
-        elif opened or stalled or not asked:
+        elif opened or stalled or not asked or self._answered_at > started_at:
+            # Upstreams that are full reset new connections as well.
             self._clear(now)
         else:
             self.state = State.LOST
             self._regained = set()
+            self._open_rounds = 0
+            # The next rounds try all upstreams alike.
+            self._failed.clear()
         return before
 
     def _clear(self, now):
--- a/tests/features/relay_rules.feature
+++ b/tests/features/relay_rules.feature
@@ -40,6 +40,8 @@
       | - u1 u2  | 8     | clear |
       | - u1+u2  | 8     | clear |
       | - u1     | 1     | clear |
+      | -answer  | 8     | clear |
+      | - u1 u1 u1 | 8   | clear |
 
   # Guards against slow work that opens connections without end.
   Scenario: Silence after a check that found a path is checked rarely
--- a/tests/features/steps/relay_rules_steps.py
+++ b/tests/features/steps/relay_rules_steps.py
@@ -57,8 +57,10 @@
     monitor = context.monitor = path_monitor.PathMonitor()
     assert monitor.suspect(0.0)
     for number, text in enumerate(rounds.split()):
-        opened = set() if text == '-' else set(text.split('+'))
         now = float(number)
+        if text == '-answer':
+            monitor.on_answer(now + 0.1)
+        opened = set() if text[0] == '-' else set(text.split('+'))
         monitor.on_checked(opened, 3, known, now, now + 0.3)
 
 
