Report an address that cannot be connected to like any other error

connect() raised for a host that is no address, or without a descriptor left, though it promises to call on_error. The next round of a lost path is also scheduled before the callbacks that act on it.

'A host that is no address is reported like a refusal' failed with gaierror and passes.

--- a/src/jasminehold/front/path_check.py
+++ b/src/jasminehold/front/path_check.py
@@ -170,14 +170,14 @@
         outcome = 'open' if opened else 'closed'
         self._metrics.inc('upstream_path_checks_total', outcome=outcome)
         if monitor.state is State.LOST:
-            if before is not State.LOST:
-                self._on_lost(errors, now)
-            else:
-                self.on_still_lost()
             pause_s = path_monitor.probe_interval_s(self._rng)
             self._loop.call_later(
                 pause_s, self._probe, path_monitor.PROBE_UPSTREAMS
             )
+            if before is not State.LOST:
+                self._on_lost(errors, now)
+            else:
+                self.on_still_lost()
         elif before is State.LOST:
             self._log(
                 'upstream path regained',
--- a/src/jasminehold/loop.py
+++ b/src/jasminehold/loop.py
@@ -404,7 +404,11 @@
             timeout: time to establish the connection, in seconds.
             keepalive: :class:`KeepAlive`, or None for the system defaults.
         """
-        sock = socket.socket(_address_family(host), socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(_address_family(host), socket.SOCK_STREAM)
+        except OSError as exc:
+            self.call_soon(on_error, exc)
+            return
         _configure_socket(sock)
         if keepalive is not None:
             _configure_keepalive(sock, keepalive)
@@ -430,7 +434,12 @@
         timer = self.call_later(
             timeout, lambda: fail(OSError(errno.ETIMEDOUT, 'timed out'))
         )
-        code = sock.connect_ex((host, port))
+        try:
+            code = sock.connect_ex((host, port))
+        except OSError as exc:
+            # The host is no address.
+            self.call_soon(fail, exc)
+            return
         if code not in (0, errno.EINPROGRESS):
             exc = OSError(code, os.strerror(code))
             self.call_soon(fail, exc)
--- a/tests/features/loop.feature
+++ b/tests/features/loop.feature
@@ -12,6 +12,12 @@
     When one client makes the server raise and another sends 1000 bytes
     Then the client received exactly what it sent
 
+  # Guards against an error that ends the work of whoever connects.
+  Scenario: A host that is no address is reported like a refusal
+    Given a loop with an echo server
+    When a client connects to a host that is no address
+    Then the error callback was called once
+
   Scenario: A refused connection is reported once
     Given a loop with an echo server
     When a client connects to a port that nobody listens on
--- a/tests/features/steps/loop_steps.py
+++ b/tests/features/steps/loop_steps.py
@@ -84,14 +84,23 @@
 
 @behave.when('a client connects to a port that nobody listens on')
 def when_refused(context):
-    port = context.listener.port
     context.listener.close()
+    _connect(context, '127.0.0.1')
+
+
+@behave.when('a client connects to a host that is no address')
+def when_no_address(context):
+    _connect(context, 'no address')
+
+
+def _connect(context, host):
+    port = context.listener.port
 
     def on_error(exc):
         context.errors.append(exc)
         context.loop.call_later(0.2, context.root.stop)
 
-    context.loop.connect('127.0.0.1', port, lambda conn: None, on_error)
+    context.loop.connect(host, port, lambda conn: None, on_error)
     _run(context)
 
 
