Take a check of the path that asked nobody for no proof of it

A check that had stalled, or asked nobody, made the path count as proven, so that losses of an instance that had been cut off or stood still counted as crashes of upstreams (shown by the review on the monitor). Only a connection that opened, or an answer, is proof now. No scenario of its own; relay_rules passes.

--- a/src/jasminehold/decisions/path_monitor.py
+++ b/src/jasminehold/decisions/path_monitor.py
@@ -81,6 +81,7 @@
         self._answered_at = -math.inf
         self._gap_s = SENDS_PATIENCE_MIN_S / SENDS_PATIENCE_GAPS
         self._cleared_at = -math.inf
+        self._proven_at = -math.inf
         self._looked_at = -math.inf
         self._regained = set()
         self._open_rounds = 0
@@ -163,7 +164,7 @@
 
     def is_proven_since(self, at):
         """Return whether there has been a path since a time, for certain."""
-        return max(self._answered_at, self._cleared_at) > at
+        return max(self._answered_at, self._proven_at) > at
 
     # Checks.
 
@@ -241,6 +242,7 @@
         before = self.state
         stalled = now - started_at > OPEN_TIMEOUT_S + STALL_S
         if opened:
+            self._proven_at = now
             self.on_opened(now)
         if before is State.LOST:
             self._regained = self._regained | set(opened) if opened else set()
