--- a/src/jasminehold/decisions/relay_choice.py
+++ b/src/jasminehold/decisions/relay_choice.py
@@ -13,6 +13,9 @@
 IN_FLIGHT_MIN = 8
 # Time for which an instance that could not be reached is left out.
 UNREACHED_PAUSE_S = 1.0
+# Silence on the stream to an instance from which on it is left out; an idle
+# one is asked for a sign of life every 2 s.
+HELPER_SILENCE_S = 3.5
 # Failed connections with nothing sent after which a request goes through
 # another instance although this one has a path.
 CONNECT_FAILURES = 2
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -247,8 +247,8 @@
         self._connect_failures += 1
         if not isinstance(exc, upstream_conn.LimitReached):
             path.on_failed(choice.upstream.entry.id, True)
-        if not path.lost:
-            self._steering.on_failed(choice, 'connect', now)
+            if not path.lost:
+                self._steering.on_failed(choice, 'connect', now)
         if self._start_single_relay():
             return
         if len(self._tried) <= UPSTREAMS_TRIED_MAX:
--- a/src/jasminehold/front/relay.py
+++ b/src/jasminehold/front/relay.py
@@ -289,13 +289,21 @@
             and item.id not in tried
             and item.id not in self._cut_off
             and now >= self._paused_until.get(item.id, 0.0)
-            and self._mesh.is_connected(item.id)
+            and self._is_heard(item.id, now)
         ]
         place = self._cfg.place
         return relay_choice.choose(
             found, place, self._cfg.places[place], homes, self._rng
         )
 
+    def _is_heard(self, name, now):
+        # A process that stands still goes on accepting connections.
+        heard_at = self._mesh.last_heard(name)
+        return (
+            heard_at is not None
+            and now - heard_at < relay_choice.HELPER_SILENCE_S
+        )
+
     def send(self, helper, inbound, origin, deadline, fresh, done):
         """Send a request through another instance.
 
@@ -326,8 +334,9 @@
             send.begin(conn, request, inbound.body, request_id)
 
         def failed(exc):
-            now = self._loop.now()
-            self._paused_until[name] = now + relay_choice.UNREACHED_PAUSE_S
+            if not isinstance(exc, upstream_conn.LimitReached):
+                now = self._loop.now()
+                self._paused_until[name] = now + relay_choice.UNREACHED_PAUSE_S
             send.finish(None, NotReached(str(exc)))
 
         host, _, port = helper.address.rpartition(':')
