Wait a bounded time for proof that a loss was a crash

Since a check that asked nobody proves nothing, a loss at an instance that knows no upstream would have been judged again every 50 ms for ever. After 3 s without proof it counts as the loss of a connection.

--- a/src/jasminehold/front/crash_guard.py
+++ b/src/jasminehold/front/crash_guard.py
@@ -33,6 +33,8 @@
 CRASH_EVIDENCE_S = 0.05
 # Time to wait for an answer of any upstream before the path is checked.
 PATH_EVIDENCE_S = 0.08
+# Time after which a loss without proof of a path counts as no crash.
+PATH_EVIDENCE_MAX_S = 3.0
 # Requests whose last success is remembered.
 MAX_ANSWERED = 2000
 EXPIRE_EVERY_S = 10.0
@@ -129,8 +131,10 @@
             if self.path.lost:
                 cause = 'path'
             elif not self.path.is_proven_since(lost_at):
-                self._await_path(digests, entry, lost_at, conns)
-                return
+                if self._loop.now() - lost_at < PATH_EVIDENCE_MAX_S:
+                    self._await_path(digests, entry, lost_at, conns)
+                    return
+                cause = 'connection'
         closed, still_open = conns
         self._log(
             'request lost',
