Go on here when another instance has turned a single request away

The request goes on at the upstreams that were not tried, with a token if the other one may have sent it. front_path, relay_rules and front_crashers pass; no scenario of its own.

--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -352,16 +352,20 @@
             answer.get(wire.RETRY_AFTER) or b''
         )
         now = self._loop.now()
-        if step is relay_choice.Step.OTHER:
+        not_run = errors.answer_for(kind).run is errors.Run.NOT_RUN
+        if step is relay_choice.Step.OTHER or (
+            single and kind is Kind.OVERLOADED
+        ):
             self._start_attempt()
             return
         if step is relay_choice.Step.RETRY:
             if single:
                 self._context.relay.pause_service(self._service)
-            elif self._helper() is not None and self._allow_retry(now):
+            # A single request has upstreams here that were not tried.
+            may_go_on = single or self._helper() is not None
+            if may_go_on and self._allow_retry(now):
                 self._start_attempt()
                 return
-        not_run = errors.answer_for(kind).run is errors.Run.NOT_RUN
         if not_run and self._last_failure is not None:
             self._end_failed('through another instance')
         else:
