--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -481,7 +481,7 @@
         if reason == 'shed' and report is None:
             self._choice.load.on_full(now)
         choice = self._release(reason, limit)
-        self._may_have_run = self._crashes > 0
+        self._may_have_run = self._last_failure is not None
         if report is not None and report[0] < report[2]:
             # The upstream rejects at random while it has free slots; as the
             # key's owner it is still the best choice.
