Keep the Host header whatever a caller lists under Connection

'Connection: host' removed it, so the request could not be written: the exception left the connection in no list and the request waiting for its deadline (the exception was shown by the review).

--- a/src/jasminehold/proxy/exchange.py
+++ b/src/jasminehold/proxy/exchange.py
@@ -87,6 +87,8 @@
     for name, value in headers:
         if name == b'connection':
             listed.update(item.strip().lower() for item in value.split(b','))
+    # A request without it is no HTTP/1.1.
+    listed.discard(b'host')
     return [
         (name, value)
         for name, value in headers
