Tell how each send to an upstream ended

Change: decisions/send_end.py names the ends; each send is counted by its end (sends_ended_total) and each one without a response gets a line with the content's digest. Nothing else acts on the end yet.

--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -6,6 +6,7 @@
 
 from jasminehold.decisions import relay_choice
 from jasminehold.decisions import request_digest
+from jasminehold.decisions import send_end
 from jasminehold import errors
 from jasminehold.front import relay as relay_module
 from jasminehold.front import steering as steering_module
@@ -13,6 +14,7 @@
 from jasminehold.platform import wire
 from jasminehold.proxy import exchange as proxy_exchange
 
+End = send_end.End
 Kind = errors.Kind
 
 # A retry needs at least this fraction of the route's latency target before
@@ -35,6 +37,8 @@
     wire.EXPECT_INSTANCE,
 }
 _RESPONSE_HEADERS_DROPPED = proxy_exchange.HOP_BY_HOP | {b'content-length'}
+# Ends for which the line of the request is enough.
+_EXPLAINED = (None, End.ANSWERED, End.REJECTED, End.MISDIRECTED)
 
 
 class Exchange:
@@ -227,9 +231,20 @@
         )
         conn.send(request, body, self._id, self._on_answer)
 
-    def _release(self, outcome, limit=None):
+    def _release(self, outcome, limit=None, end=None):
+        # ``end``: the ``End`` of an attempt that was sent.
         choice, self._choice = self._choice, None
         self._conn = None
+        if end is not None:
+            self._context.metrics.inc('sends_ended_total', how=end.value)
+        if end not in _EXPLAINED:
+            self._context.log(
+                'send unanswered',
+                id=(self._id or b'').decode('latin-1'),
+                content=self._digests()[0].hex(),
+                upstream=choice.upstream.entry.id,
+                how=end.value,
+            )
         self._context.path.end(self)
         choice.load.on_end()
         attempt = dict(
@@ -393,7 +408,7 @@
         self._path_retry_asked = True
         granted, note = self._take_retry(self._loop.now())
         if granted:
-            self._cancel('no path')
+            self._cancel('no path', End.PATH_SILENT)
             self._attempts[-1]['repeat'] = note
             self._last_failure = upstream_conn.ResponseError('no path')
             self._start_attempt()
@@ -404,13 +419,14 @@
         now = self._loop.now()
         path = self._context.path
         entry = self._choice.upstream.entry
-        cut = isinstance(exc, (upstream_conn.Disconnected, OSError))
+        end = _end_of(answer, exc)
+        cut = exc is not None and exc.cut
         if cut:
             path.on_failed(entry.id, False)
         else:
             path.on_answer()
         if cut and path.lost:
-            self._on_lost_to_path(exc, now)
+            self._on_lost_to_path(exc, now, end)
             return
         if isinstance(exc, upstream_conn.Disconnected):
             entry = self._choice.upstream.entry
@@ -420,27 +436,25 @@
             limit = self._apply_statements(answer, now)
         if self._ended:
             # The caller has disconnected: send nothing more for it.
-            self._release('after the caller left')
+            self._release('after the caller left', limit, end)
             return
         if exc is not None:
-            self._on_loss(exc, now)
+            self._on_loss(exc, now, end)
             return
         load = answer.get(wire.LOAD)
         report = wire.decode_load(load) if load else None
         if report is not None:
             self._choice.load.on_report(report[0], report[1], now)
-        executed = answer.get(wire.NOT_EXECUTED) is None
-        if answer.status == 421 or not executed:
-            self._on_not_run(answer, report, limit, now)
+        if end in (End.REJECTED, End.MISDIRECTED):
+            self._on_not_run(answer, report, limit, now, end)
             return
-        sealed = answer.get(wire.SEAL) is not None
-        whole = answer.get(b'content-encoding') is None
-        if not sealed or not whole:
-            self._on_loss(ValueError('response is not from the upstream'), now)
+        if end is End.SPOILT:
+            exc = ValueError('response is not from the upstream')
+            self._on_loss(exc, now, end)
             return
         seconds = now - self._sent_at
         self._crash_guard.on_answered(self._digests())
-        choice = self._release('%d' % answer.status, limit)
+        choice = self._release('%d' % answer.status, limit, end)
         if answer.status >= 500:
             self._steering.on_failed(choice, 'error', now)
             if self._route.idempotent and self._allow_retry(now):
@@ -476,11 +490,11 @@
         )
         return limit
 
-    def _on_not_run(self, answer, report, limit, now):
-        reason = 'misdirected' if answer.status == 421 else 'shed'
+    def _on_not_run(self, answer, report, limit, now, end):
+        reason = 'misdirected' if end is End.MISDIRECTED else 'shed'
         if reason == 'shed' and report is None:
             self._choice.load.on_full(now)
-        choice = self._release(reason, limit)
+        choice = self._release(reason, limit, end)
         self._may_have_run = self._last_failure is not None
         if report is not None and report[0] < report[2]:
             # The upstream rejects at random while it has free slots; as the
@@ -496,9 +510,9 @@
         else:
             self._fail(Kind.NOT_RUN, self._retry_after_s(), reason)
 
-    def _on_lost_to_path(self, exc, now):
+    def _on_lost_to_path(self, exc, now, end):
         # The upstream is not to blame.
-        self._release('lost with the path: %s' % exc)
+        self._release('lost with the path: %s' % exc, end=end)
         if self._ended:
             return
         self._last_failure = exc
@@ -507,13 +521,12 @@
         else:
             self._end_failed('no path')
 
-    def _on_loss(self, exc, now):
+    def _on_loss(self, exc, now, end):
         conn = self._conn
-        choice = self._release('lost: %s' % exc)
+        choice = self._release('lost: %s' % exc, end=end)
         if conn is not None:
             conn.abort()
-        endless = isinstance(exc, upstream_conn.EndlessResponse)
-        reason = 'endless' if endless else 'loss'
+        reason = 'endless' if end is End.ENDLESS else 'loss'
         self._steering.on_failed(choice, reason, now)
         self._crashes += 1
         self._last_failure = exc
@@ -612,7 +625,7 @@
     def _on_deadline(self):
         if self._ended:
             return
-        self._cancel('deadline')
+        self._cancel('deadline', End.DEADLINE)
         if isinstance(self._last_failure, upstream_conn.Response):
             self._deliver(self._last_failure)
             return
@@ -626,17 +639,17 @@
             # The request may be running; the upstream finishes it.
             self._finish('caller gone')
             return
-        self._cancel('caller gone')
+        self._cancel('caller gone', End.CALLER_GONE)
         self._finish('caller gone')
 
-    def _cancel(self, reason):
+    def _cancel(self, reason, end):
         if self._relay_send is not None:
             self._may_have_run = self._may_have_run or self._relay_send.sent
             self._end_relay(reason)
         if self._choice is None:
             return
         conn = self._conn
-        self._release(reason)
+        self._release(reason, end=end if conn is not None else None)
         if conn is not None:
             conn.abort()
 
@@ -683,6 +696,19 @@
         )
 
 
+def _end_of(answer, exc):
+    # The ``End`` of a send whose connection delivered a response or failed.
+    if exc is not None:
+        return exc.end
+    if answer.status == 421:
+        return End.MISDIRECTED
+    if answer.get(wire.NOT_EXECUTED) is not None:
+        return End.REJECTED
+    sealed = answer.get(wire.SEAL) is not None
+    whole = answer.get(b'content-encoding') is None
+    return End.ANSWERED if sealed and whole else End.SPOILT
+
+
 class ExchangeContext:
     """Objects of the instance that its exchanges share.
 
--- a/src/jasminehold/front/upstream_conn.py
+++ b/src/jasminehold/front/upstream_conn.py
@@ -4,10 +4,13 @@
 
 import h11
 
+from jasminehold.decisions import send_end
 from jasminehold import errors
 from jasminehold import loop as loop_module
 from jasminehold.platform import wire
 
+End = send_end.End
+
 CONNECT_TIMEOUT_S = 1.0
 # Idle connections are kept for this fraction of the upstream's ``Keep-Alive``
 # timeout, or for the default when it states none.
@@ -40,14 +43,37 @@
 
 
 class ResponseError(errors.JasmineholdError):
-    """Raised when an upstream's response is incomplete or invalid."""
+    """Raised when an upstream's response is incomplete or invalid.
+
+    Attributes:
+        end: the :class:`~decisions.send_end.End` of the send.
+        cut: whether the connection failed rather than what came over it.
+    """
 
     kind = errors.Kind.UPSTREAM_FAILED
+    end = End.BROKEN_HEAD
+    cut = False
 
 
 class Disconnected(ResponseError):
     """Raised when an upstream closes the connection without a response."""
 
+    end = End.DISCONNECTED
+    cut = True
+
+
+class BrokenBody(ResponseError):
+    """Raised when a response breaks off after its head."""
+
+    end = End.BROKEN_BODY
+
+
+class TimedOut(ResponseError):
+    """Raised when the upstream's host acknowledges nothing any more."""
+
+    end = End.TIMED_OUT
+    cut = True
+
 
 class LimitReached(ConnectionError):
     """Raised when this instance may open no more connections."""
@@ -56,6 +82,8 @@
 class EndlessResponse(ResponseError):
     """Raised when an upstream sends more than a response can have."""
 
+    end = End.ENDLESS
+
 
 class Response:
     """A complete response of an upstream.
@@ -141,6 +169,7 @@
         self._request_id = request_id
         self._done = done
         self._response_begun = False
+        self._head = None
         self._wire_bytes = 0
         self._interim_responses = 0
         self._foreign_responses = 0
@@ -210,10 +239,20 @@
         self._conn.abort()
         if done is None:
             return
+        done(None, self._error(exc))
+
+    def _error(self, exc):
+        if isinstance(exc, EndlessResponse):
+            return exc
         # A path that was cut ends with a time-out.
-        if not self._response_begun and not isinstance(exc, TimeoutError):
-            exc = Disconnected(str(exc))
-        done(None, exc)
+        if isinstance(exc, TimeoutError):
+            return TimedOut(str(exc))
+        if not self._response_begun:
+            return Disconnected(str(exc))
+        error = ResponseError if self._head is None else BrokenBody
+        found = error(str(exc))
+        found.cut = isinstance(exc, OSError)
+        return found
 
     def _process_events(self):
         while self._done is not None:
@@ -290,6 +329,7 @@
         if self._http.their_state is not h11.DONE:
             raise ResponseError('response to another request')
         rest = bytes(self._http.trailing_data[0])
+        self._head = None
         self._http = self._parser()
         self._http.send(
             h11.Request(
