Reproduce crashes that count only as ends without a response

A request that ends each upstream that runs it is sent on without end if the crash shows in another way than a connection that ends before the first byte: half a head, half a body, or a request that was withdrawn before (caller gone, deadline). Through both interfaces. The stand-ins learn these crashes and refuse connections for a while; a fleet of the rig now fails without links.

--- a/src/jasminehold/standin/sealed.py
+++ b/src/jasminehold/standin/sealed.py
@@ -24,6 +24,11 @@
 - ``large-measured``, ``large-chunked``: a response of ``X-Size`` bytes.
 - ``crash``: executed; all connections are closed without a response, and the
   upstream accepts new ones at once.
+- ``crash-head``, ``crash-body``: the same after half a head or half a body;
+  the upstream refuses connections for ``DOWN_S``.
+- ``crash-later``: the same ``CRASH_LATER_S`` after the request began, whether
+  or not its connection is still open.
+- ``broken-head``: executed, then closed after half a head.
 """
 
 import collections
@@ -32,6 +37,18 @@
 from jasminehold.standin import http_server
 
 ERROR_STATUS = 500
+DOWN_S = 1.0
+CRASH_LATER_S = 0.08
+# What a crash sends first, and how long before the connections end.
+CRASH_SENDS = {
+    'crash-head': (b'HTTP/1.1 200 OK\r\nX-Server-', 0.01),
+    'crash-body': (
+        b'HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n'
+        b'Content-Length: 9\r\n\r\nhalf',
+        0.01,
+    ),
+    'crash-later': (b'', CRASH_LATER_S),
+}
 FLOOD_INTERVAL_S = 0.002
 FLOOD_BUFFERED_BYTES = 256 * 1024
 _CHUNKED = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
@@ -173,9 +190,16 @@
         self.runs[req.id] += 1
         self.on_event(self.name, req.id, True)
         req.running = True
-        if self._fault(req) == 'crash':
+        fault = self._fault(req)
+        work_s = self.work_s
+        if fault == 'crash':
             self._crash()
-        self.loop.call_later(self.work_s, self._finish, req)
+        elif fault in CRASH_SENDS:
+            sent, delay_s = CRASH_SENDS[fault]
+            req.session.conn.write(sent)
+            self.loop.call_later(delay_s, self._go_down)
+            work_s += delay_s
+        self.loop.call_later(work_s, self._finish, req)
 
     def _crash(self):
         self.crashes.append(self.loop.now())
@@ -183,6 +207,22 @@
         for session in list(self.conns):
             session.conn.reset()
 
+    def _go_down(self):
+        if self._listener.closed:
+            return
+        self._crash()
+        self._listener.close()
+        self.loop.call_later(DOWN_S, self._come_back)
+
+    def _come_back(self):
+        try:
+            self._listener = self.loop.listen(
+                '127.0.0.1', self.port, self._on_accept
+            )
+        except OSError:
+            # A connection of another process has the port for the moment.
+            self.loop.call_later(DOWN_S, self._come_back)
+
     def _finish(self, req):
         self._running -= 1
         if req.session.conn.closed:
@@ -217,6 +257,9 @@
         ).encode()
         if fault == 'lost':
             req.session.conn.close()
+        elif fault == 'broken-head':
+            req.session.conn.write(CRASH_SENDS['crash-head'][0])
+            req.session.conn.close()
         elif fault == 'busy':
             req.send_response(503, headers, b'busy')
         elif fault == 'error':
--- a/src/jasminehold/standin/upstream.py
+++ b/src/jasminehold/standin/upstream.py
@@ -15,7 +15,9 @@
   ``Transfer-Encoding``), ``drop`` (executed, then closed without a response),
   ``interim`` (executed, then interim responses without end).
 - ``X-Fault-At``: name of the only upstream at which the fault occurs.
-- ``X-Crash``: the process exits when the execution starts.
+- ``X-Crash``: the process exits when the execution starts, or
+  ``X-Crash-After-Ms`` later, whether or not the request's connection is open.
+- ``X-Crash-Sends``: ``head`` or ``body``: half of it is sent before.
 """
 
 import collections
@@ -35,6 +37,11 @@
 WRITE_CHUNK_BYTES = 64 * 1024
 LATE_DELAY_S = 1.0
 CRASH_EXIT_CODE = 70
+_CRASH_SENDS = {
+    b'': b'',
+    b'head': b'HTTP/1.1 200 OK\r\nX-Up',
+    b'body': b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf',
+}
 
 
 class Options(typing.NamedTuple):
@@ -335,7 +342,15 @@
         if b'x-request-id' in headers:
             self.by_id[headers[b'x-request-id'].decode()] += 1
         if b'x-crash' in headers:
-            self._crash()
+            req.session.conn.write(
+                _CRASH_SENDS[headers.get(b'x-crash-sends', b'')]
+            )
+            after_s = req.int_header(b'x-crash-after-ms', 0) / 1000
+            if after_s:
+                req.timer = self._loop.call_later(0, int)
+                self._loop.call_later(after_s, self._crash)
+            else:
+                self._crash()
             return
         seconds = self._service_s(req)
         if self._fault(req) == b'late':
--- a/tests/builders/crashing_requests.py
+++ b/tests/builders/crashing_requests.py
@@ -2,6 +2,7 @@
 
 import time
 import types
+import typing
 
 from jasminehold.decisions import crash_suspects
 from jasminehold.decisions import store_replica
@@ -19,6 +20,39 @@
 PAUSE_S = 0.25
 
 
+class SendEnd(typing.NamedTuple):
+    """How the sends of a request end.
+
+    Attributes:
+        headers: request headers; underscores stand for hyphens.
+        patience_s: seconds after which the caller leaves.
+    """
+
+    headers: dict
+    patience_s: float = 8.0
+
+
+# Ends of sends under which the upstream crashes.
+ENDS = {
+    'is reset': SendEnd({'X_Fault': 'crash'}),
+    'breaks off in its head': SendEnd({'X_Fault': 'crash-head'}),
+    'breaks off in its body': SendEnd({'X_Fault': 'crash-body'}),
+    'outlasts its caller': SendEnd({'X_Fault': 'crash-later'}, 0.03),
+    'outlasts its deadline': SendEnd(
+        {'X_Fault': 'crash-later', 'X_Timeout_Ms': '60'}
+    ),
+}
+# Those of upstreams that go on.
+SPOILT_ENDS = {
+    'break off in their head': SendEnd({'X_Fault': 'broken-head'}),
+    'break off in their body': SendEnd({'X_Fault': 'reset'}),
+    'have no seal': SendEnd({'X_Fault': 'bare'}),
+    'never end': SendEnd({'X_Fault': 'endless-header'}),
+    'come after their caller left': SendEnd({}, 0.02),
+    'come after their deadline': SendEnd({'X_Timeout_Ms': '20'}),
+}
+
+
 class OrdinaryCallers(caller_threads.CallerThreads):
     """Callers whose requests crash nothing.
 
@@ -53,8 +87,43 @@
         self.replies.append((time.monotonic(), reply))
 
 
+def ask_patiently(rig, name, method, path, end, source='127.0.0.1', body=b''):
+    """Send one request and return its reply.
+
+    Args:
+        rig: the :class:`front_rig.FrontRig`.
+        name: instance.
+        method: its method.
+        path: its target.
+        end: the :class:`SendEnd`.
+        source: the caller's address.
+        body: its body.
+
+    Returns:
+        The :class:`Reply`, ``NO_REPLY`` if the caller left before it.
+    """
+    headers = front_rig.request_headers(
+        {'Cookie': 'X-Affinity-Key=7', **end.headers}
+    )
+    port = rig.apps[name].cfg.caller_listen.port
+    client = caller.Client(port, source=source)
+    client.sock.settimeout(end.patience_s)
+    try:
+        return client.request(method, path, headers, body)
+    except TimeoutError:
+        return caller.NO_REPLY
+    finally:
+        client.close()
+
+
 def send_copies(
-    rig, names, method, seconds, source='127.0.0.1', body=b'broken'
+    rig,
+    names,
+    method,
+    seconds,
+    source='127.0.0.1',
+    body=b'broken',
+    end=ENDS['is reset'],
 ):
     """Send a crashing request to one instance after the other.
 
@@ -65,24 +134,18 @@
         seconds: for how long copies are sent.
         source: the caller's address.
         body: their body.
+        end: how they end; see :data:`ENDS`.
 
     Returns:
         List of ``(monotonic seconds at its sending, Reply)``.
     """
     path = '/order/broken' if method == 'POST' else '/browse/broken'
     replies = []
-    end = time.monotonic() + seconds
-    while time.monotonic() < end:
-        headers = front_rig.request_headers(
-            {'X_Fault': 'crash', 'Cookie': 'X-Affinity-Key=7'}
-        )
-        port = rig.apps[names[len(replies) % len(names)]].cfg.caller_listen
-        client = caller.Client(port.port, source=source)
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        name = names[len(replies) % len(names)]
         begin = time.monotonic()
-        try:
-            reply = client.request(method, path, headers, body)
-        finally:
-            client.close()
+        reply = ask_patiently(rig, name, method, path, end, source, body)
         replies.append((begin, reply))
         time.sleep(PAUSE_S)
     return replies
--- a/tests/builders/front_rig.py
+++ b/tests/builders/front_rig.py
@@ -244,7 +244,7 @@
     def start_fleet(self, places=FLEET_PLACES):
         """Start an instance for each place; returns their names.
 
-        When this returns, each has routes and knows all others.
+        When this returns, each has routes, knows all others and has a link.
         """
         names = ['i%d' % number for number in range(len(places))]
         for number, (name, place) in enumerate(zip(names, places)):
@@ -254,6 +254,8 @@
             self.wait_ready(name)
             steering = self.apps[name].steering
             self.wait(lambda: set(steering.instances) >= set(names), 'members')
+            mesh = self.apps[name]._peering.mesh
+            self.wait(mesh.connected, 'links')
         return names
 
     def wait(self, check, what='condition', wait_s=WAIT_S):
--- /dev/null
+++ b/tests/features/crash_evidence.feature
@@ -0,0 +1,67 @@
+Feature: What the end of a send says of its upstream
+  Guards against a request that ends each upstream that runs it and is sent on,
+  because the crash shows in another way than a connection that ends without a
+  response (issue 33).
+
+  Scenario Outline: A crash counts however the response to it ends
+    Given four instances in front of six upstreams
+    When a <method> that crashes upstreams and <end> is sent again for 6 s
+    Then it crashes at most 3 upstreams once instances had time to stop it
+    And the last copies are rejected at once as not run
+    And ordinary requests are answered once it is stopped
+
+    Examples:
+      | method | end                    |
+      | GET    | breaks off in its head |
+      | POST   | breaks off in its head |
+      | GET    | breaks off in its body |
+      | GET    | outlasts its caller    |
+      | POST   | outlasts its caller    |
+      | GET    | outlasts its deadline  |
+
+  # Guards against ordinary requests that are quarantined because single
+  # answers of upstreams that go on are spoilt or late.
+  Scenario Outline: Upstreams that go on quarantine nothing
+    Given four instances in front of six upstreams
+    When 8 copies of a request get answers that <end>, <company>
+    Then it is answered at each instance
+
+    Examples:
+      | end                          | company           |
+      | break off in their head      | among others      |
+      | break off in their head      | with nothing else |
+      | break off in their body      | with nothing else |
+      | have no seal                 | with nothing else |
+      | never end                    | with nothing else |
+      | come after their caller left | with nothing else |
+      | come after their deadline    | among others      |
+      | come after their deadline    | with nothing else |
+
+  # The same through the proxy of the product's own interface.
+  Scenario Outline: A proxy reports a crash however the response to it ends
+    Given a proxy in front of two upstreams
+    When a <method> crashes its upstream after <after_ms> ms having sent <sent>
+    And its caller waits <wait_ms> ms, its deadline being <deadline_ms> ms
+    Then the crash is reported with its digest
+
+    Examples:
+      | method | after_ms | sent     | wait_ms | deadline_ms |
+      | POST   | 0        | nothing  | 1000    | 2000        |
+      | POST   | 20       | its head | 1000    | 2000        |
+      | POST   | 20       | its body | 1000    | 2000        |
+      | GET    | 80       | nothing  | 30      | 2000        |
+      | GET    | 80       | nothing  | 1000    | 30          |
+
+  Scenario Outline: A proxy reports no crash of an upstream that goes on
+    Given a proxy in front of two upstreams
+    When an upstream takes 80 ms for a GET and its answer has the fault <fault>
+    And its caller waits <wait_ms> ms, its deadline being <deadline_ms> ms
+    Then no crash is reported
+
+    Examples:
+      | fault   | wait_ms | deadline_ms |
+      | drop    | 1000    | 2000        |
+      | reset   | 1000    | 2000        |
+      | foreign | 1000    | 2000        |
+      | none    | 30      | 2000        |
+      | none    | 1000    | 30          |
--- /dev/null
+++ b/tests/features/steps/crash_evidence_steps.py
@@ -0,0 +1,109 @@
+"""Steps for what the end of a send says of its upstream."""
+
+import contextlib
+import time
+
+import behave
+
+from builders import proxy_rig
+from jasminehold.standin import caller
+from tests.builders import crashing_requests
+
+# Time in which the crash of an upstream is noticed, whoever has left.
+NOTICED_S = 1.5
+
+
+@behave.when(
+    'a {method} that crashes upstreams and {end} is sent again for'
+    ' {seconds:g} s'
+)
+def when_sent_again(context, method, end, seconds):
+    context.method = method
+    others = crashing_requests.OrdinaryCallers(context.rig, context.names)
+    with others:
+        context.copies = crashing_requests.send_copies(
+            context.rig,
+            context.names,
+            method,
+            seconds,
+            end=crashing_requests.ENDS[end],
+        )
+    context.ordinary = others.replies
+
+
+@behave.when('{count:d} copies of a request get answers that {end}, {company}')
+def when_spoilt(context, count, end, company):
+    context.path = '/browse/same'
+    how = crashing_requests.SPOILT_ENDS[end]
+    others = contextlib.nullcontext()
+    if company == 'among others':
+        # Callers of few objects keep connections of each instance to the
+        # owners.
+        others = crashing_requests.OrdinaryCallers(
+            context.rig, context.names, count=8, objects=2
+        )
+    with others:
+        time.sleep(1.0)
+        for turn in range(count):
+            name = context.names[turn % len(context.names)]
+            reply = crashing_requests.ask_patiently(
+                context.rig, name, 'GET', context.path, how
+            )
+            assert reply.status != 200, reply
+            time.sleep(crashing_requests.PAUSE_S)
+
+
+@behave.given('a proxy in front of two upstreams')
+def given_proxy(context):
+    context.rig = proxy_rig.Rig()
+    context.add_cleanup(context.rig.stop)
+    context.method = 'GET'
+
+
+@behave.when(
+    'a {method} crashes its upstream after {after_ms:d} ms having sent {sent}'
+)
+def when_crashes(context, method, after_ms, sent):
+    context.method = method
+    context.headers = {
+        'X-Crash': 1,
+        'X-Crash-After-Ms': after_ms,
+        'X-Crash-Sends': sent.removeprefix('nothing').removeprefix('its '),
+    }
+
+
+@behave.when(
+    'an upstream takes {work_ms:d} ms for a GET and its answer has the fault'
+    ' {fault}'
+)
+def when_goes_on(context, work_ms, fault):
+    context.headers = {'X-Service-Ms': work_ms, 'X-Fault': fault}
+
+
+@behave.when(
+    'its caller waits {wait_ms:d} ms, its deadline being {deadline_ms:d} ms'
+)
+def when_waits(context, wait_ms, deadline_ms):
+    client = caller.Client(context.rig.ports[0])
+    client.sock.settimeout(wait_ms / 1000)
+    headers = {**context.headers, 'Jasminehold-Deadline': deadline_ms}
+    with contextlib.suppress(TimeoutError):
+        client.request(context.method, '/c', headers)
+    client.close()
+
+
+@behave.then('the crash is reported with its digest')
+def then_reported(context):
+    end = time.monotonic() + NOTICED_S
+    while not context.rig.crashes and time.monotonic() < end:
+        time.sleep(0.01)
+    assert context.rig.crashes, 'no crash was reported'
+    name, digests = context.rig.crashes[0]
+    assert name in ('a', 'b') and len(digests) == 1, context.rig.crashes
+
+
+@behave.then('no crash is reported')
+def then_not_reported(context):
+    time.sleep(NOTICED_S)
+    assert sum(item.counts['executions'] for item in context.rig.all)
+    assert not context.rig.crashes, context.rig.crashes
