Count a crash however the send of its request ended

Seen by callers: a request that ends each upstream that runs it was sent on and on if the response broke off in its head or body, or if its caller or its deadline was gone before the upstream ended. Cause: evidence of a crash was tied to one way in which it shows, a connection that ends before the first byte. Change: decisions/send_end.py says for every end of a send what it means. One that proves nothing by itself puts the request in doubt for 2 s, and its upstream is watched instead: it crashed if it ended several connections and most of them, or refuses a new one. A connection is opened as a witness where there are fewer than two. An upstream that goes on, that leaves, or that nobody reaches because the path is lost proves nothing.

--- a/src/jasminehold/decisions/send_end.py
+++ b/src/jasminehold/decisions/send_end.py
@@ -36,3 +36,36 @@
     DEADLINE = 'deadline'
     CALLER_GONE = 'caller_gone'
     PATH_SILENT = 'path_silent'
+
+
+class Meaning(enum.Enum):
+    """What the end of a send says of a crash of its upstream.
+
+    ``CLEARS``: the request ran without one.
+    ``LOST``: a crash, unless most connections to the upstream live on.
+    ``DOUBTED``: nothing by itself; the upstream tells by what it does next.
+    ``NOTHING``: the request did not run, or its path explains the end.
+    """
+
+    CLEARS = 'clears'
+    LOST = 'lost'
+    DOUBTED = 'doubted'
+    NOTHING = 'nothing'
+
+
+MEANINGS = {
+    End.ANSWERED: Meaning.CLEARS,
+    End.REJECTED: Meaning.NOTHING,
+    End.MISDIRECTED: Meaning.NOTHING,
+    End.DISCONNECTED: Meaning.LOST,
+    # Upstreams that go on may spoil single responses.
+    End.BROKEN_HEAD: Meaning.DOUBTED,
+    End.BROKEN_BODY: Meaning.DOUBTED,
+    End.SPOILT: Meaning.DOUBTED,
+    End.ENDLESS: Meaning.DOUBTED,
+    # An upstream may go on with what nobody waits for any more.
+    End.TIMED_OUT: Meaning.DOUBTED,
+    End.DEADLINE: Meaning.DOUBTED,
+    End.CALLER_GONE: Meaning.DOUBTED,
+    End.PATH_SILENT: Meaning.NOTHING,
+}
--- a/src/jasminehold/front/crash_guard.py
+++ b/src/jasminehold/front/crash_guard.py
@@ -1,9 +1,11 @@
 """Stops requests that crash upstreams, on all instances.
 
-An instance that loses a request reports it to the request's arbiters, which
-count the crashes. The arbiters tell all instances which requests to watch and
-which to reject. A quarantine is also written to the store, so that it outlives
-the processes; while the store is down, instances tell it to those that start.
+Each send of a request ends in one of the ways of ``decisions.send_end``. What
+the end says of a crash stands there; what the connections to the upstream say
+is found out here. A crash is reported to the request's arbiters, which count
+the crashes. The arbiters tell all instances which requests to watch and which
+to reject. A quarantine is also written to the store, so that it outlives the
+processes; while the store is down, instances tell it to those that start.
 
 Messages on the streams between instances:
 ``crash_notice``: a loss or a success of a request, to its arbiters.
@@ -14,10 +16,14 @@
 import functools
 import json
 
+from jasminehold.decisions import crash_doubts
 from jasminehold.decisions import crash_suspects
 from jasminehold.decisions import quarantine
+from jasminehold.decisions import send_end
 from jasminehold.platform import wire
 
+Finding = crash_doubts.Finding
+Meaning = send_end.Meaning
 State = quarantine.State
 
 # Two copies in flight at one upstream are lost in one crash. Their instances
@@ -31,6 +37,12 @@
 CRASHES_TO_SUSPECT = 2
 # Time in which all connections to a crashed upstream are closed.
 CRASH_EVIDENCE_S = 0.05
+# Time for which a request that has left its upstream may still crash it, and
+# how many such requests are remembered.
+DOUBT_S = 2.0
+MAX_DOUBTS = 2000
+# Connections that an upstream needs to show by their end that it crashed.
+WITNESSES = 2
 # Time to wait for an answer of any upstream before the path is checked.
 PATH_EVIDENCE_S = 0.08
 # Time after which a loss without proof of a path counts as no crash.
@@ -80,6 +92,11 @@
         # When requests succeeded last, by digest.
         self._answered = collections.OrderedDict()
         self._known = quarantine.Quarantine(RULES.keep_s, RULES.max_records)
+        self._doubts = crash_doubts.Doubts(DOUBT_S, MAX_DOUBTS)
+        # Addresses to which a witness is being connected.
+        self._asking = set()
+        pool.on_closed = self._on_closed
+        pool.on_refused = self._on_refused
         mesh.handle('crash_notice', self._on_notice)
         mesh.handle('crash_verdicts', self._on_verdicts)
         loop.call_later(EXPIRE_EVERY_S, self._expire)
@@ -104,37 +121,70 @@
             for digest in digests
         )
 
-    def on_lost(self, digests, entry):
-        """Report a lost request, if its upstream crashed.
+    def on_end(self, digests, upstream, end):
+        """Note how a send of a request ended.
 
         Args:
             digests: digests of the request.
-            entry: the upstream's :class:`~decisions.upstream_view.Entry`.
+            upstream: the :class:`~decisions.upstream_view.Upstream`.
+            end: the :class:`~decisions.send_end.End`.
         """
+        meaning = send_end.MEANINGS[end]
+        if meaning is Meaning.CLEARS:
+            self._on_answered(digests)
+        elif self.path is not None and self.path.lost:
+            return
+        elif meaning is Meaning.LOST:
+            self._on_lost(digests, upstream)
+        elif meaning is Meaning.DOUBTED:
+            self._doubt(digests, upstream, self._loop.now())
+
+    def _on_lost(self, digests, upstream):
         lost_at = self._loop.now()
         for digest in digests:
             self._known.watch(digest, lost_at)
-        self._loop.call_later(
-            CRASH_EVIDENCE_S, self._check_crash, digests, entry, lost_at
-        )
 
-    def _check_crash(self, digests, entry, lost_at):
-        conns = self._pool.closed_around(
-            (entry.host, entry.port), lost_at, CRASH_EVIDENCE_S
+        def look():
+            conns = self._closed_around(upstream, lost_at)
+            if quarantine.is_crash(*conns):
+                self._judge(digests, upstream.entry, lost_at, conns)
+            else:
+                self._tell_loss(digests, upstream.entry, conns, 'connection')
+                self._doubt(digests, upstream, lost_at)
+
+        self._loop.call_later(CRASH_EVIDENCE_S, look)
+
+    def _closed_around(self, upstream, at):
+        return self._pool.closed_around(
+            _address(upstream), at, CRASH_EVIDENCE_S
         )
-        self._judge(digests, entry, lost_at, conns)
 
-    def _judge(self, digests, entry, lost_at, conns):
-        cause = 'crash' if quarantine.is_crash(*conns) else 'connection'
-        if cause == 'crash' and self.path is not None:
+    def _judge(self, digests, entry, crashed_at, conns):
+        cause = 'crash'
+        if self.path is not None:
             # Connections end also when the path to all upstreams is lost.
             if self.path.lost:
                 cause = 'path'
-            elif not self.path.is_proven_since(lost_at):
-                if self._loop.now() - lost_at < PATH_EVIDENCE_MAX_S:
-                    self._await_path(digests, entry, lost_at, conns)
+            elif not self.path.is_proven_since(crashed_at):
+                if self._loop.now() - crashed_at < PATH_EVIDENCE_MAX_S:
+                    self._await_path(digests, entry, crashed_at, conns)
                     return
                 cause = 'connection'
+        self._tell_loss(digests, entry, conns, cause)
+        if cause == 'crash':
+            age_s = self._loop.now() - crashed_at
+            for digest in digests:
+                self._report(digest, entry.id, age_s, False)
+
+    def _await_path(self, digests, entry, crashed_at, conns):
+        # Usually an answer of another upstream proves it soon.
+        if self._loop.now() - crashed_at > PATH_EVIDENCE_S:
+            self.path.request()
+        self._loop.call_later(
+            CRASH_EVIDENCE_S, self._judge, digests, entry, crashed_at, conns
+        )
+
+    def _tell_loss(self, digests, entry, conns, cause):
         closed, still_open = conns
         self._log(
             'request lost',
@@ -145,25 +195,64 @@
             crash=cause == 'crash',
         )
         self._metrics.inc('requests_lost_total', cause=cause)
-        if cause == 'crash':
-            age_s = self._loop.now() - lost_at
-            for digest in digests:
-                self._report(digest, entry.id, age_s, False)
 
-    def _await_path(self, digests, entry, lost_at, conns):
-        # Usually an answer of another upstream proves it soon.
-        if self._loop.now() - lost_at > PATH_EVIDENCE_S:
-            self.path.request()
-        self._loop.call_later(
-            CRASH_EVIDENCE_S, self._judge, digests, entry, lost_at, conns
-        )
+    # Requests whose upstream tells by what it does next.
 
-    def on_answered(self, digests):
-        """Remember that a request ran without a crash, and report it if known.
+    def _doubt(self, digests, upstream, at):
+        address = _address(upstream)
+        self._doubts.add(address, (digests, upstream), self._loop.now())
+        # The request's own connection is about to be closed.
+        self._loop.call_soon(self._add_witness, address)
+        self._loop.call_later(CRASH_EVIDENCE_S, self._look, address, at)
 
-        Args:
-            digests: digests of the request.
-        """
+    def _add_witness(self, address):
+        if self._pool.open_count(address) < WITNESSES:
+            self._ask(address)
+
+    def _on_closed(self, address):
+        if address in self._doubts:
+            at = self._loop.now()
+            self._loop.call_later(CRASH_EVIDENCE_S, self._look, address, at)
+
+    def _look(self, address, at):
+        if address not in self._doubts:
+            return
+        conns = self._pool.closed_around(address, at, CRASH_EVIDENCE_S)
+        finding = crash_doubts.finding(*conns)
+        if finding is Finding.CRASHED:
+            self._on_doubts_proved(address, at, conns)
+        elif finding is Finding.UNKNOWN:
+            self._ask(address)
+
+    def _ask(self, address):
+        # The connection stays for the next request.
+        if address in self._asking:
+            return
+        self._asking.add(address)
+
+        def ready(conn, reused):
+            self._asking.discard(address)
+            self._pool.put_back(conn)
+
+        def failed(exc):
+            self._asking.discard(address)
+
+        self._pool.open(address, ready, failed)
+
+    def _on_refused(self, address):
+        if address in self._doubts:
+            self._on_doubts_proved(address, self._loop.now(), (0, 0))
+
+    def _on_doubts_proved(self, address, crashed_at, conns):
+        for digests, upstream in self._doubts.take(address, self._loop.now()):
+            # An upstream that leaves ends without a crash.
+            if not upstream.draining:
+                for digest in digests:
+                    self._known.watch(digest, crashed_at)
+                self._judge(digests, upstream.entry, crashed_at, conns)
+
+    def _on_answered(self, digests):
+        # Remembers a success, and reports it if the request is known.
         now = self._loop.now()
         for digest in digests:
             self._answered[digest] = now
@@ -374,3 +463,7 @@
                 del self._announced[digest]
         if not self._announced:
             self._withdrawn.clear()
+
+
+def _address(upstream):
+    return upstream.entry.host, upstream.entry.port
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -237,6 +237,7 @@
         self._conn = None
         if end is not None:
             self._context.metrics.inc('sends_ended_total', how=end.value)
+            self._crash_guard.on_end(self._digests(), choice.upstream, end)
         if end not in _EXPLAINED:
             self._context.log(
                 'send unanswered',
@@ -428,9 +429,6 @@
         if cut and path.lost:
             self._on_lost_to_path(exc, now, end)
             return
-        if isinstance(exc, upstream_conn.Disconnected):
-            entry = self._choice.upstream.entry
-            self._crash_guard.on_lost(self._digests(), entry)
         limit = None
         if answer is not None:
             limit = self._apply_statements(answer, now)
@@ -453,7 +451,6 @@
             self._on_loss(exc, now, end)
             return
         seconds = now - self._sent_at
-        self._crash_guard.on_answered(self._digests())
         choice = self._release('%d' % answer.status, limit, end)
         if answer.status >= 500:
             self._steering.on_failed(choice, 'error', now)
--- a/src/jasminehold/front/upstream_conn.py
+++ b/src/jasminehold/front/upstream_conn.py
@@ -363,6 +363,11 @@
         loop: the :class:`~jasminehold.loop.Loop`.
         metrics: counters.
         max_conns: maximum of open connections to all upstreams.
+
+    Attributes:
+        on_closed: called with the address of an upstream that has closed a
+            connection.
+        on_refused: called with an address that has refused one.
     """
 
     SWEEP_S = 0.5
@@ -370,6 +375,8 @@
     def __init__(self, loop, metrics, max_conns):
         self.loop = loop
         self.metrics = metrics
+        self.on_closed = lambda address: None
+        self.on_refused = lambda address: None
         self._max_conns = max_conns
         self._idle = {}
         self._open = 0
@@ -430,6 +437,8 @@
 
         def failed(exc):
             self._open -= 1
+            if isinstance(exc, ConnectionRefusedError):
+                self.on_refused(key)
             on_error(exc)
 
         self.loop.connect(*key, opened, failed, timeout_s, KEEPALIVE)
@@ -475,6 +484,11 @@
         times = self._closed_at.setdefault(conn.key, [])
         times[:] = [at for at in times if now - at <= CLOSED_KEEP_S]
         times.append(now)
+        self.on_closed(conn.key)
+
+    def open_count(self, key):
+        """Return the number of open connections to an address."""
+        return len(self._conns.get(key, ()))
 
     def closed_around(self, key, at, margin_s):
         """Return what became of an address's connections at a time.
--- a/tests/builders/crashing_requests.py
+++ b/tests/builders/crashing_requests.py
@@ -168,16 +168,21 @@
     Attributes:
         guard: the :class:`~jasminehold.front.crash_guard.CrashGuard`.
         written: ``{key: Item}`` that it wrote to the store.
+        sent: list of ``(instance, message)``.
     """
 
     def __init__(self):
         self.now = 100.0
         self.written = {}
+        self.sent = []
         loop = types.SimpleNamespace(
             now=lambda: self.now,
             call_later=lambda delay, func, *args: delay or func(*args),
         )
-        mesh = types.SimpleNamespace(handle=lambda *args: None)
+        mesh = types.SimpleNamespace(
+            handle=lambda *args: None,
+            send=lambda name, message: self.sent.append((name, message)),
+        )
         store = types.SimpleNamespace(
             grant=lambda ttl, done: done(1, None), put=self._put
         )
@@ -186,7 +191,7 @@
             mesh,
             'i1',
             store,
-            None,
+            types.SimpleNamespace(),
             metrics.Metrics(),
             lambda *args, **kwargs: None,
         )
@@ -195,10 +200,10 @@
         self.written[key] = store_replica.Item(key, value, 1)
         done(1, None)
 
-    def report_crash(self, digest, upstream):
+    def report_crash(self, digest, upstream, sender='i1'):
         """Count a crash of an upstream that had the request."""
         self.now += 1.0
         notice = crash_suspects.CrashNotice(
             fingerprint=digest, upstream=upstream, age_s=0.0, cleared=False
         )
-        self.guard._count(notice)
+        self.guard._on_notice(sender, {'notice': notice}, None)
