Report a crash to the suspects that have left the upstream, in the proxy

A request whose caller or deadline was gone was taken off those in flight, so a crash 80 ms after its start named nobody. Change: it stays in doubt for 2 s by the same table of ends, is a suspect if a check finds that the upstream crashed, and a closed connection to an upstream in doubt starts a check. A witness is opened where no connection is left.

--- a/src/jasminehold/proxy/exchange.py
+++ b/src/jasminehold/proxy/exchange.py
@@ -14,6 +14,7 @@
 from jasminehold.decisions import instance_path
 from jasminehold.decisions import request
 from jasminehold.decisions import request_digest
+from jasminehold.decisions import send_end
 from jasminehold import errors
 from jasminehold.proxy import hooks as hooks_module
 
@@ -477,8 +478,14 @@
     def _lose_answer(self, arg):
         self._hooks.keep_answer(self._key_digest, None)
 
-    def _end_attempt(self, result):
-        """Close the connection, record the result and release the slot."""
+    def _end_attempt(self, result, end=None):
+        """Close the connection, record the result and release the slot.
+
+        Args:
+            result: result of the attempt, for the hooks.
+            end: the :class:`~decisions.send_end.End`, if the result does not
+                tell it.
+        """
         target, self._target = self._target, None
         conn, self._upstream = self._upstream, None
         if conn is not None and conn.handler is self:
@@ -491,6 +498,9 @@
         if result == 'loss':
             path.on_failed(target.upstream, False)
         self._last_result = result
+        meaning = send_end.MEANINGS.get(end or _ENDS.get(result))
+        if meaning is send_end.Meaning.DOUBTED:
+            self._server.pool.withdraw(target, self)
         self._server.pool.remove_in_flight(target, self)
         self._server.metrics.inc('attempts_total', result=result)
         latency = now - (self._sent_at or now)
@@ -607,12 +617,20 @@
         self._caller.resume_body()
 
     def _on_malformed_response(self):
-        self._end_attempt('loss')
+        self._end_attempt('loss', send_end.End.SPOILT)
         self.on_event(Event.LOSS)
 
 
 _NO_PATH = hooks_module.Refusal(Kind.UNAVAILABLE, instance_path.RETRY_AFTER_S)
 _BODILESS_STATUSES = (204, 304)
+# Ends of sends by result. After a loss the pool checks for a crash.
+_ENDS = {
+    'ok': send_end.End.ANSWERED,
+    'error': send_end.End.ANSWERED,
+    'refused': send_end.End.REJECTED,
+    'deadline': send_end.End.DEADLINE,
+    'cancel': send_end.End.CALLER_GONE,
+}
 _ACTIONS = {
     Action.CLAIM: Exchange._claim,
     Action.FIND_TARGET: Exchange._find_target,
--- a/src/jasminehold/proxy/upstream.py
+++ b/src/jasminehold/proxy/upstream.py
@@ -6,6 +6,7 @@
 
 import h11
 
+from jasminehold.decisions import crash_doubts
 from jasminehold import errors
 
 CONNECT_TIMEOUT_S = 2.0
@@ -22,6 +23,10 @@
 # If the probe has no result by then, the loss is reported without a crash and
 # the probe continues.
 PROBE_WAIT_S = 0.25
+# Time for which a request that has left its upstream may still crash it, and
+# how many such requests are remembered.
+DOUBT_S = 2.0
+MAX_DOUBTS = 2000
 # Retries after a crash wait this long, so that the other instances receive
 # the crash notice first.
 CRASH_NOTICE_DELAY_S = 0.1
@@ -56,6 +61,7 @@
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=HEAD_MAX_BYTES
         )
+        self._aborted = False
         self._paused = False
         self._eof_received = False
         self._interim_responses = 0
@@ -94,6 +100,7 @@
     def abort(self):
         """Close immediately, so that the upstream cancels the request."""
         self.handler = None
+        self._aborted = True
         self._conn.abort()
 
     def _on_drain(self):
@@ -128,6 +135,8 @@
         self._pool.forget(self._entry, self)
         if self.handler is not None:
             self._fail(exc or ConnectionError('closed by the upstream'))
+        if not self._aborted:
+            self._pool.on_closed(self._entry)
 
     def _fail(self, exc):
         handler, self.handler = self.handler, None
@@ -178,8 +187,10 @@
 
 
 class _PoolEntry:
-    def __init__(self, upstream):
+    def __init__(self, upstream, host, port):
         self.upstream = upstream
+        self.host = host
+        self.port = port
         self.open_connections = 0
         self.idle = []
         self.probing = False
@@ -205,11 +216,13 @@
         self._record_crash = record_crash
         self._path = path
         self._entries = {}
+        # Digests of requests that were withdrawn, by entry.
+        self._doubts = crash_doubts.Doubts(DOUBT_S, MAX_DOUBTS)
 
     def _entry(self, target):
         key = (target.upstream, target.host, target.port)
         if key not in self._entries:
-            self._entries[key] = _PoolEntry(target.upstream)
+            self._entries[key] = _PoolEntry(*key)
         return self._entries[key]
 
     def open_count(self, upstream):
@@ -299,6 +312,42 @@
         """Remove a request from those in flight at an upstream."""
         self._entry(target).in_flight.pop(exchange, None)
 
+    def withdraw(self, target, exchange):
+        """Note that a request leaves its upstream without its response.
+
+        The upstream may go on with it. If it crashes in the next ``DOUBT_S``,
+        the request is one of the suspects.
+        """
+        entry = self._entry(target)
+        digest = entry.in_flight.get(exchange)
+        if digest is None or self._path.lost:
+            return
+        self._doubts.add(entry, digest, self._loop.now())
+        # The request's own connection is about to be closed.
+        self._loop.call_soon(self._add_witness, entry)
+
+    def _add_witness(self, entry):
+        # A connection whose end shows that the upstream crashed.
+        if entry.open_connections or entry.probing:
+            return
+        entry.open_connections += 1
+
+        def opened(conn):
+            self.put_back(entry, UpstreamConn(self, entry, conn))
+
+        def failed(exc):
+            entry.open_connections -= 1
+            self.on_closed(entry)
+
+        self._loop.connect(
+            entry.host, entry.port, opened, failed, CONNECT_TIMEOUT_S
+        )
+
+    def on_closed(self, entry):
+        """Check for a crash if an upstream that is in doubt closes."""
+        if entry in self._doubts:
+            self._check(entry)
+
     def check_for_crash(self, target, exchange, done):
         """Check whether the upstream of a lost connection crashed.
 
@@ -314,10 +363,13 @@
                 probe takes longer than ``PROBE_WAIT_S``, with False.
         """
         entry = self._entry(target)
+        entry.callbacks.append(done)
+        self._check(entry)
+
+    def _check(self, entry):
         for item in entry.in_flight.values():
             if item not in entry.suspects:
                 entry.suspects.append(item)
-        entry.callbacks.append(done)
         if entry.probing:
             return
         entry.probing = True
@@ -337,6 +389,9 @@
             entry.probing = False
             notify_timer.cancel()
             if crashed:
+                for item in self._doubts.take(entry, self._loop.now()):
+                    if item not in suspects:
+                        suspects.append(item)
                 self.metrics.inc('upstream_crashes_total')
                 self._record_crash(entry.upstream, suspects)
             notify(crashed)
@@ -347,8 +402,8 @@
 
         def probe():
             self._loop.connect(
-                target.host,
-                target.port,
+                entry.host,
+                entry.port,
                 opened,
                 lambda exc: finish(isinstance(exc, ConnectionRefusedError)),
                 CONNECT_TIMEOUT_S,
