Tell an instance again what it seems not to know of a crashing request

Found while the same cause was looked for elsewhere: arbiters told all instances when a request's state changed, and never again. An instance that missed it (a full queue, a link that broke with the message on it) sent each of its copies on. Change: a notice of a crash of a request that is suspect or quarantined is answered with the verdict; its sender would not have sent the request. Measured: the two examples failed before (nothing was told) and pass.

--- a/src/jasminehold/front/crash_guard.py
+++ b/src/jasminehold/front/crash_guard.py
@@ -52,6 +52,7 @@
 EXPIRE_EVERY_S = 10.0
 STORE_RETRY_S = 1.0
 RELEASED = 'released'
+_TOLD = (State.SUSPECT, State.QUARANTINED)
 
 
 class CrashGuard:
@@ -285,7 +286,20 @@
     # Counting as an arbiter.
 
     def _on_notice(self, sender, message, reply):
-        self._count(message['notice'])
+        notice = message['notice']
+        digest, now = notice['fingerprint'], self._loop.now()
+        before = self._known.state(digest, now)
+        self._count(notice)
+        state = self._known.state(digest, now)
+        just_told = state is not before and sender in self._members
+        if notice['cleared'] or just_told or state not in _TOLD:
+            return
+        # It sent the request, so the verdict did not reach it.
+        seconds = self._known.seconds_left([digest], now) or RULES.keep_s
+        verdict = [digest, state.value, seconds]
+        self._mesh.send(
+            sender, {'type': 'crash_verdicts', 'verdicts': [verdict]}
+        )
 
     def _count(self, notice):
         now = self._loop.now()
--- a/tests/features/crash_evidence.feature
+++ b/tests/features/crash_evidence.feature
@@ -72,3 +72,15 @@
     Given a quarantine among 10 requests at most
     When 30 other requests are watched
     Then it is still quarantined
+
+  # Guards against an instance that sends a crashing request again and again,
+  # because the verdict reached it never, or was forgotten.
+  Scenario Outline: An instance that reports a known crash is told again
+    Given an arbiter that has told of <crashes> crashes of a request
+    When i7 reports one more
+    Then i7 is told that the request is <state>
+
+    Examples:
+      | crashes | state       |
+      | 2       | quarantined |
+      | 3       | quarantined |
