Ask an upstream in doubt by one connection

A caller that leaves has its work cancelled: two connections were open at the upstreams afterwards, witnesses that no request is on; the second was opened although the first was there, which is mended. The step counted connections; it asks now for requests that run at an upstream while their connection is open, the work itself, and that one arrived at all.

--- a/src/jasminehold/front/crash_guard.py
+++ b/src/jasminehold/front/crash_guard.py
@@ -222,7 +222,7 @@
         finding = crash_doubts.finding(*conns)
         if finding is Finding.CRASHED:
             self._on_doubts_proved(address, at, conns)
-        elif finding is Finding.UNKNOWN:
+        elif finding is Finding.UNKNOWN and not self._pool.open_count(address):
             self._ask(address)
 
     def _ask(self, address):
--- a/src/jasminehold/standin/sealed.py
+++ b/src/jasminehold/standin/sealed.py
@@ -119,10 +119,16 @@
         self.on_event = lambda name, request_id, ran: None
         self.conns = set()
         self._running = 0
+        self._held = set()
         self._waiting = collections.deque()
         self._listener = loop.listen('127.0.0.1', 0, self._on_accept)
         self.port = self._listener.port
 
+    @property
+    def held(self):
+        """Ids of the running requests whose connection is open."""
+        return [req.id for req in self._held if not req.session.conn.closed]
+
     def entry(self, service, place, **changes):
         """Return the document that the upstream writes to the store."""
         doc = {
@@ -187,6 +193,7 @@
 
     def _run(self, req):
         self._running += 1
+        self._held.add(req)
         self.runs[req.id] += 1
         self.on_event(self.name, req.id, True)
         req.running = True
@@ -225,6 +232,7 @@
 
     def _finish(self, req):
         self._running -= 1
+        self._held.discard(req)
         if req.session.conn.closed:
             self.cancelled.add(req.id)
         else:
