Say in the log that a handshake with another instance failed

Cause: instances whose keys differ, as where they are told different addresses of the store, did not know of one another and no line said so. Measured: the step failed before (no line) and passes.

--- a/src/jasminehold/peers/mesh.py
+++ b/src/jasminehold/peers/mesh.py
@@ -32,6 +32,9 @@
 # descriptors of the process.
 MAX_HANDSHAKES = 256
 
+# Interval between two log lines on failed handshakes.
+HANDSHAKE_LOG_S = 5.0
+
 # Fixed set of values of the metric label ``reason``; a closing error is
 # matched by prefix.
 CLOSE_REASONS = (
@@ -93,6 +96,8 @@
         self._request_numbers = itertools.count(1)
         self._listener = None
         self._handshakes = set()
+        self._failures_logged_at = -HANDSHAKE_LOG_S
+        self._failures_unlogged = 0
         self._closed_link_bytes = [0, 0]
         self._reported_bytes = (0, 0)
         self._stopped = False
@@ -444,6 +449,7 @@
         self._closed_link_bytes[1] += link.bytes_out
         self._metrics.inc('peer_links_closed', reason=_close_reason(exc))
         if not link.ready:
+            self._log_failed_handshake(link, exc)
             if link.initiated and link.peer_id:
                 self._schedule_reconnect(
                     link.peer_id, self._peer(link.peer_id)
@@ -463,6 +469,26 @@
         if link.peer_id in self._wanted_peers and not peer.connecting:
             self._schedule_reconnect(link.peer_id, peer)
 
+    def _log_failed_handshake(self, link, exc):
+        # Instances whose keys differ do not know of one another; no other
+        # line says so.
+        now = self.loop.now()
+        if self._stopped:
+            return
+        if now - self._failures_logged_at < HANDSHAKE_LOG_S:
+            self._failures_unlogged += 1
+            return
+        _log(
+            'peer handshake failed',
+            level='warning',
+            peer=link.peer_id or '',
+            reason=_close_reason(exc),
+            links=len(self.connected()),
+            unlogged=self._failures_unlogged,
+        )
+        self._failures_logged_at = now
+        self._failures_unlogged = 0
+
     def _tick(self):
         self._tick_timer = self.loop.call_later(TICK_S, self._tick)
         now = self.loop.now()
--- a/tests/features/peer_links.feature
+++ b/tests/features/peer_links.feature
@@ -6,6 +6,7 @@
     Given instances a and b whose secrets differ under the same key id
     When a asks b
     Then the ask fails as not sent and a counts wrong key
+    And a logs one failed handshake for wrong key
 
   Scenario: A request and its reply cross a link opened on demand
     Given instances a and b
--- a/tests/features/steps/peer_links_steps.py
+++ b/tests/features/steps/peer_links_steps.py
@@ -1,6 +1,7 @@
 """Steps for the streams between instances."""
 
 import time
+from unittest import mock
 
 import behave
 import hypothesis
@@ -52,6 +53,9 @@
 
 @behave.given('instances a and b whose secrets differ under the same key id')
 def given_wrong(context):
+    patch = mock.patch.object(mesh_module, '_log')
+    context.log = patch.start()
+    context.add_cleanup(patch.stop)
     _pair(context, [('k1', b'x' * 32)])
 
 
@@ -205,6 +209,18 @@
     assert context.fleet.run_until(lambda: closed, 1.0) is not None
 
 
+@behave.then('{name} logs one failed handshake for {reason}')
+def then_logged(context, name, reason):
+    lines = [
+        call.kwargs
+        for call in context.log.call_args_list
+        if call.args[0] == 'peer handshake failed'
+        and call.kwargs['reason'] == reason
+    ]
+    assert len(lines) == 1, context.log.call_args_list
+    assert lines[0]['links'] == 0
+
+
 @behave.then('b counts wrong key and received nothing twice')
 def then_refused(context):
     assert context.fleet.closed_for('b', 'wrong key') == 1
