Let a first list count at once where the store lost nothing

Cause: an instance that starts could not tell a store that went back a moment ago from one that never did. Change: a store that states no era does not go back, so there is no wait. In a stated era one instance writes, once all writers had time to write again, that the era is settled; a list that says so of its own era is in force at once. A store that goes back has a higher era, so its copy never says so. Denials and the confirmation by peers are as before.

--- a/src/jasminehold/decisions/store_replica.py
+++ b/src/jasminehold/decisions/store_replica.py
@@ -53,6 +53,11 @@
     denies_in_s: float
 
 
+def settled_value(era):
+    """Return the value of the key that tells of a settled era."""
+    return b'%d' % era
+
+
 class StoreReplica:
     """Local replica of the store's keys.
 
@@ -66,6 +71,8 @@
         outage_s: age of the replica, in seconds, that counts as an outage.
         rewritten: tuple of prefixes of the other keys that their writers write
             again after a new era began.
+        settled_key: key whose value is the era, in decimal digits, that is old
+            enough for all writers to have written again.
 
     Attributes:
         items: ``{key: Item}`` of the keys that exist.
@@ -76,7 +83,9 @@
         steady_since: monotonic seconds since which there was no outage.
     """
 
-    def __init__(self, leased, return_s, outage_s, rewritten=()):
+    def __init__(
+        self, leased, return_s, outage_s, rewritten=(), settled_key=''
+    ):
         self.items = {}
         self.era = 0
         self.revision = 0
@@ -88,6 +97,7 @@
         self._lapsed_drop_at = None
         self._lapsed = set()
         self._rewritten_prefixes = rewritten
+        self._settled_key = settled_key
         # Keys without a lease that a new era lacks, and until when they are
         # kept.
         self._lost_until = {}
@@ -130,6 +140,12 @@
         """
         return max(self._in_force_at - now, 0.0)
 
+    def needs_settling(self, now):
+        """Return whether the store lacks the news that its era is settled."""
+        if not self.may_deny(now) or self.age(now) > self._outage_s:
+            return False
+        return not self._is_settled(self.items.values(), self.era)
+
     def superseded(self, key):
         """Return the item of a former era that a key had, or None."""
         found = self._superseded.get(key)
@@ -160,7 +176,8 @@
             return self._begin_era(items, revision, as_of, now, era)
         self.era = era
         if self._in_force_at is None:
-            self._in_force_at = now + FIRST_LIST_WAIT_S
+            wait_s = 0.0 if self._is_settled(items, era) else FIRST_LIST_WAIT_S
+            self._in_force_at = now + wait_s
             self._confirmed_at = self._may_deny_at = now + LOST_KEEP_S
         self._refresh(as_of, now)
         changed = set()
@@ -181,6 +198,15 @@
         self.revision = revision
         return changed
 
+    def _is_settled(self, items, era):
+        # A store that states no era never goes back.
+        if not era:
+            return True
+        return any(
+            item.key == self._settled_key and item.value == settled_value(era)
+            for item in items
+        )
+
     def _begin_era(self, items, revision, as_of, now, era):
         # A replica that was behind may not know what the store lost.
         self._was_behind = self.age(now) > self._outage_s
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -26,6 +26,7 @@
 from jasminehold.front import reader
 from jasminehold.front import registration
 from jasminehold.front import relay
+from jasminehold.front import settled_era
 from jasminehold.front import steering as steering_module
 from jasminehold.front import upstream_conn
 from jasminehold import logs
@@ -126,6 +127,13 @@
             _log,
         )
         self._peering.reader = self._reader
+        self._settled_era = settled_era.SettledEra(
+            self.loop,
+            self.store,
+            self._reader.replica,
+            self._peering.rank,
+            _log,
+        )
         self.crash_guard = crash_guard.CrashGuard(
             self.loop,
             self._peering.mesh,
@@ -281,6 +289,7 @@
         self._metrics.listen(*cfg.metrics_listen)
         self._peering.start()
         self._reader.start()
+        self._settled_era.start()
         self._registration.start()
         self._loaded_file = self._stat_settings()
         self.loop.call_later(SETTINGS_CHECK_EVERY_S, self._watch_settings)
--- a/src/jasminehold/front/reader.py
+++ b/src/jasminehold/front/reader.py
@@ -59,6 +59,7 @@
             REREGISTER_S,
             STORE_LOST_S,
             wire.REWRITTEN_PREFIXES,
+            wire.SETTLED_KEY,
         )
         self._loop = loop
         self._store = store
--- a/src/jasminehold/platform/wire.py
+++ b/src/jasminehold/platform/wire.py
@@ -38,6 +38,8 @@
 UPSTREAM_PREFIX = 'servers/'
 MEMBER_PREFIX = 'jasminehold/members/'
 QUARANTINE_PREFIX = 'jasminehold/quarantine/'
+# Era of the store in which all that it lost before has been written again.
+SETTLED_KEY = 'jasminehold/settled-era'
 # Entries of instances that use the product's own API.
 INSTANCE_PREFIX = 'instances/'
 
@@ -47,6 +49,7 @@
     UPSTREAM_PREFIX,
     MEMBER_PREFIX,
     QUARANTINE_PREFIX,
+    SETTLED_KEY,
 )
 LEASED_PREFIXES = (UPSTREAM_PREFIX, MEMBER_PREFIX)
 # Prefixes of further keys that instances write again in a new era.
--- a/tests/builders/store_drills.py
+++ b/tests/builders/store_drills.py
@@ -10,7 +10,9 @@
 
 def replica():
     """Return an instance's empty copy."""
-    return store_replica.StoreReplica(LEASED, 2.2, 2.4, ('quarantine/',))
+    return store_replica.StoreReplica(
+        LEASED, 2.2, 2.4, ('quarantine/',), 'jasminehold/settled-era'
+    )
 
 
 def item(key, revision, value=b'x'):
--- a/tests/features/front_store_era.feature
+++ b/tests/features/front_store_era.feature
@@ -132,3 +132,22 @@
     Given a copy that has been held for 6 s, then in a new era for 2 s
     When another copy starts and hears from it
     Then neither denies what it lacks before 5 s of the era have passed
+
+  # Guards against requests and look-ups that are refused because each instance
+  # of a fleet that starts at once waits for peers that know no more than it.
+  Scenario: A fleet that starts at once in a settled era does not wait
+    Given a fleet of four instances
+    And it has held its copy for 7 s
+    When all instances start at once
+    Then each has its first list in force within 0.3 s
+
+  Scenario Outline: A first list waits only if the store may have lost something
+    Given a first list of era <era> that <says>
+    Then it waits for <wait> s
+
+    Examples:
+      | era | says                            | wait |
+      | 0   | says nothing                    | 0    |
+      | 3   | says nothing                    | 0.6  |
+      | 3   | says that era 2 is settled      | 0.6  |
+      | 3   | says that era 3 is settled      | 0    |
--- a/tests/features/steps/front_store_era_steps.py
+++ b/tests/features/steps/front_store_era_steps.py
@@ -1,17 +1,20 @@
 """Steps for a store that comes back from an older copy."""
 
 import time
+from unittest import mock
 
 import behave
 import hypothesis
 from hypothesis import strategies as st
 
 from jasminehold.decisions import store_replica
+from jasminehold.front import app as front_app
 from tests.builders import front_rig
 from tests.builders import store_drills
 
 UPSTREAMS = ('u1', 'u2', 'u3')
 MEMBERS = 'jasminehold/members/'
+SETTLED_KEY = 'jasminehold/settled-era'
 AWAY_S = 0.3
 
 
@@ -576,3 +579,43 @@
     for copy in (context.copy, context.other):
         assert not copy.may_deny(begun_at + seconds - 0.1)
         assert copy.may_deny(begun_at + seconds)
+
+
+@behave.when('all instances start at once')
+def when_all_start(context):
+    rig = context.rig
+    for name in list(rig.apps):
+        rig.stop_instance(name)
+    with mock.patch.object(front_app, '_log') as log:
+        context.names = rig.start_fleet()
+        rig.wait(lambda: len(_held_s(log)) == len(context.names), 'all copies')
+    context.held_s = _held_s(log)
+
+
+def _held_s(log):
+    return [
+        call.kwargs['after_s']
+        for call in list(log.call_args_list)
+        if call.args[0] == 'first copy in force'
+    ]
+
+
+@behave.then('each has its first list in force within {seconds:g} s')
+def then_lists_in_force(context, seconds):
+    assert max(context.held_s) <= seconds, context.held_s
+
+
+@behave.given('a first list of era {era:d} that says {says}')
+def given_first_list(context, era, says):
+    items = [store_drills.item('op/config', 5)]
+    for number in (2, 3):
+        if 'era %d' % number in says:
+            value = store_replica.settled_value(number)
+            items.append(store_drills.item(SETTLED_KEY, 6, value))
+    context.copy = store_drills.replica()
+    context.copy.replace(items, 9, 10.0, 10.0, era)
+
+
+@behave.then('it waits for {seconds:g} s')
+def then_waits(context, seconds):
+    assert abs(context.copy.in_force_in_s(10.0) - seconds) < 1e-6
