Count a crash of an upstream only after a sign of life since the last one

Cause: something before an upstream that is down (there a relay) accepts connections, which end at once. Each request lost so counted as one more crash of that upstream, so three losses of any content within a second quarantined it in the whole fleet. Change: an upstream that crashed less than 2 s ago and has shown no life since is down; what is lost at it says nothing of the request. A response is a sign of life, and a new connection that stays open for 50 ms; one is opened at once after a crash.

--- a/src/jasminehold/front/crash_guard.py
+++ b/src/jasminehold/front/crash_guard.py
@@ -15,10 +15,12 @@
 import collections
 import functools
 import json
+import math
 import time
 
 from jasminehold.decisions import crash_doubts
 from jasminehold.decisions import crash_suspects
+from jasminehold.decisions import path_monitor
 from jasminehold.decisions import quarantine
 from jasminehold.decisions import send_end
 from jasminehold.platform import wire
@@ -42,8 +44,13 @@
 # how many such requests are remembered.
 DOUBT_S = 2.0
 MAX_DOUBTS = 2000
+# Time for which an upstream that crashed and has shown no life since is down.
+# Something before it may accept connections, which end at once then.
+DOWN_S = 2.0
 # Connections that an upstream needs to show by their end that it crashed.
 WITNESSES = 2
+# Requests in flight at one crash are lost within this time.
+ONE_CRASH_S = 2 * CRASH_EVIDENCE_S
 # Time to wait for an answer of any upstream before the path is checked.
 PATH_EVIDENCE_S = 0.08
 # Time after which a loss without proof of a path counts as no crash.
@@ -53,6 +60,7 @@
 EXPIRE_EVERY_S = 10.0
 STORE_RETRY_S = 1.0
 RELEASED = 'released'
+_SIGNS_OF_LIFE = (send_end.End.ANSWERED, send_end.End.REJECTED)
 _TOLD = (State.SUSPECT, State.QUARANTINED)
 
 
@@ -95,6 +103,9 @@
         self._answered = collections.OrderedDict()
         self._known = quarantine.Quarantine(RULES.keep_s, RULES.max_records)
         self._doubts = crash_doubts.Doubts(DOUBT_S, MAX_DOUBTS)
+        # When upstreams crashed last, and when they showed life, by address.
+        self._crashed_at = {}
+        self._alive_at = {}
         # Addresses to which a witness is being connected.
         self._asking = set()
         pool.on_closed = self._on_closed
@@ -131,6 +142,8 @@
             upstream: the :class:`~decisions.upstream_view.Upstream`.
             end: the :class:`~decisions.send_end.End`.
         """
+        if end in _SIGNS_OF_LIFE:
+            self._alive_at[_address(upstream.entry)] = self._loop.now()
         meaning = send_end.MEANINGS[end]
         if meaning is Meaning.CLEARS:
             self._on_answered(digests)
@@ -149,6 +162,7 @@
         def look():
             conns = self._closed_around(upstream, lost_at)
             if quarantine.is_crash(*conns):
+                self._ask(_address(upstream.entry))
                 self._judge(digests, upstream.entry, lost_at, conns)
             else:
                 self._tell_loss(digests, upstream.entry, conns, 'connection')
@@ -158,12 +172,14 @@
 
     def _closed_around(self, upstream, at):
         return self._pool.closed_around(
-            _address(upstream), at, CRASH_EVIDENCE_S
+            _address(upstream.entry), at, CRASH_EVIDENCE_S
         )
 
     def _judge(self, digests, entry, crashed_at, conns):
         cause = 'crash'
-        if self.path is not None:
+        if self._is_down(entry, crashed_at):
+            cause = 'down'
+        elif self.path is not None:
             # Connections end also when the path to all upstreams is lost.
             if self.path.lost:
                 cause = 'path'
@@ -174,10 +190,22 @@
                 cause = 'connection'
         self._tell_loss(digests, entry, conns, cause)
         if cause == 'crash':
+            self._note_crash(_address(entry), crashed_at)
             age_s = self._loop.now() - crashed_at
             for digest in digests:
                 self._report(digest, entry.id, age_s, False)
 
+    def _is_down(self, entry, at):
+        address = _address(entry)
+        crashed_at = self._crashed_at.get(address, -math.inf)
+        if self._alive_at.get(address, -math.inf) >= crashed_at:
+            return False
+        return ONE_CRASH_S < at - crashed_at < DOWN_S
+
+    def _note_crash(self, address, at):
+        if at - self._crashed_at.get(address, -math.inf) > ONE_CRASH_S:
+            self._crashed_at[address] = at
+
     def _await_path(self, digests, entry, crashed_at, conns):
         # Usually an answer of another upstream proves it soon.
         if self._loop.now() - crashed_at > PATH_EVIDENCE_S:
@@ -201,7 +229,7 @@
     # Requests whose upstream tells by what it does next.
 
     def _doubt(self, digests, upstream, at):
-        address = _address(upstream)
+        address = _address(upstream.entry)
         self._doubts.add(address, (digests, upstream), self._loop.now())
         # The request's own connection is about to be closed.
         self._loop.call_soon(self._add_witness, address)
@@ -233,8 +261,13 @@
         self._asking.add(address)
 
         def ready(conn, reused):
+            self._loop.call_later(path_monitor.SETTLE_S, settled, conn)
+
+        def settled(conn):
             self._asking.discard(address)
-            self._pool.put_back(conn)
+            if not conn.closed:
+                self._alive_at[address] = self._loop.now()
+                self._pool.put_back(conn)
 
         def failed(exc):
             self._asking.discard(address)
@@ -474,6 +507,9 @@
         now = self._loop.now()
         self._known.expire(now)
         self._crashes.expire(now)
+        for times in (self._crashed_at, self._alive_at):
+            for address in [key for key in times if now - times[key] > DOWN_S]:
+                del times[address]
         for digest in list(self._announced):
             if not self._crashes.crashes(digest, now):
                 del self._announced[digest]
@@ -481,8 +517,8 @@
             self._withdrawn.clear()
 
 
-def _address(upstream):
-    return upstream.entry.host, upstream.entry.port
+def _address(entry):
+    return entry.host, entry.port
 
 
 def _decode_left_s(value):
--- a/tests/builders/crashing_requests.py
+++ b/tests/builders/crashing_requests.py
@@ -169,15 +169,18 @@
         guard: the :class:`~jasminehold.front.crash_guard.CrashGuard`.
         written: ``{key: Item}`` that it wrote to the store.
         sent: list of ``(instance, message)``.
+        connections: what becomes of new ones to upstreams: ``are refused``,
+            ``are reset`` or ``stay open``.
     """
 
     def __init__(self):
         self.now = 100.0
         self.written = {}
         self.sent = []
+        self.connections = 'are refused'
+        self._later = []
         loop = types.SimpleNamespace(
-            now=lambda: self.now,
-            call_later=lambda delay, func, *args: delay or func(*args),
+            now=lambda: self.now, call_later=self._call_later
         )
         mesh = types.SimpleNamespace(
             handle=lambda *args: None,
@@ -191,11 +194,37 @@
             mesh,
             'i1',
             store,
-            types.SimpleNamespace(),
+            types.SimpleNamespace(
+                closed_around=lambda *args: (3, 0),
+                open=self._open,
+                put_back=lambda conn: None,
+            ),
             metrics.Metrics(),
             lambda *args, **kwargs: None,
         )
 
+    def _call_later(self, delay, func, *args):
+        if not delay:
+            func(*args)
+        elif delay < 1.0:
+            self._later.append((func, args))
+
+    def _open(self, address, ready, failed):
+        if self.connections == 'are refused':
+            failed(ConnectionRefusedError())
+            return
+        closed = self.connections == 'are reset'
+        ready(types.SimpleNamespace(closed=closed), False)
+
+    def end_send(self, digest, upstream, end):
+        """Let a send at an upstream end, and what follows within 1 s."""
+        entry = types.SimpleNamespace(id=upstream, host='h', port=1)
+        item = types.SimpleNamespace(entry=entry, draining=False)
+        self.guard.on_end([digest], item, end)
+        while self._later:
+            func, args = self._later.pop(0)
+            func(*args)
+
     def _put(self, key, value, if_version, done, lease):
         self.written[key] = store_replica.Item(key, value, 1)
         done(1, None)
--- a/tests/features/crash_evidence.feature
+++ b/tests/features/crash_evidence.feature
@@ -99,3 +99,19 @@
   Scenario: A stored quarantine says what older versions read
     Given a quarantine that an instance stored
     Then each stored one has the fields left_s,until
+
+  # Guards against ordinary requests that are quarantined because an upstream
+  # that is down resets each connection that something before it accepts.
+  Scenario Outline: An upstream crashes again only after a sign of life
+    Given a guard whose new connections to upstreams <connections>
+    When a request is lost at u1 for <times> times, <gap> s apart, <between>
+    Then <counted> crashes are counted
+
+    Examples:
+      | times | gap | connections | between                        | counted |
+      | 4     | 0.4 | are refused | with nothing else              | 1       |
+      | 4     | 0.4 | are reset   | with nothing else              | 1       |
+      | 4     | 0.4 | stay open   | with nothing else              | 4       |
+      | 4     | 0.4 | are reset   | with an answer of u1 to others | 4       |
+      | 4     | 0.4 | are reset   | with a rejection by u1         | 4       |
+      | 4     | 2.5 | are refused | with nothing else              | 4       |
--- a/tests/features/steps/crash_evidence_steps.py
+++ b/tests/features/steps/crash_evidence_steps.py
@@ -8,11 +8,13 @@
 
 from builders import proxy_rig
 from jasminehold.decisions import quarantine
+from jasminehold.decisions import send_end
 from jasminehold.decisions import store_replica
 from jasminehold.platform import wire
 from jasminehold.standin import caller
 from tests.builders import crashing_requests
 
+End = send_end.End
 # Time in which the crash of an upstream is noticed, whoever has left.
 NOTICED_S = 1.5
 
@@ -167,3 +169,32 @@
     assert docs
     for doc in docs:
         assert sorted(doc) == fields.split(','), doc
+
+
+@behave.given('a guard whose new connections to upstreams {become}')
+def given_guard(context, become):
+    context.lone = crashing_requests.LoneGuard()
+    context.lone.connections = become
+
+
+@behave.when(
+    'a request is lost at {name} for {times:d} times, {gap:g} s apart,'
+    ' {between}'
+)
+def when_lost_again(context, name, times, gap, between):
+    lone = context.lone
+    lone.guard.on_members(['i1'])
+    for _ in range(times):
+        lone.end_send(b'12345678', name, End.DISCONNECTED)
+        lone.now += gap
+        if 'answer' in between:
+            lone.end_send(b'87654321', name, End.ANSWERED)
+        elif 'rejection' in between:
+            lone.end_send(b'87654321', name, End.REJECTED)
+
+
+@behave.then('{count:d} crashes are counted')
+def then_counted(context, count):
+    lone = context.lone
+    found = lone.guard._crashes.crashes(b'12345678', lone.now)
+    assert len(found) == count, found
