Soak: link the instances, and let requests crash upstreams in all ways

Cause: each instance of a world has its own relay to the store, and the key of the links was derived from the store's address, so no run had a link. Change: one random peer_key for each world; a run fails at its start if an instance has no link. Crashing requests draw the way in which the crash shows.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,6 +6,7 @@
 import time
 
 from jasminehold.standin import caller
+from jasminehold.standin import sealed
 from tests.builders import front_rig
 from tests.soak import checks
 
@@ -132,7 +133,8 @@
         method, prefix = self._rng.choice(
             (('GET', '/browse/'), ('POST', '/order/'))
         )
-        self._copy = method, '%scrash-%d' % (prefix, number), 'crash'
+        fault = self._rng.choice(('crash', *sorted(sealed.CRASH_SENDS)))
+        self._copy = method, '%scrash-%d' % (prefix, number), fault
         world.record.crashing.add(self._copy[1])
 
     def _connect(self):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -3,11 +3,13 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
 import threading
 import time
+import urllib.request
 
 import circuits
 
@@ -24,6 +26,7 @@
 # Interval of the upstreams' reports.
 HEARTBEAT_S = 0.3
 START_S = 15.0
+LINKS = re.compile(r'^jasminehold_peer_links_opened(?:_total)? (\d+)', re.M)
 
 
 class Instance:
@@ -41,6 +44,7 @@
         address = ['127.0.0.1:%d' % port for port in ports]
         self.caller_port = ports[0]
         self.peer = address[3]
+        self.metrics_url = 'http://%s/metrics' % address[4]
         self.settings = {
             'id': name,
             'place': place,
@@ -49,6 +53,8 @@
             'ready_listen': address[1],
             'directory_listen': address[2],
             'peer_listen': self.peer,
+            # Each has its own relay to the store, so derived keys differ.
+            'peer_key': world.peer_key,
             'metrics_listen': address[4],
             'seeds': seeds,
             'internal_ports': [1, 2],
@@ -83,6 +89,12 @@
         )
         log.close()
 
+    def has_link(self):
+        """Return whether the instance has opened a link to another one."""
+        with urllib.request.urlopen(self.metrics_url, timeout=2.0) as reply:
+            found = LINKS.search(reply.read().decode())
+        return found is not None and int(found.group(1)) > 0
+
     def signal(self, number):
         """Send a signal to this instance's own process."""
         if self.process.poll() is None:
@@ -115,6 +127,7 @@
         self.folder = pathlib.Path(folder)
         self.folder.mkdir(parents=True, exist_ok=True)
         self.program = program
+        self.peer_key = os.urandom(32).hex()
         self.record = checks.Record()
         self.root = circuits.Component()
         self.loop = loop_module.Loop().register(self.root)
@@ -307,7 +320,11 @@
         self.record.troubles.append((name, begin, time.monotonic()))
 
     def start(self):
-        """Start all instances and wait until they serve."""
+        """Start all instances and wait until they serve and are linked.
+
+        Raises:
+            AssertionError: when one has no link to another one.
+        """
         for item in self.instances:
             item.start()
         deadline = time.monotonic() + START_S
@@ -316,6 +333,11 @@
                 if self._serves(item):
                     break
                 time.sleep(0.1)
+        if len(self.instances) > 1:
+            for item in self.instances:
+                while not item.has_link():
+                    assert time.monotonic() < deadline, item.name + ' no link'
+                    time.sleep(0.1)
 
     @staticmethod
     def _serves(item):
