Soak: blame no instance for what another one sent for it or a cut held up

Two checks named the wrong instance as soon as instances were linked. Change: pauses_hold takes no rejection for one of the caller's own instance while that is cut off, evacuated_gets_nothing leaves out arrivals from an instance that is or was just cut. Both hold as before for all others.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -206,6 +206,9 @@
             if record.places.get(item.upstream) != place or sent is None:
                 continue
             late = item.at > begin + EVACUATION_S + SLACK_S
+            # What a cut has held up arrives when it ends.
+            if record.was_cut(sent.instance, item.at):
+                continue
             if late and (end is None or item.at < end):
                 if record.in_touch(sent.instance, item.at):
                     yield '%s reached %s in %s %.1f s after' % (
@@ -340,6 +343,9 @@
             times[sent.instance, sent.incarnation].append(item)
         for (instance, _), items in times.items():
             for asked in items:
+                # Another instance sent the request, and was told.
+                if record.was_cut(instance, asked.at):
+                    continue
                 turned_away = (upstream, asked.request_id) not in ran
                 if not turned_away or not begin <= asked.at < (
                     end or asked.at
