--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -55,6 +55,9 @@
         near.on_close = lambda exc: None
 
         def opened(far):
+            if self.mode in ('reset', 'closed'):
+                # The fault began while this one was being opened.
+                self._end(near)
             if near.closed:
                 far.abort()
                 return
