--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -19,9 +19,12 @@
     Then no promise is broken
 
     Examples:
-      | seed | cause of an earlier failure                              |
-      | 41   | contents whose connections were reset stayed quarantined |
-      | 42   | requests waited for upstreams that the instance lost     |
+      | seed     | cause of an earlier failure                              |
+      | 41       | contents whose connections were reset stayed quarantined |
+      | 42       | requests waited for upstreams that the instance lost     |
+      | 33121008 | popular contents that shared three crashes: open         |
+      | 33121108 | popular contents that shared three crashes: open         |
+      | 33121114 | an upstream that left got one request much later: open   |
 
   Scenario Outline: The checks notice a broken record
     Given a record in which <what>
