Read no time of day from a quarantine that an older version stored

Cause: read 'until', a time of day, where 'left_s' is missing. Where the clocks of two instances differ the quarantine was over at once. Change: such a quarantine holds for the full 600 s; its key ends with its lease. With it a table of all ends of a send and what each means, and a check that no end lacks a meaning.

--- a/src/jasminehold/front/crash_guard.py
+++ b/src/jasminehold/front/crash_guard.py
@@ -522,8 +522,10 @@
 
 
 def _decode_left_s(value):
-    # The time of day, which may jump, counts only where nothing else stands.
+    # Older versions wrote a time of day, which may jump. The key ends with its
+    # lease, so what stands there is in force.
     doc = json.loads(value)
     if 'left_s' in doc:
         return float(doc['left_s'])
-    return float(doc['until']) - time.time()
+    float(doc['until'])
+    return RULES.keep_s
--- a/tests/features/steps/crash_evidence_steps.py
+++ b/tests/features/steps/crash_evidence_steps.py
@@ -198,3 +198,26 @@
     lone = context.lone
     found = lone.guard._crashes.crashes(b'12345678', lone.now)
     assert len(found) == count, found
+
+
+MEANINGS = {
+    'clears': send_end.Meaning.CLEARS,
+    'loses': send_end.Meaning.LOST,
+    'doubts': send_end.Meaning.DOUBTED,
+    'says nothing of': send_end.Meaning.NOTHING,
+}
+
+
+@behave.when('a send ends {end}')
+def when_ends(context, end):
+    context.meaning = send_end.MEANINGS[End(end)]
+
+
+@behave.then('that {meaning} the request')
+def then_means(context, meaning):
+    assert context.meaning is MEANINGS[meaning], context.meaning
+
+
+@behave.then('the table of ends is complete')
+def then_complete(context):
+    assert set(send_end.MEANINGS) == set(End)
