Hash no request whose end tells nothing of a crash

Cause: since the ends of sends have one table, a rejected request was hashed with its body although its end means nothing to the guard: work in overload. Change: the guard asks for the digests where it uses them. Measured: crash_evidence, front_crashers, front_path and front_pauses: 111 passed, 0 failed. The saving was not measured.

--- a/src/jasminehold/front/crash_guard.py
+++ b/src/jasminehold/front/crash_guard.py
@@ -134,11 +134,12 @@
             for digest in digests
         )
 
-    def on_end(self, digests, upstream, end):
+    def on_end(self, digests_of, upstream, end):
         """Note how a send of a request ended.
 
         Args:
-            digests: digests of the request.
+            digests_of: ``() -> digests of the request``, called only if the
+                end tells something: hashing a large body takes time.
             upstream: the :class:`~decisions.upstream_view.Upstream`.
             end: the :class:`~decisions.send_end.End`.
         """
@@ -146,13 +147,13 @@
             self._alive_at[_address(upstream.entry)] = self._loop.now()
         meaning = send_end.MEANINGS[end]
         if meaning is Meaning.CLEARS:
-            self._on_answered(digests)
+            self._on_answered(digests_of())
         elif self.path is not None and self.path.lost:
             return
         elif meaning is Meaning.LOST:
-            self._on_lost(digests, upstream)
+            self._on_lost(digests_of(), upstream)
         elif meaning is Meaning.DOUBTED:
-            self._doubt(digests, upstream, self._loop.now())
+            self._doubt(digests_of(), upstream, self._loop.now())
 
     def _on_lost(self, digests, upstream):
         lost_at = self._loop.now()
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -237,7 +237,7 @@
         self._conn = None
         if end is not None:
             self._context.metrics.inc('sends_ended_total', how=end.value)
-            self._crash_guard.on_end(self._digests(), choice.upstream, end)
+            self._crash_guard.on_end(self._digests, choice.upstream, end)
         if end not in _EXPLAINED:
             self._context.log(
                 'send unanswered',
--- a/tests/builders/crashing_requests.py
+++ b/tests/builders/crashing_requests.py
@@ -220,7 +220,7 @@
         """Let a send at an upstream end, and what follows within 1 s."""
         entry = types.SimpleNamespace(id=upstream, host='h', port=1)
         item = types.SimpleNamespace(entry=entry, draining=False)
-        self.guard.on_end([digest], item, end)
+        self.guard.on_end(lambda: [digest], item, end)
         while self._later:
             func, args = self._later.pop(0)
             func(*args)
