Read load reports that state more than three figures

Cause: decode_load took exactly three figures, so reports with a fourth, how long work takes on the upstream's machine now, were dropped whole, and no load was known of the upstreams of both new deployments. Change: the first three figures are read, the fourth as a bounded factor (not used yet), and further ones are left out.

--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -442,7 +442,7 @@
         load = answer.get(wire.LOAD)
         report = wire.decode_load(load) if load else None
         if report is not None:
-            self._choice.load.on_report(report[0], report[1], now)
+            self._choice.load.on_report(report.running, report.waiting, now)
         if end in (End.REJECTED, End.MISDIRECTED):
             self._on_not_run(answer, report, limit, now, end)
             return
@@ -493,7 +493,7 @@
             self._choice.load.on_full(now)
         choice = self._release(reason, limit, end)
         self._may_have_run = self._last_failure is not None
-        if report is not None and report[0] < report[2]:
+        if report is not None and report.running < report.slots:
             # The upstream rejects at random while it has free slots; as the
             # key's owner it is still the best choice.
             self._same_upstream_retries += 1
--- a/src/jasminehold/platform/wire.py
+++ b/src/jasminehold/platform/wire.py
@@ -61,6 +61,9 @@
     'draining': upstream_view.DRAINING,
 }
 _SLOTS_MAX = 100_000
+_COUNT_DIGITS_MAX = 12
+# Factors outside of it are reported by mistake.
+SLOWDOWN_RANGE = (0.1, 20.0)
 _RETRY_AFTER_MAX_S = 3600.0
 
 
@@ -68,6 +71,23 @@
     """Raised when a body from the platform cannot be decoded."""
 
 
+class LoadReport(typing.NamedTuple):
+    """What an upstream reports of its load in a response.
+
+    Attributes:
+        running: number of running requests.
+        waiting: number of queued requests.
+        slots: number of requests that can run at once.
+        slowdown: factor on the usual run times that applies on the
+            upstream's machine now, within :data:`SLOWDOWN_RANGE`.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float = 1.0
+
+
 class Query(typing.NamedTuple):
     """Query of a caller's address lookup."""
 
@@ -231,11 +251,26 @@
 
 
 def decode_load(value):
-    """Return ``(running, waiting, slots)`` of a load header, or None."""
-    parts = value.split(b',')
-    if len(parts) != 3 or not all(p.strip().isdigit() for p in parts):
+    """Return the :class:`LoadReport` of a load header, or None.
+
+    The header states running and waiting requests, slots and, on some
+    platforms, how long work takes on the upstream's machine now, in percent
+    of the usual. Fields after these are left out.
+    """
+    parts = [part.strip() for part in value.split(b',')]
+    if len(parts) < 3 or not all(_is_count(part) for part in parts[:3]):
         return None
-    return tuple(int(part) for part in parts)
+    slowdown = 1.0
+    if len(parts) > 3 and _is_count(parts[3]):
+        slowdown = min(
+            max(int(parts[3]) / 100, SLOWDOWN_RANGE[0]), SLOWDOWN_RANGE[1]
+        )
+    return LoadReport(*(int(part) for part in parts[:3]), slowdown)
+
+
+def _is_count(text):
+    # The length bounds the value and the cost of reading it.
+    return text.isdigit() and len(text) <= _COUNT_DIGITS_MAX
 
 
 def decode_limit(value):
