Treat downloads as safe to repeat

Cause: only routes of the kind 'safe' were decoded as idempotent. Change: 'download' is idempotent as well; unknown kinds still are not. Result: the example of the new feature failed before and passes.

--- a/src/jasminehold/platform/wire.py
+++ b/src/jasminehold/platform/wire.py
@@ -64,6 +64,8 @@
 _COUNT_DIGITS_MAX = 12
 # Factors outside of it are reported by mistake.
 SLOWDOWN_RANGE = (0.1, 20.0)
+# Kinds of routes whose requests may run more than once.
+_IDEMPOTENT_KINDS = frozenset({'safe', 'download'})
 _RETRY_AFTER_MAX_S = 3600.0
 
 
@@ -147,7 +149,7 @@
         name=rule['Name'],
         host=host.lower(),
         prefix=rule['Match']['Prefix'],
-        idempotent=rule['Kind'] == 'safe',
+        idempotent=rule['Kind'] in _IDEMPOTENT_KINDS,
         targets=targets,
         timeout_s=action['TimeoutMs'] / 1000,
         latency_target_s=(rule.get('LatencyTargetMs') or action['TimeoutMs'])
--- a/tests/features/wire.feature
+++ b/tests/features/wire.feature
@@ -19,3 +19,15 @@
       | 3,0                     | nothing      |
       | 3,x,8                   | nothing      |
       | 99999999999999999999,0,8 | nothing     |
+
+  # Guards against downloads that are never sent a second time.
+  Scenario Outline: A route of the kind <kind> is <idempotent>
+    Then a route of the kind "<kind>" is "<idempotent>"
+
+    Examples:
+      | kind     | idempotent     |
+      | safe     | idempotent     |
+      | download | idempotent     |
+      | unsafe   | not idempotent |
+      | upload   | not idempotent |
+      | other    | not idempotent |
