Check the keys of client accounts at the instance

Cause: no part knew accounts. Change: a configuration's accounts are decoded into a table of key digests. Each request gets its account or 401; 503 while the copy cannot tell. The key stays at the instance, upstreams and helping instances get the account's name. Homes of account and route both bind, the account's priority goes first. Settings for quotas and memory are read.

--- a/src/jasminehold/decisions/route_table.py
+++ b/src/jasminehold/decisions/route_table.py
@@ -18,6 +18,7 @@
         priority: 0 is the highest.
         home_regions: regions that may serve the route; empty means all.
         sticky: whether upstreams are faster for recently handled objects.
+        public: whether requests need no key of an account.
     """
 
     name: str
@@ -31,6 +32,7 @@
     priority: int
     home_regions: frozenset
     sticky: bool
+    public: bool = False
 
 
 class Service(typing.NamedTuple):
@@ -74,18 +76,26 @@
         routes: list of :class:`Route`.
         services: list of :class:`Service`.
         limits: the :class:`CallerLimits`.
+        accounts: the :class:`~decisions.accounts.AccountTable`, None if
+            requests need no key.
 
     Attributes:
-        highest_priority: lowest priority number of all routes.
+        highest_priority: lowest priority number of all routes and accounts.
     """
 
-    def __init__(self, version, routes, services, limits):
+    def __init__(self, version, routes, services, limits, accounts=None):
         self.version = version
         self.limits = limits
+        self.accounts = accounts
         self.services = {service.name: service for service in services}
-        self.highest_priority = min(
-            (route.priority for route in routes), default=0
-        )
+        priorities = [route.priority for route in routes]
+        if accounts is not None:
+            priorities += [
+                account.priority
+                for account in accounts.by_name.values()
+                if account.priority is not None
+            ]
+        self.highest_priority = min(priorities, default=0)
         self._hosts = {}
         for route in routes:
             prefixes = self._hosts.setdefault(route.host, {})
--- a/src/jasminehold/decisions/store_replica.py
+++ b/src/jasminehold/decisions/store_replica.py
@@ -112,6 +112,7 @@
         self._confirmed_at = None
         self._may_deny_at = None
         self._was_behind = False
+        self._first_settled = False
 
     def age(self, now):
         """Return the age of the replica in seconds, infinite before a read."""
@@ -133,6 +134,14 @@
         """
         return self._confirmed_at is not None and now >= self._confirmed_at
 
+    def is_complete(self, now):
+        """Return whether the replica lacks nothing that the store lost.
+
+        A first list of an era in which all was written again is complete at
+        once; otherwise the replica has to be confirmed.
+        """
+        return self._first_settled or self.is_confirmed(now)
+
     def in_force_in_s(self, now):
         """Return the seconds until a first list is in force at the latest.
 
@@ -176,7 +185,8 @@
             return self._begin_era(items, revision, as_of, now, era)
         self.era = era
         if self._in_force_at is None:
-            wait_s = 0.0 if self._is_settled(items, era) else FIRST_LIST_WAIT_S
+            self._first_settled = self._is_settled(items, era)
+            wait_s = 0.0 if self._first_settled else FIRST_LIST_WAIT_S
             self._in_force_at = now + wait_s
             self._confirmed_at = self._may_deny_at = now + LOST_KEEP_S
         self._refresh(as_of, now)
@@ -210,6 +220,8 @@
     def _begin_era(self, items, revision, as_of, now, era):
         # A replica that was behind may not know what the store lost.
         self._was_behind = self.age(now) > self._outage_s
+        if self._was_behind or not self.is_complete(now):
+            self._first_settled = False
         if self._was_behind or not self.is_confirmed(now):
             self._confirmed_at = now + LOST_KEEP_S
         self._may_deny_at = now + LOST_KEEP_S
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -13,6 +13,7 @@
 from jasminehold.decisions import instance_sample
 from jasminehold.decisions import route_table
 from jasminehold import errors
+from jasminehold.front import account_check
 from jasminehold.front import caller
 from jasminehold.front import cfg as cfg_module
 from jasminehold.front import crash_guard
@@ -165,6 +166,14 @@
         self.steering.copy_age = self._reader.replica.age
         self.steering.copy_may_deny = self._reader.replica.may_deny
         self._decoder = reader.Decoder(self.metrics, _log)
+        self.accounts = account_check.AccountCheck(
+            lambda: self.cfg,
+            self._reader.proven_age,
+            self._reader.replica.is_complete,
+            self.steering.may_deny,
+            self.metrics,
+            _log,
+        )
 
     def _build_relay(self):
         self.path = path_check.PathCheck(
@@ -223,6 +232,7 @@
             self.departures,
             self.path,
             self.relay,
+            self.accounts,
             self.metrics,
             self.rng,
             _log,
@@ -262,6 +272,7 @@
         gauges = self.steering.gauge_values(now)
         gauges.update(self.crash_guard.gauge_values())
         gauges.update(self.relay.gauge_values())
+        gauges.update(self.accounts.gauge_values())
         gauges['requests_in_flight'] = len(self.exchanges.exchanges)
         gauges['instance_leaving'] = int(self.leaving)
         replica = self._reader.replica
@@ -392,12 +403,12 @@
             former = copy.superseded(wire.CONFIG_KEY)
             table = former and self._decoder.config(former)
             if table is not None:
-                self.steering.on_config(table)
+                self._apply_config(table)
             table, places = self._decoder.operator(
                 copy.with_prefix(wire.OPERATOR_PREFIX)
             )
             if table is not None:
-                self.steering.on_config(table)
+                self._apply_config(table)
             self.steering.on_evacuated(places)
         if any(key.startswith(wire.UPSTREAM_PREFIX) for key in keys):
             entries = self._decoder.upstreams(
@@ -409,6 +420,10 @@
                 copy.with_prefix(wire.QUARANTINE_PREFIX)
             )
 
+    def _apply_config(self, table):
+        if self.steering.on_config(table):
+            self.accounts.on_config(table.accounts)
+
     def _on_members(self, items):
         members = self._decoder.members(items)
         joined = sorted(set(members) - set(self._members))
--- a/src/jasminehold/front/cfg.py
+++ b/src/jasminehold/front/cfg.py
@@ -128,6 +128,31 @@
         86_400_000,
         'Time in which a configuration has to take effect, ms.',
     ),
+    settings.Key(
+        'strict_revoke',
+        bool,
+        settings.check_flag,
+        'true or false',
+        False,
+        'Whether no instance may use a withdrawn key, cut off or not.',
+    ),
+    _number(
+        'revoke_within_ms',
+        0,
+        0,
+        86_400_000,
+        'Time in which a withdrawn key is out of use, ms; 0 for no bound.',
+    ),
+    settings.seconds_key(
+        'quota_window',
+        5,
+        0.001,
+        86_400,
+        'Window in which requests of an account are counted.',
+    ),
+    _number('quota_overage', 0, 0, 1000, 'Share beyond a quota allowed.'),
+    _number('quota_slack', 0, 0, 1e9, 'Requests beyond a quota allowed.'),
+    _number('memory_mb', 300, 1, 1e9, 'Memory of the process, MB.'),
     _number('retry_ratio', 0.1, 0, 1000, 'Repeats allowed, as share.'),
     _number(
         'retry_burst', 10, 0, 1e9, 'Repeats allowed on top, of the fleet.'
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -35,6 +35,8 @@
     b'content-length',
     wire.DEADLINE_MS,
     wire.EXPECT_INSTANCE,
+    wire.CREDENTIAL,
+    wire.ACCOUNT,
 }
 _RESPONSE_HEADERS_DROPPED = proxy_exchange.HOP_BY_HOP | {b'content-length'}
 # Ends for which the line of the request is enough.
@@ -58,6 +60,7 @@
         self._header_values = dict(inbound.headers)
         self._id = self._header_values.get(wire.REQUEST_ID)
         self._route = None
+        self._sender = None
         self._service = None
         self._key = ''
         self._deadline = 0.0
@@ -107,7 +110,12 @@
         if isinstance(route, Kind):
             self._fail(route, self._retry_after_s())
             return
-        self._route = route
+        sender = self._context.accounts.sender(route, inbound, origin, now)
+        if isinstance(sender, Kind):
+            self._fail(sender, self._retry_after_s(), 'account')
+            return
+        self._sender = sender
+        self._route = route = sender.route
         remaining_s = route.timeout_s
         stated_ms = self._header_values.get(wire.DEADLINE_MS, b'')
         if stated_ms.isdigit():
@@ -136,6 +144,11 @@
 
     def _start_attempt(self):
         now = self._loop.now()
+        if not self._context.accounts.is_valid(
+            self._sender, self._inbound, self._origin, now
+        ):
+            self._end_invalid_key()
+            return
         quarantine_s = 0.0
         if self._crash_guard.active:
             quarantine_s = self._crash_guard.quarantine_s(self._digests())
@@ -219,6 +232,9 @@
         headers.append((wire.DEADLINE_MS, b'%d' % left_ms))
         expected = self._choice.upstream.entry.id.encode()
         headers.append((wire.EXPECT_INSTANCE, expected))
+        account = self._sender.account
+        if account is not None:
+            headers.append((wire.ACCOUNT, account.name.encode()))
         body = self._inbound.body
         if body or b'content-length' in self._header_values:
             headers.append((b'content-length', b'%d' % len(body)))
@@ -323,6 +339,7 @@
             self._caller_retry,
             self._service,
             len(self._sent_to),
+            *self._sender.for_relay(self._loop.now()),
         )
 
         def done(send, answer, exc):
@@ -582,6 +599,10 @@
             )
         return self._cached_digests
 
+    def _account_name(self):
+        account = self._sender.account if self._sender else None
+        return account.name if account else ''
+
     def _peer(self):
         return self._origin.peer if self._origin else self._inbound.peer
 
@@ -592,6 +613,13 @@
         else:
             self._fail(Kind.QUARANTINED, seconds, 'quarantined')
 
+    def _end_invalid_key(self):
+        if self._last_failure is not None:
+            self._end_failed('key no longer valid')
+        else:
+            reason = 'key no longer valid'
+            self._fail(Kind.UNAVAILABLE, self._retry_after_s(), reason)
+
     def _retry_after_s(self):
         return steering_module.MIN_RETRY_AFTER_S * (
             0.75 + 0.5 * self._context.rng.random()
@@ -677,6 +705,7 @@
             id=(self._id or b'').decode('latin-1'),
             route=route,
             service=self._service,
+            account=self._account_name(),
             config=table.version if table else None,
             copy_age_s=None if math.isinf(age_s) else round(age_s, 2),
             object=self._key,
@@ -723,12 +752,14 @@
         departures,
         path,
         relay,
+        accounts,
         metrics,
         rng,
         log,
     ):
         self.loop = loop
         self.steering = steering
+        self.accounts = accounts
         self.pool = pool
         self.crash_guard = crash_guard
         self.limit_news = limit_news
--- a/src/jasminehold/front/reader.py
+++ b/src/jasminehold/front/reader.py
@@ -127,6 +127,11 @@
             self._contact_at = -math.inf
         self._boot_clock_lead_s = lead
 
+    def proven_age(self, now):
+        """Return the age of the copy, also right after a suspension."""
+        self._check_suspension(now)
+        return self.replica.age(now)
+
     def _read_all(self, sent_at):
         def done(result, exc):
             if exc is not None:
--- a/src/jasminehold/front/relay.py
+++ b/src/jasminehold/front/relay.py
@@ -34,7 +34,11 @@
     b'expect',
     b'content-length',
     wire.DEADLINE_MS,
+    wire.CREDENTIAL,
+    wire.ACCOUNT,
 }
+# Fields of an ``Origin`` that versions without accounts read.
+_ORIGIN_FIELDS_WITHOUT_ACCOUNT = 5
 
 
 class Origin(typing.NamedTuple):
@@ -46,6 +50,9 @@
         returned: whether the request is a caller's retry.
         service: its target service.
         sends: upstreams that it was sent to before.
+        account: name of the account whose key the first instance has
+            checked, '' for none.
+        key_valid_s: seconds for which that check holds.
     """
 
     instance: str
@@ -53,6 +60,8 @@
     returned: bool
     service: str
     sends: int
+    account: str = ''
+    key_valid_s: float = 0.0
 
 
 def _proof(key, receiver, blob, inbound, headers):
@@ -85,7 +94,10 @@
         inbound: the :class:`~jasminehold.front.caller.CallerRequest`.
         headers: the other headers that the helping instance gets.
     """
-    blob = base64.urlsafe_b64encode(msgpack.packb(list(origin)))
+    fields = list(origin)
+    if not origin.account:
+        fields = fields[:_ORIGIN_FIELDS_WITHOUT_ACCOUNT]
+    blob = base64.urlsafe_b64encode(msgpack.packb(fields))
     return blob + b'.' + _proof(key, receiver, blob, inbound, headers)
 
 
@@ -105,7 +117,8 @@
     if not hmac.compare_digest(expected, proof):
         return None
     try:
-        return Origin(*msgpack.unpackb(base64.urlsafe_b64decode(blob)))
+        fields = msgpack.unpackb(base64.urlsafe_b64decode(blob))
+        return Origin(*fields[: len(Origin._fields)])
     except (binascii.Error, TypeError, ValueError, msgpack.UnpackException):
         return None
 
@@ -355,6 +368,9 @@
             inbound.headers, _REQUEST_HEADERS_DROPPED, OWN_PREFIX
         )
         headers.append((wire.DEADLINE_MS, deadline))
+        if origin.account:
+            # A helping instance of a version without accounts passes it on.
+            headers.append((wire.ACCOUNT, origin.account.encode()))
         value = marker(self._key, receiver, origin, inbound, headers)
         headers.append((MARKER, value))
         named = {name for name, _ in inbound.headers}
--- a/src/jasminehold/platform/wire.py
+++ b/src/jasminehold/platform/wire.py
@@ -9,6 +9,7 @@
 import math
 import typing
 
+from jasminehold.decisions import accounts
 from jasminehold.decisions import route_table
 from jasminehold.decisions import store_replica
 from jasminehold.decisions import upstream_view
@@ -26,6 +27,9 @@
 RETRY_AFTER = b'retry-after'
 # Of the store's responses, as ``http.Response`` names it.
 STORE_ERA = 'store-era'
+# The key of the caller's account, and the account's name for upstreams.
+CREDENTIAL = b'x-credential'
+ACCOUNT = b'x-tenant'
 AFFINITY_COOKIE = 'X-Affinity-Key'
 
 READY_PATH = '/api/ready'
@@ -61,6 +65,7 @@
     'draining': upstream_view.DRAINING,
 }
 _SLOTS_MAX = 100_000
+_CREDENTIAL_MAX_BYTES = 1024
 _COUNT_DIGITS_MAX = 12
 # Factors outside of it are reported by mistake.
 SLOWDOWN_RANGE = (0.1, 20.0)
@@ -133,6 +138,7 @@
             routes,
             services,
             _limits(doc.get('Limits') or {}),
+            _accounts(doc.get('Tenants')),
         )
     except (LookupError, TypeError, ValueError, AttributeError) as exc:
         raise MalformedBody('configuration: %r' % exc) from exc
@@ -158,9 +164,28 @@
         priority=rule.get('Priority') or 0,
         home_regions=frozenset(action.get('HomeRegions') or ()),
         sticky=bool(rule.get('Sticky')),
+        public=bool(rule.get('Public')),
     )
 
 
+def _accounts(rows):
+    # An empty list is that of a deployment without accounts.
+    if not rows:
+        return None
+    return accounts.AccountTable([_account(row) for row in rows])
+
+
+def _account(row):
+    account = accounts.Account(
+        name=_typed(row, 'Name', str),
+        priority=row.get('Priority'),
+        rate_per_s=_number(row.get('RatePerS') or 0),
+        burst=_number(row.get('Burst') or 0),
+        home_regions=frozenset(row.get('HomeRegions') or ()),
+    )
+    return account, [key.encode() for key in row.get('ApiKeys') or ()]
+
+
 def _service(item):
     return route_table.Service(
         name=item['Name'],
@@ -313,6 +338,19 @@
     return ''
 
 
+def credential(headers):
+    """Return the key of an account that a request presents, or None.
+
+    A key is printable ASCII without spaces, and stated once.
+    """
+    found = [value for name, value in headers if name == CREDENTIAL]
+    if len(found) != 1 or not 0 < len(found[0]) <= _CREDENTIAL_MAX_BYTES:
+        return None
+    if not all(0x21 <= byte <= 0x7E for byte in found[0]):
+        return None
+    return found[0]
+
+
 def decode_query(fields):
     """Return the :class:`Query` of a resolve request."""
     return Query(
--- a/tests/builders/front_rig.py
+++ b/tests/builders/front_rig.py
@@ -121,6 +121,29 @@
 )
 
 
+def accounts(version, rows, rules=RULES):
+    """Return the operator's document with accounts.
+
+    Args:
+        version: number of the version.
+        rows: ``(name, list of keys, other fields)`` of each account.
+        rules: the rules of all routes.
+    """
+    doc = configuration(version, list(rules))
+    doc['Tenants'] = [
+        {
+            'Name': name,
+            'ApiKeys': list(keys),
+            'RatePerS': 0,
+            'Burst': 0,
+            'HomeRegions': [],
+            **changes,
+        }
+        for name, keys, changes in rows
+    ]
+    return doc
+
+
 class _Faults(circuits.Component):
     def init(self):
         self.seen = []
@@ -218,6 +241,12 @@
             stop_grace=3.0,
             lookup_ttl=2.0,
             apply_within_ms=2000.0,
+            strict_revoke=True,
+            revoke_within_ms=5000.0,
+            quota_window=5.0,
+            quota_overage=0.1,
+            quota_slack=20.0,
+            memory_mb=300.0,
             retry_ratio=0.2,
             retry_burst=50,
             retry_window=10.0,
