--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -423,6 +423,7 @@
     def _apply_config(self, table):
         if self.steering.on_config(table):
             self.accounts.on_config(table.accounts)
+            self.exchanges.on_config()
 
     def _on_members(self, items):
         members = self._decoder.members(items)
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -102,11 +102,8 @@
             if not has_room:
                 self._fail(Kind.UNAVAILABLE, None, 'too many relayed')
                 return
-        host = self._header_values.get(b'host', b'').decode('latin-1')
-        host = host.partition(':')[0]
         now = inbound.arrived_at
-        target = inbound.target.decode('latin-1')
-        route = self._steering.route(host, target, self._loop.now())
+        route = self._steering.route(*self._address(), self._loop.now())
         if isinstance(route, Kind):
             self._fail(route, self._retry_after_s())
             return
@@ -142,6 +139,23 @@
         self._context.exchanges.add(self)
         self._start_attempt()
 
+    def _address(self):
+        # Host without port, and path.
+        host = self._header_values.get(b'host', b'').decode('latin-1')
+        return host.partition(':')[0], self._inbound.target.decode('latin-1')
+
+    def on_config(self):
+        """End at the time-out now in force, if that is earlier."""
+        route = self._steering.table.match(*self._address())
+        if route is None:
+            return
+        ends_at = self._inbound.arrived_at + route.timeout_s
+        if ends_at < self._deadline:
+            self._deadline = ends_at
+            self._timer.cancel()
+            left_s = max(ends_at - self._loop.now(), 0.0)
+            self._timer = self._loop.call_later(left_s, self._on_deadline)
+
     def _start_attempt(self):
         now = self._loop.now()
         if not self._context.accounts.is_valid(
@@ -779,3 +793,8 @@
         """Let all exchanges act on it; see :meth:`Exchange.on_path_lost`."""
         for item in list(self.exchanges):
             item.on_path_lost()
+
+    def on_config(self):
+        """Let all exchanges apply the configuration now in force."""
+        for item in list(self.exchanges):
+            item.on_config()
