--- a/tests/builders/pausing_upstreams.py
+++ b/tests/builders/pausing_upstreams.py
@@ -4,6 +4,7 @@
 import time
 import types
 
+from jasminehold.front import account_check
 from jasminehold.front import exchange
 from jasminehold.front import path_check
 from jasminehold.front import upstream_conn
@@ -69,6 +70,9 @@
                 loop, self, self.steering.view, None, metrics.Metrics(), None
             ),
             types.SimpleNamespace(origin=lambda inbound: None),
+            account_check.AccountCheck(
+                None, None, None, None, metrics.Metrics(), None
+            ),
             metrics.Metrics(),
             random.Random(1),
             lambda *args, **kwargs: None,
