Give room to the most urgent while a service is short

An instance sent on while an owner's queue had room, first come first served, so who was refused was chance. It averages the queues that a service's upstreams report, and compares them with thresholds by priority and by whether the request can still be in time; within a priority, accounts are cut max-min fairly. Refused callers are told a time that they honour, the urgent the earliest. It takes effect where upstreams report a slowdown or the configuration has accounts.

--- a/bench/model.py
+++ b/bench/model.py
@@ -20,13 +20,19 @@
 
 from jasminehold.decisions import route_table
 from jasminehold.decisions import upstream_view
+from jasminehold.decisions import urgency
 from jasminehold.front import cfg as front_cfg
 from jasminehold.front import steering as steering_module
+from jasminehold.platform import wire
 from jasminehold import settings
 
 # Callers come back within this part of the time that they have left.
 RETURN_PART = 1 / 3
 SERIES_S = 2.0
+# Seconds from the start after which slots are expected to be busy.
+BUSY_FROM_S = 4.0
+# Seconds after which callers come back that do not wait.
+AT_ONCE_S = 0.02
 
 
 class Kind(typing.NamedTuple):
@@ -44,6 +50,9 @@
         objects: objects of each region.
         idempotent: whether it may run again.
         priority: rank, 0 is the highest.
+        account: name of the callers' account, '' for none.
+        at_once: repeats that a rejected caller sends at once, without regard
+            to the time after which it should come back.
     """
 
     name: str
@@ -57,6 +66,8 @@
     objects: int = 24
     idempotent: bool = True
     priority: int = 2
+    account: str = ''
+    at_once: int = 0
 
 
 class Pool(typing.NamedTuple):
@@ -86,6 +97,8 @@
         pools: ``{service: Pool}``.
         kinds: list of :class:`Kind`.
         retry_burst: repeats of the fleet on top of a fifth of the requests.
+        slowdown: factor on run times that upstreams report of their machines;
+            the work does not change with it.
     """
 
     places: dict
@@ -93,6 +106,7 @@
     pools: dict
     kinds: tuple
     retry_burst: int = 58
+    slowdown: float = 1.0
 
 
 class Change(typing.NamedTuple):
@@ -126,6 +140,9 @@
         known: runs at an upstream that knew the object.
         series: credit by spans of two seconds.
         latencies: seconds to each answer.
+        in_time: share answered within the aim by kind, ``{name: share}``.
+        served_by_kind: share answered by kind, ``{name: share}``.
+        busy: share of the slots that worked, from ``BUSY_FROM_S`` on.
     """
 
     credit: float
@@ -137,6 +154,9 @@
     known: float
     series: tuple
     latencies: tuple
+    in_time: dict
+    served_by_kind: dict
+    busy: float
 
 
 class _Upstream:
@@ -151,14 +171,16 @@
 
 
 class _Request:
-    def __init__(self, kind, region, place, key, now):
+    def __init__(self, kind, region, place, key, number, now):
         self.kind = kind
+        self.number = number
         self.region = region
         self.place = place
         self.key = key
         self.born = now
         self.ends = now + kind.deadline_s
         self.retried = False
+        self.at_once = kind.at_once
 
 
 class _Attempt:
@@ -175,6 +197,7 @@
         self.sent_at = None
         self.upstream = None
         self.running = False
+        self.started = 0.0
         self.done = False
 
 
@@ -196,6 +219,7 @@
         self.budget_used = 0.0
         self._heap = []
         self._order = itertools.count()
+        self._numbers = itertools.count()
         self._routes = {kind.name: _route(kind) for kind in deployment.kinds}
         self.upstreams = {}
         for service, pool in deployment.pools.items():
@@ -206,6 +230,8 @@
         self.instances = self._start_instances()
         self.ended = []
         self.known = self.runs = 0
+        self.busy_s = 0.0
+        self._until = math.inf
         for change in changes:
             self.at(change.at, self._change, change, change.shed, change.slow)
             self.at(change.until, self._change, change, 0.0, 1.0)
@@ -244,6 +270,7 @@
             rng = random.Random(self.rng.random())
             item = steering_module.Steering(cfg, rng, _silent)
             item.on_config(table)
+            item.wall = lambda: self.now
             # The fleet has run for a while when its callers come.
             regions = {
                 other: self.dep.places[other_place]
@@ -280,7 +307,10 @@
         self.at(self._gap(kind), self._arrive, kind, region, place)
         number = self.rng.randrange(kind.objects)
         key = '%s/%s-%d' % (kind.name, region, number)
-        self._attempt(_Request(kind, region, place, key, self.now), False)
+        request = _Request(
+            kind, region, place, key, next(self._numbers), self.now
+        )
+        self._attempt(request, False)
 
     def _attempt(self, request, returned):
         instance = self.rng.choice(self.instances[request.region])
@@ -305,6 +335,7 @@
             only,
             attempt.deadline - self.now,
             self.now,
+            None if attempt.tried else _caller(attempt.request, self.now),
         )
         if isinstance(found, steering_module.Refusal):
             self._reject(attempt, found.retry_after_s)
@@ -336,6 +367,7 @@
             self.known += 1
             work *= 1.0 - upstream.pool.gain
         attempt.running = True
+        attempt.started = self.now
         self.at(self.now + work, self._finish, attempt)
 
     def _finish(self, attempt):
@@ -348,7 +380,7 @@
         if len(upstream.memory) > upstream.pool.keeps:
             upstream.memory.popitem(last=False)
         load = attempt.choice.load
-        load.on_report(upstream.running, len(upstream.waiting), self.now)
+        self._report(attempt)
         load.on_end()
         route = self._routes[attempt.request.kind.name]
         attempt.instance.on_completed(
@@ -361,6 +393,18 @@
         )
         self._end(attempt.request, 'served')
 
+    def _report(self, attempt):
+        upstream = attempt.upstream
+        report = wire.LoadReport(
+            upstream.running,
+            len(upstream.waiting),
+            upstream.pool.slots,
+            self.dep.slowdown,
+        )
+        attempt.choice.load.on_report(report.running, report.waiting, self.now)
+        service = attempt.request.kind.service
+        attempt.instance.on_report(service, report, self.now)
+
     def _leave(self, attempt):
         attempt.done = True
         upstream = attempt.upstream
@@ -369,13 +413,15 @@
                 upstream.waiting.remove(attempt)
             return
         upstream.running -= 1
+        begin = max(attempt.started, BUSY_FROM_S)
+        self.busy_s += max(min(self.now, self._until) - begin, 0.0)
         while upstream.waiting and upstream.running < upstream.pool.slots:
             self._start(upstream.waiting.popleft())
 
     def _shed(self, attempt):
         upstream, now = attempt.upstream, self.now
         load = attempt.choice.load
-        load.on_report(upstream.running, len(upstream.waiting), now)
+        self._report(attempt)
         load.on_end()
         kind = attempt.request.kind
         attempt.instance.on_failed(attempt.choice, 'shed', now)
@@ -404,6 +450,10 @@
         attempt.done = True
         request = attempt.request
         left = request.ends - self.now
+        if request.at_once and left > AT_ONCE_S:
+            request.at_once -= 1
+            self.at(self.now + AT_ONCE_S, self._attempt, request, True)
+            return
         if request.retried or retry_after_s > left * RETURN_PART:
             self._end(request, 'rejected')
             return
@@ -431,6 +481,7 @@
         counts = collections.Counter()
         spans = collections.defaultdict(lambda: [0.0, 0.0])
         latencies = []
+        kinds = collections.defaultdict(collections.Counter)
         for request, how, seconds in self.ended:
             kind = request.kind
             credit = 0.0
@@ -439,13 +490,18 @@
                 in_time = seconds <= kind.aim_s
                 credit = kind.worth * (1.0 if in_time else 0.2)
                 counts['late'] += not in_time
+                kinds[kind.name]['in time'] += in_time
             counts[how] += 1
+            kinds[kind.name][how] += 1
+            kinds[kind.name]['all'] += 1
             owed[request.region] += kind.worth
             earned[request.region] += credit
             span = spans[int(request.born // SERIES_S)]
             span[0] += credit
             span[1] += kind.worth
         total = max(len(self.ended), 1)
+        slots = sum(item.pool.slots for item in self.upstreams.values())
+        slot_s = slots * max(self._until - BUSY_FROM_S, 1e-9)
         return Result(
             credit=sum(earned.values()) / max(sum(owed.values()), 1e-9),
             worst_region=min(earned[key] / owed[key] for key in owed),
@@ -459,6 +515,9 @@
                 for key in sorted(spans)
             ),
             latencies=tuple(latencies),
+            in_time=_shares(kinds, 'in time'),
+            served_by_kind=_shares(kinds, 'served'),
+            busy=self.busy_s / slot_s,
         )
 
 
@@ -467,6 +526,19 @@
     return Model(deployment, seed, changes).run(seconds)
 
 
+def _shares(kinds, what):
+    return {name: item[what] / item['all'] for name, item in kinds.items()}
+
+
+def _caller(request, now):
+    return urgency.Caller(
+        '%d %s' % (request.number, request.key),
+        now - request.born,
+        request.ends - now,
+        request.kind.account,
+    )
+
+
 def _silent(event, level='info', **fields):
     """Drop a log line."""
 
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -7,6 +7,7 @@
 from jasminehold.decisions import relay_choice
 from jasminehold.decisions import request_digest
 from jasminehold.decisions import send_end
+from jasminehold.decisions import urgency
 from jasminehold import errors
 from jasminehold.front import relay as relay_module
 from jasminehold.front import steering as steering_module
@@ -72,6 +73,7 @@
         self._may_have_run = False
         self._crashes = 0
         self._caller_retry = False
+        self._caller_left_s = _MAX_DEADLINE_MS / 1000
         # Ids of upstreams that got the request, and of those to exclude.
         self._sent_to = set()
         self._tried = set()
@@ -117,6 +119,7 @@
         stated_ms = self._header_values.get(wire.DEADLINE_MS, b'')
         if stated_ms.isdigit():
             stated_s = min(int(stated_ms), _MAX_DEADLINE_MS) / 1000
+            self._caller_left_s = stated_s
             if origin is None:
                 self._caller_retry = self._steering.is_caller_retry(
                     route, stated_s
@@ -182,6 +185,7 @@
             self._allowed_upstreams(),
             remaining_s,
             now,
+            None if self._tried else self._caller(now),
         )
         if isinstance(found, steering_module.Refusal):
             self._owners = found.owners
@@ -221,6 +225,18 @@
             failed,
         )
 
+    def _caller(self, now):
+        account = self._sender.account
+        left_s = self._inbound.arrived_at + self._caller_left_s - now
+        path = self._inbound.target.decode('latin-1')
+        return urgency.Caller(
+            '%s %s %s' % (self._account_name(), self._peer(), path),
+            self._steering.waited_s(self._route, left_s),
+            left_s,
+            self._account_name(),
+            account.rate_per_s if account else 0.0,
+        )
+
     def _allowed_upstreams(self):
         return None if self._attempts_left() > 0 else self._sent_to
 
@@ -474,6 +490,7 @@
         report = wire.decode_load(load) if load else None
         if report is not None:
             self._choice.load.on_report(report.running, report.waiting, now)
+            self._steering.on_report(self._service, report, now)
         if end in (End.REJECTED, End.MISDIRECTED):
             self._on_not_run(answer, report, limit, now, end)
             return
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -1,5 +1,6 @@
 """Routes, upstream state and upstream selection of one instance."""
 
+import time
 import typing
 
 from jasminehold.decisions import cold_start_limiter
@@ -12,6 +13,7 @@
 from jasminehold.decisions import upstream_load
 from jasminehold.decisions import upstream_pauses
 from jasminehold.decisions import upstream_view
+from jasminehold.decisions import urgency
 from jasminehold.decisions import weighted_round_robin
 from jasminehold import errors
 from jasminehold.front import registration
@@ -103,6 +105,7 @@
         copy_age: ``now -> seconds``, the age of the store copy.
         copy_may_deny: ``now -> bool``, whether a route that the table
             lacks does not exist.
+        wall: ``() -> seconds``, the time of day.
         instances: ids of the live instances.
         limits: the :class:`~decisions.stated_limits.StatedLimits`.
     """
@@ -110,6 +113,7 @@
     def __init__(self, cfg, rng, log):
         self.copy_age = lambda now: 0.0
         self.copy_may_deny = lambda now: True
+        self.wall = time.time
         self.table = None
         self.view = upstream_view.UpstreamView()
         self.evacuated = frozenset()
@@ -130,6 +134,8 @@
         self._owner_cache = {}
         self._weight_cache = {}
         self._usual_timeout_s = {}
+        self._urgency = {}
+        self._sharing = set()
         self._fleet = fleet_size.FleetSize(cfg.retry_window)
 
     # Updates from the store and the settings.
@@ -340,6 +346,15 @@
         self._usual_timeout_s[route.name] = usual
         return stated_s < CALLER_RETRY_FRACTION * usual
 
+    def waited_s(self, route, left_s):
+        """Return how long a caller has waited since its first attempt.
+
+        Args:
+            route: the request's route.
+            left_s: seconds until the caller's own deadline.
+        """
+        return max(self._usual_timeout_s.get(route.name, 0.0) - left_s, 0.0)
+
     def _retry_share(self, service):
         if service not in self._retries:
             self._retries[service] = retry_token_bucket.RetryTokenBucket(
@@ -347,7 +362,50 @@
             )
         return self._retries[service]
 
-    def pick(self, route, service, key, request_id, tried, only, left_s, now):
+    def shares_machines(self, service):
+        """Return whether upstreams of a service have reported a slowdown."""
+        return service in self._sharing
+
+    def on_report(self, service, report, now):
+        """Record the load that an upstream of a service reported.
+
+        Args:
+            service: the service.
+            report: the :class:`~platform.wire.LoadReport`.
+            now: monotonic seconds.
+        """
+        if report.slowdown != 1.0:
+            self._sharing.add(service)
+        room = self._urgency.setdefault(service, urgency.Urgency())
+        room.on_report(report.waiting, report.slots, now)
+
+    def _queue_part(self, route, service, caller, now):
+        if caller is None or service not in self._urgency:
+            return 1.0
+        room = self._urgency[service]
+        return room.queue_part(route.priority, caller, now)
+
+    def _gives_way_s(self, route, service, caller, best, now):
+        # None if the request need not give way to others.
+        if caller is None or best is None:
+            return None
+        room = self._urgency.setdefault(service, urgency.Urgency())
+        run_s = best.run_s + best.network_s
+        need = urgency.Need(route.priority, run_s, route.latency_target_s)
+        return room.pause_s(need, caller, self.wall(), self._rng.random(), now)
+
+    def pick(
+        self,
+        route,
+        service,
+        key,
+        request_id,
+        tried,
+        only,
+        left_s,
+        now,
+        caller=None,
+    ):
         """Select an upstream: a :class:`Choice` or a :class:`Refusal`.
 
         Args:
@@ -359,6 +417,8 @@
             only: ids of the allowed upstreams, None for all.
             left_s: seconds until the request's deadline.
             now: monotonic seconds.
+            caller: the :class:`~decisions.urgency.Caller` of a request that
+                has to give way to more urgent ones, else None.
         """
         upstreams, limited, paused = self._usable(
             route, service, tried, only, now
@@ -372,21 +432,29 @@
                 Kind.OVERLOADED, MIN_RETRY_AFTER_S, 'no usable upstream'
             )
         ranked = self._ranked(service, key or request_id, upstreams)
+        if not self.shares_machines(service) and self.table.accounts is None:
+            caller = None
+        part = self._queue_part(route, service, caller, now)
         candidates, full = [], []
         for rank, name in enumerate(ranked[: OWNERS_PER_KEY if key else None]):
             candidate, room = self._candidate(
-                route, service, key, upstreams[name], rank, now
+                route, service, key, upstreams[name], rank, part, now
             )
             (candidates if room else full).append(candidate)
         best = selection.choose(candidates)
         # Reject only if there is a wait: the estimated run time alone may be
         # wrong.
         late = best is not None and best.wait_s and best.finish_s >= left_s
-        if best is None or late:
-            pause = selection.retry_after_s(
+        way_s = self._gives_way_s(route, service, caller, best, now)
+        if best is None or late or way_s is not None:
+            pause = way_s or selection.retry_after_s(
                 candidates + full, MIN_RETRY_AFTER_S, self._rng
             )
+            if caller is not None:
+                pause = min(pause, urgency.RETURN_FRACTION * caller.left_s)
             reason = 'queues full' if best is None else 'too late'
+            if best is not None and not late:
+                reason = 'gives way'
             owners = tuple(
                 (
                     item.id,
@@ -571,7 +639,7 @@
             )
         return load
 
-    def _candidate(self, route, service, key, upstream, rank, now):
+    def _candidate(self, route, service, key, upstream, rank, part, now):
         entry = upstream.entry
         load = self._load(upstream, route)
         times = self._run_times.setdefault(service, run_times.RunTimes())
@@ -590,7 +658,7 @@
             entry.id, load.wait_s(now), run, travel, extra
         )
         queue = QUEUE_FACTOR if known else UNCACHED_QUEUE_FACTOR
-        room = load.load(now) + 1 <= load.slots * (1 + queue)
+        room = load.load(now) + 1 <= load.slots * (1 + queue * part)
         return candidate, room
 
     def _ranked(self, service, key, upstreams):
