Check a configuration before it is sent

Cause: an operator learned of a wrong or useless entry, and of what a version changes, only once it was in force. Change: jasminehold check-config tells errors, entries that never match, limits that contradict each other and differences, with stable ids. The decoder returns entries with their paths, and checks their types; the running system decodes by the same code.

--- a/src/jasminehold/cli.py
+++ b/src/jasminehold/cli.py
@@ -87,6 +87,28 @@
     return Command(run)
 
 
+def check_config(new, in_force=None, regions='', output='table'):
+    """Check a configuration file, and tell what differs from IN_FORCE.
+
+    Exit statuses: 0 clean, 1 warnings, 2 errors.
+
+    Args:
+        new: the file to check.
+        in_force: file with the version in force.
+        regions: regions that have instances, separated by commas.
+        output: table or json.
+    """
+
+    def run():
+        module = importlib.import_module('jasminehold.config_check')
+        names = [name for name in regions.split(',') if name]
+        findings = module.check_file(new, in_force, names)
+        module.report(findings, output == 'json')
+        raise SystemExit(module.exit_status_of(findings))
+
+    return Command(run, output)
+
+
 def apply(file, servers=None, token=None, output='table'):
     """Declare or update the resources of a file (one or a list)."""
 
@@ -606,6 +628,7 @@
         'status': status,
         'completion': completion,
         'check-settings': check_settings,
+        'check-config': check_config,
         'apply': apply,
         'get': get,
         'list': list_,
--- a/src/jasminehold/platform/wire.py
+++ b/src/jasminehold/platform/wire.py
@@ -10,6 +10,7 @@
 import typing
 
 from jasminehold.decisions import accounts
+from jasminehold.decisions import config_checks
 from jasminehold.decisions import route_table
 from jasminehold.decisions import store_replica
 from jasminehold.decisions import upstream_view
@@ -66,6 +67,7 @@
 }
 _SLOTS_MAX = 100_000
 _CREDENTIAL_MAX_BYTES = 1024
+_DECODING_ERRORS = (LookupError, TypeError, ValueError, AttributeError)
 _COUNT_DIGITS_MAX = 12
 # Factors outside of it are reported by mistake.
 SLOWDOWN_RANGE = (0.1, 20.0)
@@ -125,83 +127,151 @@
     Raises:
         MalformedBody: if the value is not a valid configuration.
     """
+    config = read_config(value)
+    if config.faults:
+        raise MalformedBody('configuration: %s: %s' % config.faults[0])
+    # An empty list is that of a deployment without accounts.
+    table = None
+    if config.accounts:
+        table = accounts.AccountTable([item for _, item in config.accounts])
+    return route_table.RouteTable(
+        config.version,
+        [route for _, route in config.routes],
+        [service for _, service in config.services],
+        config.limits,
+        table,
+    )
+
+
+def read_config(value):
+    """Return the :class:`~decisions.config_checks.Config` of a value.
+
+    Raises:
+        MalformedBody: if the value is not a JSON document.
+    """
     try:
         doc = json.loads(value)
-        routes = [
-            _route(listener['Host'], rule)
-            for listener in doc['Listeners']
-            for rule in listener['Rules']
-        ]
-        services = [_service(item) for item in doc['Clusters']]
-        return route_table.RouteTable(
-            int(doc['Version'], 16),
-            routes,
-            services,
-            _limits(doc.get('Limits') or {}),
-            _accounts(doc.get('Tenants')),
-        )
-    except (LookupError, TypeError, ValueError, AttributeError) as exc:
-        raise MalformedBody('configuration: %r' % exc) from exc
+    except (ValueError, RecursionError) as exc:
+        raise MalformedBody('configuration: %s' % exc) from exc
+    faults = []
+
+    def read(path, func, *args):
+        # Returns a list of one ``(path, value)``, or an empty one.
+        try:
+            return [(path, func(*args))]
+        except _DECODING_ERRORS as exc:
+            faults.append((path, _fault_text(exc)))
+            return []
+
+    def rows(parent, path, key, required=True):
+        # Returns ``(path, row)`` pairs of a list.
+        found = parent.get(key) if isinstance(parent, dict) else None
+        if isinstance(found, list):
+            return [
+                ('%s%s[%d]' % (path, key, index), row)
+                for index, row in enumerate(found)
+            ]
+        if required or found is not None:
+            faults.append((path + key, 'must be a list'))
+        return []
+
+    version = read('Version', lambda: int(doc['Version'], 16))
+    routes = []
+    for path, listener in rows(doc, '', 'Listeners'):
+        for rule_path, rule in rows(listener, path + '.', 'Rules'):
+            routes += read(rule_path, lambda: _route(listener['Host'], rule))
+    services, account_rows = [], []
+    for path, row in rows(doc, '', 'Clusters'):
+        services += read(path, _service, row)
+    for path, row in rows(doc, '', 'Tenants', required=False):
+        account_rows += read(path, _account, row)
+    limits = read('Limits', lambda: _limits(doc.get('Limits') or {}))
+    return config_checks.Config(
+        version[0][1] if version else 0,
+        routes,
+        services,
+        account_rows,
+        limits[0][1] if limits else route_table.CallerLimits(),
+        faults,
+    )
+
+
+def _fault_text(exc):
+    if isinstance(exc, KeyError):
+        return '%s is missing' % exc
+    return str(exc) or type(exc).__name__
 
 
 def _route(host, rule):
     action = rule['Action']
     parts = action.get('Split')
     if parts:
-        targets = tuple((p['Service'], p['Weight']) for p in parts)
+        targets = tuple(
+            (_typed(part, 'Service', str), _finite(part['Weight']))
+            for part in parts
+        )
     else:
-        targets = ((action['Service'], 1),)
+        targets = ((_typed(action, 'Service', str), 1),)
+    timeout_ms = _number(action['TimeoutMs'])
     return route_table.Route(
-        name=rule['Name'],
+        name=_typed(rule, 'Name', str),
         host=host.lower(),
-        prefix=rule['Match']['Prefix'],
+        prefix=_typed(rule['Match'], 'Prefix', str),
         idempotent=rule['Kind'] in _IDEMPOTENT_KINDS,
         targets=targets,
-        timeout_s=action['TimeoutMs'] / 1000,
-        latency_target_s=(rule.get('LatencyTargetMs') or action['TimeoutMs'])
+        timeout_s=timeout_ms / 1000,
+        latency_target_s=_number(rule.get('LatencyTargetMs') or timeout_ms)
         / 1000,
-        max_attempts=action.get('MaxAttempts') or 1,
-        priority=rule.get('Priority') or 0,
-        home_regions=frozenset(action.get('HomeRegions') or ()),
+        max_attempts=_number(action.get('MaxAttempts') or 1),
+        priority=_number(rule.get('Priority') or 0),
+        home_regions=_regions(action),
         sticky=bool(rule.get('Sticky')),
         public=bool(rule.get('Public')),
     )
 
 
-def _accounts(rows):
-    # An empty list is that of a deployment without accounts.
-    if not rows:
-        return None
-    return accounts.AccountTable([_account(row) for row in rows])
-
-
 def _account(row):
+    priority = row.get('Priority')
     account = accounts.Account(
         name=_typed(row, 'Name', str),
-        priority=row.get('Priority'),
+        priority=None if priority is None else _number(priority),
         rate_per_s=_number(row.get('RatePerS') or 0),
         burst=_number(row.get('Burst') or 0),
-        home_regions=frozenset(row.get('HomeRegions') or ()),
+        home_regions=_regions(row),
     )
-    return account, [key.encode() for key in row.get('ApiKeys') or ()]
+    keys = row.get('ApiKeys') or []
+    if not isinstance(keys, list):
+        raise TypeError('ApiKeys is not a list')
+    return account, [key.encode() for key in keys]
+
+
+def _regions(row):
+    regions = row.get('HomeRegions') or []
+    if not isinstance(regions, list):
+        raise TypeError('HomeRegions is not a list')
+    return frozenset(regions)
 
 
 def _service(item):
     return route_table.Service(
-        name=item['Name'],
-        max_conns=item.get('MaxConns') or 100,
-        cold_per_s=item.get('ColdPerS') or 0.0,
-        cold_start_s=item.get('ColdStartS') or 0.0,
+        name=_typed(item, 'Name', str),
+        max_conns=_number(item.get('MaxConns') or 100),
+        cold_per_s=_number(item.get('ColdPerS') or 0.0),
+        cold_start_s=_number(item.get('ColdStartS') or 0.0),
     )
 
 
 def _limits(doc):
     default = route_table.CallerLimits()
+
+    def read(name, otherwise):
+        return _number(doc.get(name) or otherwise)
+
     return route_table.CallerLimits(
-        head_bytes=doc.get('MaxHeaderBytes') or default.head_bytes,
-        body_bytes=doc.get('MaxBodyBytes') or default.body_bytes,
-        head_s=(doc.get('HeaderTimeoutMs') or default.head_s * 1000) / 1000,
-        idle_s=(doc.get('IdleTimeoutMs') or default.idle_s * 1000) / 1000,
+        head_bytes=read('MaxHeaderBytes', default.head_bytes),
+        body_bytes=read('MaxBodyBytes', default.body_bytes),
+        head_s=read('HeaderTimeoutMs', default.head_s * 1000) / 1000,
+        idle_s=read('IdleTimeoutMs', default.idle_s * 1000) / 1000,
     )
 
 
@@ -248,9 +318,15 @@
 
 
 def _number(value):
+    if _finite(value) < 0:
+        raise ValueError('out of range')
+    return value
+
+
+def _finite(value):
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise TypeError('not a number')
-    if not math.isfinite(value) or value < 0:
+    if not math.isfinite(value):
         raise ValueError('out of range')
     return value
 
