Check resources before the first of them is applied

Cause: a file was applied up to its first faulty resource. Change: apply validates each document of the file before it sends one. Result: an invalid file is refused without a server; cli.feature passes.

--- a/src/jasminehold/cli.py
+++ b/src/jasminehold/cli.py
@@ -119,6 +119,8 @@
         ranks = {kind: rank for rank, kind in enumerate(resources.KINDS)}
         for doc in docs:
             _check_document(file, doc, ranks)
+        for doc in docs:
+            resources.check_document(doc['kind'], doc['metadata']['name'], doc)
         docs.sort(key=lambda doc: ranks[doc['kind']])
         client = _make_client(servers, token)
         for doc in docs:
--- a/tests/features/cli.feature
+++ b/tests/features/cli.feature
@@ -28,6 +28,7 @@
       | delete region --servers SERVER | 2 | name |
       | apply all.json --servers SERVER | 0 | place/sul-1 declared (version |
       | apply invalid.json --servers SERVER | 1 | spec.capacity_rps: must be a number |
+      | apply invalid.json --servers DOWN | 1 | spec.capacity_rps: must be a number |
       | apply stale.json --servers SERVER | 1 | refused: The resource version is stale |
       | apply shapeless.json --servers SERVER | 2 | kind: must be one of |
       | audit --servers SERVER --after x | 2 | --after: must be a whole number |
