--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -23,6 +23,7 @@
 from bench import model
 from bench import model_files
 from jasminehold.decisions import selection
+from jasminehold.front import placement
 from jasminehold.front import steering
 
 # Two-sided 95% of the normal distribution.
@@ -36,7 +37,7 @@
         (steering, 'OWNERS_PER_KEY'): 1000,
         (selection, 'SPILL_WEIGHT'): 0.0,
     },
-    'home first (planned use 0.6)': {(steering, 'PLANNED_USE'): 0.6},
+    'home first (planned use 0.6)': {(placement, 'PLANNED_USE'): 0.6},
     'queues to learn an object': {(steering, 'UNCACHED_QUEUE_FACTOR'): 1.5},
     'queue of 3 times the slots': {(steering, 'QUEUE_FACTOR'): 3.0},
 }
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -4,7 +4,6 @@
 
 from jasminehold.decisions import cold_start_limiter
 from jasminehold.decisions import fleet_size
-from jasminehold.decisions import object_placement
 from jasminehold.decisions import retry_token_bucket
 from jasminehold.decisions import run_times
 from jasminehold.decisions import selection
@@ -14,11 +13,12 @@
 from jasminehold.decisions import upstream_view
 from jasminehold.decisions import weighted_round_robin
 from jasminehold import errors
+from jasminehold.front import placement
 from jasminehold.front import registration
 
 Kind = errors.Kind
 
-# For the three below and PLANNED_USE see docs/design.md, section 7.
+# For the three below see docs/design.md, section 7.
 # Upstreams that requests for one object key go to: each further one would
 # have to load the object into its cache and evict others.
 OWNERS_PER_KEY = 2
@@ -29,9 +29,6 @@
 # A timeout below this fraction of the route's usual one marks a caller's
 # retry.
 CALLER_RETRY_FRACTION = 0.97
-# Fraction of the fleet's capacity that demand is assumed to use, spread evenly
-# over the regions; demand beyond a region's own capacity goes to the others.
-PLANNED_USE = 1.0
 # Cost of sending a request to another region: a round trip of 40 to 70 ms,
 # and some for the price of the traffic.
 CROSS_REGION_S = 0.08
@@ -42,7 +39,6 @@
 # Callers that wait for the end of a pause return within this fraction of it
 # afterwards, not all at once.
 PAUSE_SPREAD_FRACTION = 0.5
-OWNERS_CACHE_MAX = 20_000
 # Fraction of the time in which a configuration has to take effect, up to which
 # a copy of the store shows that there is no route.
 ROUTES_CERTAIN_FRACTION = 0.8
@@ -104,6 +100,7 @@
         copy_may_deny: ``now -> bool``, whether a route that the table
             lacks does not exist.
         instances: ids of the live instances.
+        placement: the :class:`~jasminehold.front.placement.Placement`.
         limits: the :class:`~decisions.stated_limits.StatedLimits`.
     """
 
@@ -112,7 +109,7 @@
         self.copy_may_deny = lambda now: True
         self.table = None
         self.view = upstream_view.UpstreamView()
-        self.evacuated = frozenset()
+        self.placement = placement.Placement(cfg, self.view)
         self.instances = ()
         self.limits = stated_limits.StatedLimits(rng)
         self._pauses = upstream_pauses.UpstreamPauses()
@@ -127,8 +124,6 @@
         self._misdirected = {}
         self._retries = {}
         self._run_times = {}
-        self._owner_cache = {}
-        self._weight_cache = {}
         self._usual_timeout_s = {}
         self._fleet = fleet_size.FleetSize(cfg.retry_window)
 
@@ -144,10 +139,8 @@
 
     def on_evacuated(self, places):
         """Update the set of evacuated places."""
-        if places != self.evacuated:
+        if self.placement.on_evacuated(places):
             self._log('evacuated places changed', places=sorted(places))
-            self.evacuated = places
-            self._clear_owner_cache()
 
     def on_entries(self, entries, as_of):
         """Update the upstreams from a complete list of entries.
@@ -182,7 +175,7 @@
             known = {entry.incarnation for entry in entries}
             self.limits.keep(known, as_of)
         if joined or left or self._usable_ids() != before:
-            self._clear_owner_cache()
+            self.placement.clear()
 
     def on_leaving(self, incarnation, said_at):
         """Take an upstream out of use that said that it leaves.
@@ -197,9 +190,14 @@
         if not self.view.on_leaving(incarnation, said_at):
             return False
         self._log('upstream leaving', upstream=incarnation.id)
-        self._clear_owner_cache()
+        self.placement.clear()
         return True
 
+    @property
+    def evacuated(self):
+        """The set of evacuated places."""
+        return self.placement.evacuated
+
     def _usable_ids(self):
         return {
             key
@@ -207,10 +205,6 @@
             if not item.draining
         }
 
-    def _clear_owner_cache(self):
-        self._owner_cache.clear()
-        self._weight_cache.clear()
-
     def on_members(self, regions, now):
         """Update the live instances.
 
@@ -228,7 +222,7 @@
         if _retry_bounds(cfg) != _retry_bounds(self._cfg):
             self._retries.clear()
         self._cfg = cfg
-        self._clear_owner_cache()
+        self.placement.on_settings(cfg)
 
     def gauge_values(self, now):
         """Return the current ``{gauge name: value}``."""
@@ -371,7 +365,7 @@
             return Refusal(
                 Kind.OVERLOADED, MIN_RETRY_AFTER_S, 'no usable upstream'
             )
-        ranked = self._ranked(service, key or request_id, upstreams)
+        ranked = self.placement.ranked(service, key or request_id, upstreams)
         candidates, full = [], []
         for rank, name in enumerate(ranked[: OWNERS_PER_KEY if key else None]):
             candidate, room = self._candidate(
@@ -430,7 +424,7 @@
                 or (only is not None and name not in only)
                 or entry.place in self.evacuated
                 or self._misdirected.get(name) == _identity(entry)
-                or (homes and self._region(entry.place) not in homes)
+                or (homes and self.placement.region(entry.place) not in homes)
                 or not self._admits_cold(upstream, service, now)
             ):
                 continue
@@ -483,7 +477,7 @@
         found = self._limit_senders.get(entry.id)
         if found is None:
             # Callers of its own region use an upstream most.
-            region = self._region(entry.place)
+            region = self.placement.region(entry.place)
             near, others = [], []
             for name, place in self._instance_regions.items():
                 (near if place == region else others).append(name)
@@ -531,9 +525,6 @@
         wait = min(max(wait, MIN_RETRY_AFTER_S), MAX_LIMIT_RETRY_AFTER_S)
         return wait * (0.75 + 0.5 * self._rng.random())
 
-    def _region(self, place):
-        return self._cfg.places.get(place, '')
-
     def _admits_cold(self, upstream, service, now):
         if now >= upstream.cold_until:
             return True
@@ -582,9 +573,8 @@
         extra = 0.0
         if not known:
             extra = max(run - times.estimate(route, True), 0.0)
-        own_region = self._cfg.places[self._cfg.place]
         travel = 0.0
-        if self._region(entry.place) != own_region:
+        if self.placement.region(entry.place) != self.placement.own_region:
             travel = CROSS_REGION_S
         candidate = selection.Candidate(
             entry.id, load.wait_s(now), run, travel, extra
@@ -593,44 +583,6 @@
         room = load.load(now) + 1 <= load.slots * (1 + queue)
         return candidate, room
 
-    def _ranked(self, service, key, upstreams):
-        cache_key = (service, key)
-        order = self._owner_cache.get(cache_key)
-        if order is None:
-            if len(self._owner_cache) > OWNERS_CACHE_MAX:
-                self._owner_cache.clear()
-            order = object_placement.owners(
-                key, self._service_weights(service)
-            )
-            self._owner_cache[cache_key] = order
-        return [name for name in order if name in upstreams]
-
-    def _service_weights(self, service):
-        if service in self._weight_cache:
-            return self._weight_cache[service]
-        slots, rooms = {}, {}
-        for name, upstream in self.view.upstreams.items():
-            entry = upstream.entry
-            if entry.service != service or upstream.draining:
-                continue
-            if entry.place in self.evacuated:
-                continue
-            region = self._region(entry.place)
-            slots[name] = (region, entry.slots)
-            rooms[region] = rooms.get(region, 0) + entry.slots
-        regions = set(self._cfg.places.values())
-        need = PLANNED_USE * sum(rooms.values()) / len(regions)
-        shares = object_placement.region_shares(
-            {region: need for region in regions}, rooms
-        )
-        own = shares[self._cfg.places[self._cfg.place]]
-        weights = {
-            name: own.get(region, 0.0) * count / rooms[region]
-            for name, (region, count) in slots.items()
-        }
-        self._weight_cache[service] = weights
-        return weights
-
     # Results of attempts.
 
     def on_sent(self, choice, now):
--- a/tests/features/steps/front_endless_steps.py
+++ b/tests/features/steps/front_endless_steps.py
@@ -18,7 +18,7 @@
 
 def _owner(context, route='browse'):
     steering = context.rig.apps['i1'].steering
-    return steering._ranked('loja', '%s/7' % route, {'u1', 'u2'})[0]
+    return steering.placement.ranked('loja', '%s/7' % route, {'u1', 'u2'})[0]
 
 
 @behave.then("the upstream's connection is closed")
--- a/tests/features/steps/front_steps.py
+++ b/tests/features/steps/front_steps.py
@@ -65,7 +65,7 @@
 def _owner(context, route):
     # The upstream that gets the requests of this test's object first.
     steering = context.rig.apps['i1'].steering
-    ranked = steering._ranked('loja', '%s/7' % route, {'u1', 'u2'})
+    ranked = steering.placement.ranked('loja', '%s/7' % route, {'u1', 'u2'})
     return ranked[0]
 
 
