--- a/src/jasminehold/cli.py
+++ b/src/jasminehold/cli.py
@@ -109,6 +109,34 @@
     return Command(run, output)
 
 
+def accounts(file, output='table'):
+    """List the accounts of a configuration file; keys appear as digests."""
+
+    def run():
+        module = importlib.import_module('jasminehold.config_check')
+        rows = module.account_rows(file)
+        if output == 'json':
+            print(json.dumps(rows, indent=2))
+            return
+        headings = ('NAME', 'PRIORITY', 'RATE/S', 'BURST', 'HOMES', 'KEYS')
+        _print_table(
+            headings,
+            [
+                [
+                    row['name'],
+                    row['priority'],
+                    row['rate_per_s'],
+                    row['burst'],
+                    ','.join(row['home_regions']) or 'all',
+                    ' '.join(row['key_digests']) or 'none',
+                ]
+                for row in rows
+            ],
+        )
+
+    return Command(run, output)
+
+
 def apply(file, servers=None, token=None, output='table'):
     """Declare or update the resources of a file (one or a list)."""
 
@@ -631,6 +659,7 @@
         'completion': completion,
         'check-settings': check_settings,
         'check-config': check_config,
+        'accounts': accounts,
         'apply': apply,
         'get': get,
         'list': list_,
--- a/src/jasminehold/config_check.py
+++ b/src/jasminehold/config_check.py
@@ -5,6 +5,7 @@
 import sys
 
 from jasminehold import config as config_module
+from jasminehold.decisions import accounts
 from jasminehold.decisions import config_checks
 from jasminehold import errors
 from jasminehold.platform import wire
@@ -52,6 +53,29 @@
     return found
 
 
+def account_rows(path):
+    """Return the accounts of a configuration file, without their keys.
+
+    Args:
+        path: a file in the platform's form.
+
+    Returns:
+        A list of JSON-compatible dictionaries.
+
+    Raises:
+        SettingsError: if the file cannot be read or is no JSON document.
+    """
+    config = _read(settings.read_file(path), path)
+    return [
+        dict(
+            account._asdict(),
+            home_regions=sorted(account.home_regions),
+            key_digests=[accounts.digest(key).hex()[:12] for key in keys],
+        )
+        for _, (account, keys) in config.accounts
+    ]
+
+
 def _read(text, path):
     try:
         return wire.read_config(text)
--- a/tests/features/config_checks.feature
+++ b/tests/features/config_checks.feature
@@ -46,6 +46,9 @@
     When the example configuration has a key of two accounts
     Then neither output holds a key
 
+  Scenario: Accounts are listed with digests of their keys
+    Then the list of accounts names both accounts and no key
+
   Scenario: Resources of the product's own interface are checked as well
     Then a file of resources with a fault exits with 2 and names its place
 
--- a/tests/features/steps/config_checks_steps.py
+++ b/tests/features/steps/config_checks_steps.py
@@ -147,6 +147,17 @@
         assert not any(key in stream.getvalue() for key in KEYS)
 
 
+@behave.then('the list of accounts names both accounts and no key')
+def then_listed(context):
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / 'config.json'
+        path.write_text(json.dumps(_example()))
+        rows = config_check.account_rows(path)
+    assert [row['name'] for row in rows] == ['ada', 'bo'], rows
+    assert all(row['key_digests'] for row in rows), rows
+    assert not any(key in json.dumps(rows) for key in KEYS), rows
+
+
 @behave.then(
     'a file of resources with a fault exits with 2 and names its place'
 )
