--- a/bench/model.py
+++ b/bench/model.py
@@ -380,7 +380,8 @@
         if len(upstream.memory) > upstream.pool.keeps:
             upstream.memory.popitem(last=False)
         load = attempt.choice.load
-        self._report(attempt)
+        report = self._report(upstream)
+        attempt.instance.on_report(attempt.choice, report, self.now)
         load.on_end()
         route = self._routes[attempt.request.kind.name]
         attempt.instance.on_completed(
@@ -393,17 +394,13 @@
         )
         self._end(attempt.request, 'served')
 
-    def _report(self, attempt):
-        upstream = attempt.upstream
-        report = wire.LoadReport(
+    def _report(self, upstream):
+        return wire.LoadReport(
             upstream.running,
             len(upstream.waiting),
             upstream.pool.slots,
             self.dep.slowdown,
         )
-        attempt.choice.load.on_report(report.running, report.waiting, self.now)
-        service = attempt.request.kind.service
-        attempt.instance.on_report(service, report, self.now)
 
     def _leave(self, attempt):
         attempt.done = True
@@ -421,7 +418,8 @@
     def _shed(self, attempt):
         upstream, now = attempt.upstream, self.now
         load = attempt.choice.load
-        self._report(attempt)
+        report = self._report(upstream)
+        attempt.instance.on_report(attempt.choice, report, now)
         load.on_end()
         kind = attempt.request.kind
         attempt.instance.on_failed(attempt.choice, 'shed', now)
--- a/src/jasminehold/cli.py
+++ b/src/jasminehold/cli.py
@@ -87,6 +87,56 @@
     return Command(run)
 
 
+def check_config(new, in_force=None, regions='', output='table'):
+    """Check a configuration file, and tell what differs from IN_FORCE.
+
+    Exit statuses: 0 clean, 1 warnings, 2 errors.
+
+    Args:
+        new: the file to check.
+        in_force: file with the version in force.
+        regions: regions that have instances, separated by commas.
+        output: table or json.
+    """
+
+    def run():
+        module = importlib.import_module('jasminehold.config_check')
+        names = [name for name in regions.split(',') if name]
+        findings = module.check_file(new, in_force, names)
+        module.report(findings, output == 'json')
+        raise SystemExit(module.exit_status_of(findings))
+
+    return Command(run, output)
+
+
+def accounts(file, output='table'):
+    """List the accounts of a configuration file; keys appear as digests."""
+
+    def run():
+        module = importlib.import_module('jasminehold.config_check')
+        rows = module.account_rows(file)
+        if output == 'json':
+            print(json.dumps(rows, indent=2))
+            return
+        headings = ('NAME', 'PRIORITY', 'RATE/S', 'BURST', 'HOMES', 'KEYS')
+        _print_table(
+            headings,
+            [
+                [
+                    row['name'],
+                    row['priority'],
+                    row['rate_per_s'],
+                    row['burst'],
+                    ','.join(row['home_regions']) or 'all',
+                    ' '.join(row['key_digests']) or 'none',
+                ]
+                for row in rows
+            ],
+        )
+
+    return Command(run, output)
+
+
 def apply(file, servers=None, token=None, output='table'):
     """Declare or update the resources of a file (one or a list)."""
 
@@ -97,6 +147,8 @@
         ranks = {kind: rank for rank, kind in enumerate(resources.KINDS)}
         for doc in docs:
             _check_document(file, doc, ranks)
+        for doc in docs:
+            resources.check_document(doc['kind'], doc['metadata']['name'], doc)
         docs.sort(key=lambda doc: ranks[doc['kind']])
         client = _make_client(servers, token)
         for doc in docs:
@@ -606,6 +658,8 @@
         'status': status,
         'completion': completion,
         'check-settings': check_settings,
+        'check-config': check_config,
+        'accounts': accounts,
         'apply': apply,
         'get': get,
         'list': list_,
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -161,7 +161,7 @@
 
     def _start_attempt(self):
         now = self._loop.now()
-        if not self._context.accounts.is_valid(
+        if self._attempts and not self._context.accounts.is_valid(
             self._sender, self._inbound, self._origin, now
         ):
             self._end_invalid_key()
@@ -489,8 +489,7 @@
         load = answer.get(wire.LOAD)
         report = wire.decode_load(load) if load else None
         if report is not None:
-            self._choice.load.on_report(report.running, report.waiting, now)
-            self._steering.on_report(self._service, report, now)
+            self._steering.on_report(self._choice, report, now)
         if end in (End.REJECTED, End.MISDIRECTED):
             self._on_not_run(answer, report, limit, now, end)
             return
