Choose upstreams by what they still have to do

Every request counted as one: the wait at an upstream was the requests ahead times one mean service time, with the newest report fading to nothing. So an upstream that ran long requests, or whose load the instance had not seen for some seconds, looked free, and objects stayed with a busy owner.

Where an upstream has reported a slowdown of its machine, the wait is now what is left of each request in flight there, by its start, its estimate and the service's learnt spread, and what reports say of others, which fades to the upstream's usual load. The run time takes the upstream's own speed and the slowdown, which fades. A request that would probably not end in time behind a queue is not sent there. Two further owners are asked while the first two have no room. Other services are served as before.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -6,7 +6,8 @@
     python bench/experiment.py run SITE.toml --day scale-1 --seeds 20
     python bench/experiment.py run FILE --scale 1.3 --shed 0.5 --out out/
 
-Each policy changes named constants of the rules. Prints the mean credit with
+Each policy changes named constants or functions of the rules; ``oracle``
+knows all upstreams and the work of each request. Prints the mean credit with
 its 95% confidence interval, and the difference to the first policy on the
 same seeds; writes ``model.csv`` and ``model.png``.
 """
@@ -22,6 +23,7 @@
 
 from bench import model
 from bench import model_files
+from jasminehold.decisions import finish_estimates
 from jasminehold.decisions import selection
 from jasminehold.front import placement
 from jasminehold.front import steering
@@ -31,6 +33,12 @@
 # Policies by name: constants of the rules that differ from the code.
 POLICIES = {
     'as built': {},
+    'oracle': {},
+    'each request counts as one': {
+        (finish_estimates.FinishEstimates, 'shares_machines'): (
+            lambda self, service: False
+        ),
+    },
     'one owner': {(steering, 'OWNERS_PER_KEY'): 1},
     'three owners': {(steering, 'OWNERS_PER_KEY'): 3},
     'any upstream, no spill cost': {
@@ -51,7 +59,8 @@
     changes = ()
     if shed:
         changes = (model.Change(seconds / 2, seconds * 0.75, shed=shed),)
-    return policy, seed, model.run(deployment, seed, seconds, changes)
+    oracle = policy == 'oracle'
+    return policy, seed, model.run(deployment, seed, seconds, changes, oracle)
 
 
 def run(path, day=None, scale=1.0, shed=0.0, seconds=24.0, seeds=8, out='out'):
--- a/bench/model.py
+++ b/bench/model.py
@@ -18,6 +18,7 @@
 import random
 import typing
 
+from jasminehold.decisions import hashing
 from jasminehold.decisions import route_table
 from jasminehold.decisions import upstream_view
 from jasminehold.front import cfg as front_cfg
@@ -28,6 +29,8 @@
 # Callers come back within this part of the time that they have left.
 RETURN_PART = 1 / 3
 SERIES_S = 2.0
+# Cost of learning an object relative to its time, for the oracle.
+ORACLE_LEARNING_WEIGHT = 0.25
 
 
 class Kind(typing.NamedTuple):
@@ -69,6 +72,15 @@
         queue: requests that wait; more are rejected.
         keeps: objects that each remembers.
         gain: part of the work saved on a remembered object.
+        tail: part of the requests that take ``tail_x`` times as long.
+        tail_x: factor on the work of these.
+        busy: part of the time in which other work slows a machine down.
+        busy_x: factor on the work meanwhile.
+        busy_s: seconds for which it does at a time.
+        tells: whether reports state the slowdown.
+        speed: spread of the upstreams' own speeds, a standard deviation of
+            the logarithm.
+        liars: upstreams that report no load and a fast machine.
     """
 
     places: dict
@@ -76,6 +88,14 @@
     queue: int = 9
     keeps: int = 35
     gain: float = 0.7
+    tail: float = 0.0
+    tail_x: float = 1.0
+    busy: float = 0.0
+    busy_x: float = 1.0
+    busy_s: float = 0.6
+    tells: bool = False
+    speed: float = 0.0
+    liars: int = 0
 
 
 class Deployment(typing.NamedTuple):
@@ -127,6 +147,10 @@
         known: runs at an upstream that knew the object.
         series: credit by spans of two seconds.
         latencies: seconds to each answer.
+        failed: requests that ended at their time-out.
+        lost: part of the slots' time that ran for requests without an answer.
+        busiest: requests at the busiest upstream over the mean.
+        liar: the same of the busiest upstream that reports falsely, or 0.
     """
 
     credit: float
@@ -138,6 +162,10 @@
     known: float
     series: tuple
     latencies: tuple
+    failed: float = 0.0
+    lost: float = 0.0
+    busiest: float = 0.0
+    liar: float = 0.0
 
 
 class _Upstream:
@@ -149,6 +177,34 @@
         self.memory = collections.OrderedDict()
         self.shed = 0.0
         self.slow = 1.0
+        self.speed = 1.0
+        self.lies = False
+        self.runs = 0
+        self.phase_s = 0.0
+        self.at_work = set()
+
+    def slowdown(self, now):
+        """Return the factor of the machine at a time."""
+        pool = self.pool
+        if not pool.busy:
+            return 1.0
+        span = int((now + self.phase_s) / pool.busy_s)
+        part = hashing.point('busy', self.name, str(span))
+        return pool.busy_x if part < pool.busy else 1.0
+
+    def ends_at(self, work_s, now):
+        """Return when a work that begins now ends."""
+        pool = self.pool
+        if not pool.busy:
+            return now + work_s
+        while True:
+            span = int((now + self.phase_s) / pool.busy_s)
+            until = (span + 1) * pool.busy_s - self.phase_s + 1e-9
+            factor = self.slowdown(now)
+            if work_s * factor <= until - now:
+                return now + work_s * factor
+            work_s -= (until - now) / factor
+            now = until
 
 
 class _Request:
@@ -176,6 +232,9 @@
         self.sent_at = None
         self.upstream = None
         self.running = False
+        self.began = None
+        self.work_s = None
+        self.ends_s = 0.0
         self.done = False
 
 
@@ -186,9 +245,12 @@
         deployment: the :class:`Deployment`.
         seed: seed of everything random.
         changes: sequence of :class:`Change`.
+        oracle: whether requests go where they would end first, by the true
+            state of all upstreams and the true work.
     """
 
-    def __init__(self, deployment, seed, changes=()):
+    def __init__(self, deployment, seed, changes=(), oracle=False):
+        self.oracle = oracle
         self.dep = deployment
         self.rng = random.Random(seed)
         self.now = 0.0
@@ -203,10 +265,16 @@
             for place, count in pool.places.items():
                 for index in range(count):
                     name = '%s-%s-%d' % (service, place, index)
-                    self.upstreams[name] = _Upstream(name, pool)
+                    item = self.upstreams[name] = _Upstream(name, pool)
+                    if pool.speed:
+                        item.speed = self.rng.lognormvariate(0, pool.speed)
+                    if pool.busy:
+                        item.phase_s = self.rng.random() * pool.busy_s
+                    item.lies = index < pool.liars
         self.instances = self._start_instances()
         self.ended = []
         self.known = self.runs = 0
+        self.run_s = self.lost_s = 0.0
         for change in changes:
             self.at(change.at, self._change, change, change.shed, change.slow)
             self.at(change.until, self._change, change, 0.0, 1.0)
@@ -312,6 +380,9 @@
             return
         attempt.choice = found
         attempt.sent_at = self.now
+        if self.oracle:
+            found = self._by_oracle(attempt, found)
+            attempt.choice = found
         name = found.upstream.entry.id
         attempt.tried.add(name)
         attempt.servers.add(name)
@@ -328,16 +399,56 @@
             self._shed(attempt)
 
     def _start(self, attempt):
-        upstream, kind = attempt.upstream, attempt.request.kind
+        upstream = attempt.upstream
         upstream.running += 1
-        key = attempt.request.key
-        work = kind.work_s * upstream.slow * self.rng.lognormvariate(0, 0.15)
+        upstream.runs += 1
         self.runs += 1
-        if key in upstream.memory:
-            self.known += 1
-            work *= 1.0 - upstream.pool.gain
+        self.known += attempt.request.key in upstream.memory
         attempt.running = True
-        self.at(self.now + work, self._finish, attempt)
+        attempt.began = self.now
+        attempt.ends_s = upstream.ends_at(
+            self._work_s(attempt, upstream), self.now
+        )
+        upstream.at_work.add(attempt)
+        self.at(attempt.ends_s, self._finish, attempt)
+
+    def _work_s(self, attempt, upstream):
+        kind, pool = attempt.request.kind, upstream.pool
+        if attempt.work_s is None:
+            attempt.work_s = kind.work_s * self.rng.lognormvariate(0, 0.15)
+            if pool.tail and self.rng.random() < pool.tail:
+                attempt.work_s *= pool.tail_x
+        work_s = attempt.work_s * upstream.slow * upstream.speed
+        if attempt.request.key in upstream.memory:
+            work_s *= 1.0 - pool.gain
+        return work_s
+
+    def _by_oracle(self, attempt, found):
+        kind = attempt.request.kind
+        best = None
+        for upstream in self.upstreams.values():
+            entry = attempt.instance.view.upstreams[upstream.name]
+            if (
+                entry.entry.service != kind.service
+                or upstream.name in attempt.tried
+            ):
+                continue
+            ends = sorted(item.ends_s for item in upstream.at_work)
+            for item in upstream.waiting:
+                begin = heapq.heappop(ends)
+                work_s = self._work_s(item, upstream)
+                heapq.heappush(ends, upstream.ends_at(work_s, begin))
+            begin = self.now
+            if len(ends) >= upstream.pool.slots:
+                begin = ends[0]
+            work_s = self._work_s(attempt, upstream)
+            cost = upstream.ends_at(work_s, begin) - self.now
+            if attempt.request.key not in upstream.memory:
+                cost += ORACLE_LEARNING_WEIGHT * work_s
+            if best is None or cost < best[0]:
+                best = cost, entry
+        load = attempt.instance.load_of(best[1].entry, self._routes[kind.name])
+        return found._replace(upstream=best[1], load=load)
 
     def _finish(self, attempt):
         if attempt.done:
@@ -348,10 +459,9 @@
         upstream.memory.move_to_end(attempt.request.key)
         if len(upstream.memory) > upstream.pool.keeps:
             upstream.memory.popitem(last=False)
-        load = attempt.choice.load
         report = self._report(upstream)
         attempt.instance.on_report(attempt.choice, report, self.now)
-        load.on_end()
+        attempt.instance.on_end(attempt.choice, True, self.now)
         route = self._routes[attempt.request.kind.name]
         attempt.instance.on_completed(
             route,
@@ -363,10 +473,13 @@
         )
         self._end(attempt.request, 'served')
 
-    @staticmethod
-    def _report(upstream):
+    def _report(self, upstream):
+        pool = upstream.pool
+        if upstream.lies:
+            return wire.LoadReport(0, 0, pool.slots, 0.1)
+        slowdown = upstream.slowdown(self.now) if pool.tells else 1.0
         return wire.LoadReport(
-            upstream.running, len(upstream.waiting), upstream.pool.slots
+            upstream.running, len(upstream.waiting), pool.slots, slowdown
         )
 
     def _leave(self, attempt):
@@ -377,15 +490,16 @@
                 upstream.waiting.remove(attempt)
             return
         upstream.running -= 1
+        upstream.at_work.discard(attempt)
+        self.run_s += self.now - attempt.began
         while upstream.waiting and upstream.running < upstream.pool.slots:
             self._start(upstream.waiting.popleft())
 
     def _shed(self, attempt):
         upstream, now = attempt.upstream, self.now
-        load = attempt.choice.load
         report = self._report(upstream)
         attempt.instance.on_report(attempt.choice, report, now)
-        load.on_end()
+        attempt.instance.on_end(attempt.choice, True, now)
         kind = attempt.request.kind
         attempt.instance.on_failed(attempt.choice, 'shed', now)
         if upstream.running < upstream.pool.slots:
@@ -423,7 +537,9 @@
         if attempt.done:
             return
         self._leave(attempt)
-        attempt.choice.load.on_end()
+        if attempt.running:
+            self.lost_s += self.now - attempt.began
+        attempt.instance.on_end(attempt.choice, False, self.now)
         self._end(attempt.request, 'failed')
 
     def _end(self, request, how):
@@ -455,6 +571,16 @@
             span[0] += credit
             span[1] += kind.worth
         total = max(len(self.ended), 1)
+        pools = collections.defaultdict(list)
+        for item in self.upstreams.values():
+            pools[id(item.pool)].append(item)
+        use = {
+            item.name: item.runs
+            * len(pool)
+            / max(sum(x.runs for x in pool), 1)
+            for pool in pools.values()
+            for item in pool
+        }
         return Result(
             credit=sum(earned.values()) / max(sum(owed.values()), 1e-9),
             worst_region=min(earned[key] / owed[key] for key in owed),
@@ -468,12 +594,19 @@
                 for key in sorted(spans)
             ),
             latencies=tuple(latencies),
+            failed=counts['failed'] / total,
+            lost=self.lost_s / max(self.run_s, 1e-9),
+            busiest=max(use.values()),
+            liar=max(
+                (use[x.name] for x in self.upstreams.values() if x.lies),
+                default=0.0,
+            ),
         )
 
 
-def run(deployment, seed, seconds, changes=()):
+def run(deployment, seed, seconds, changes=(), oracle=False):
     """Run a model and return its :class:`Result`."""
-    return Model(deployment, seed, changes).run(seconds)
+    return Model(deployment, seed, changes, oracle).run(seconds)
 
 
 def _silent(event, level='info', **fields):
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -277,7 +277,8 @@
                 how=end.value,
             )
         self._context.path.end(self)
-        choice.load.on_end()
+        given_up = end is End.DEADLINE
+        self._steering.on_end(choice, not given_up, self._loop.now())
         attempt = dict(
             choice.why, upstream=choice.upstream.entry.id, end=outcome
         )
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -3,9 +3,9 @@
 import typing
 
 from jasminehold.decisions import cold_start_limiter
+from jasminehold.decisions import finish_estimates
 from jasminehold.decisions import fleet_size
 from jasminehold.decisions import retry_token_bucket
-from jasminehold.decisions import run_times
 from jasminehold.decisions import selection
 from jasminehold.decisions import stated_limits
 from jasminehold.decisions import upstream_load
@@ -26,6 +26,9 @@
 QUEUE_FACTOR = 1.5
 # The same at an upstream that does not have the object cached.
 UNCACHED_QUEUE_FACTOR = 0.5
+# Owners asked where upstreams share their machines; those after the first
+# OWNERS_PER_KEY only while these have no room, and only if slots are free.
+SHARED_OWNERS_PER_KEY = 4
 # A timeout below this fraction of the route's usual one marks a caller's
 # retry.
 CALLER_RETRY_FRACTION = 0.97
@@ -61,6 +64,7 @@
         ahead: estimated requests queued there before this one.
         finish_s: estimated seconds until the response.
         why: inputs of the selection, for the log.
+        run: the :class:`~decisions.upstream_load.Run` of the request.
     """
 
     upstream: object
@@ -69,6 +73,7 @@
     ahead: float
     finish_s: float
     why: dict
+    run: object
 
 
 class Refusal(typing.NamedTuple):
@@ -119,12 +124,11 @@
         self._rng = rng
         self._log = log
         self._target_turns = weighted_round_robin.SmoothWeightedRoundRobin()
-        self._loads = {}
+        self._estimates = finish_estimates.FinishEstimates()
+        self._loads = self._estimates.loads
         self._cold_limiters = {}
         self._misdirected = {}
         self._retries = {}
-        self._run_times = {}
-        self._sharing = set()
         self._usual_timeout_s = {}
         self._fleet = fleet_size.FleetSize(cfg.retry_window)
 
@@ -154,13 +158,11 @@
         joined, left = self.view.on_list(entries, as_of)
         for upstream in left:
             key = upstream.entry.id
-            self._loads.pop(key, None)
+            self._estimates.remove_upstream(key)
             self._cold_limiters.pop(key, None)
             self._misdirected.pop(key, None)
             self.limits.remove(upstream.entry.incarnation)
             self._limit_senders.pop(key, None)
-            for times in self._run_times.values():
-                times.remove_upstream(key)
             self._log('upstream left', upstream=key, as_of=round(as_of, 3))
         for upstream in joined:
             entry = upstream.entry
@@ -368,12 +370,16 @@
             )
         ranked = self.placement.ranked(service, key or request_id, upstreams)
         candidates, full = [], []
-        for rank, name in enumerate(ranked[: OWNERS_PER_KEY if key else None]):
+        sharing = self.shares_machines(service)
+        owners = SHARED_OWNERS_PER_KEY if sharing else OWNERS_PER_KEY
+        for rank, name in enumerate(ranked[: owners if key else None]):
+            if key and rank >= OWNERS_PER_KEY and candidates:
+                break
             candidate, room = self._candidate(
-                route, service, key, upstreams[name], rank, now
+                route, service, key, upstreams[name], rank, left_s, now
             )
             (candidates if room else full).append(candidate)
-        best = selection.choose(candidates)
+        best = selection.choose(candidates, self._rng)
         # Reject only if there is a wait: the estimated run time alone may be
         # wrong.
         late = best is not None and best.wait_s and best.finish_s >= left_s
@@ -393,11 +399,11 @@
             )
             return Refusal(Kind.OVERLOADED, pause, reason, owners)
         upstream = upstreams[best.id]
-        load = self._load(upstream, route)
+        load = self._loads[best.id]
         why = {
             'rank': ranked.index(best.id),
             'of': len(ranked),
-            'load': round(load.load(now), 1),
+            'load': round(self._estimates.count(service, load, now), 1),
             'finish_s': round(best.finish_s, 3),
             'entry_age_s': round(now - upstream.changed_at, 2),
         }
@@ -408,6 +414,7 @@
             load.ahead(now),
             best.finish_s,
             why,
+            upstream_load.Run(best.run_s, best.wait_s),
         )
 
     def _usable(self, route, service, tried, only, now):
@@ -553,49 +560,48 @@
         rate = declared.cold_per_s if declared else 0.0
         return rate * self._cfg.cold_over + self._cfg.cold_slack
 
-    def _load(self, upstream, route):
-        name = upstream.entry.id
-        load = self._loads.get(name)
-        if load is None:
-            load = self._loads[name] = upstream_load.UpstreamLoad(
-                upstream.entry.slots,
-                run_times.CACHED_TARGET_RATIO * route.latency_target_s,
-            )
-        return load
-
-    def _candidate(self, route, service, key, upstream, rank, now):
+    def _candidate(self, route, service, key, upstream, rank, left_s, now):
         entry = upstream.entry
-        load = self._load(upstream, route)
-        times = self._run_times.setdefault(service, run_times.RunTimes())
-        known = route.sticky and (
-            rank == 0 or times.has_cached(key, entry.id, now)
-        )
-        run = times.estimate(route, known)
-        extra = 0.0
-        if not known:
-            extra = max(run - times.estimate(route, True), 0.0)
+        estimates = self._estimates
+        load = estimates.load(entry, route)
+        known = estimates.is_cached(service, route, key, entry.id, rank, now)
         travel = 0.0
         if self.placement.region(entry.place) != self.placement.own_region:
             travel = CROSS_REGION_S
-        candidate = selection.Candidate(
-            entry.id, load.wait_s(now), run, travel, extra
+        candidate = estimates.candidate(
+            service, route, entry, rank, known, travel, left_s, now
         )
         queue = QUEUE_FACTOR if known else UNCACHED_QUEUE_FACTOR
-        room = load.load(now) + 1 <= load.slots * (1 + queue)
-        return candidate, room
+        if key and rank >= OWNERS_PER_KEY:
+            queue = 0.0
+        count = estimates.count(service, load, now)
+        room = count + 1 <= load.slots * (1 + queue)
+        return (
+            candidate,
+            room and candidate.chance >= finish_estimates.MIN_CHANCE,
+        )
+
+    def load_of(self, entry, route):
+        """Return the :class:`~decisions.upstream_load.UpstreamLoad`.
+
+        Args:
+            entry: the upstream's :class:`~decisions.upstream_view.Entry`.
+            route: route of a request, for a first estimate.
+        """
+        return self._estimates.load(entry, route)
 
     def shares_machines(self, service):
         """Return whether upstreams of a service share their machines.
 
         It is known once one has reported a slowdown other than 1.0.
         """
-        return service in self._sharing
+        return self._estimates.shares_machines(service)
 
     # Results of attempts.
 
     def on_sent(self, choice, now):
         """Record that a request was sent to an upstream."""
-        choice.load.on_sent()
+        choice.load.on_sent(choice.run, now)
         name = choice.upstream.entry.id
         self.limits.on_sent(choice.upstream.entry.incarnation, now)
         if now < choice.upstream.cold_until:
@@ -611,26 +617,28 @@
             report: the :class:`~platform.wire.LoadReport`.
             now: monotonic seconds.
         """
-        choice.load.on_report(report, now)
-        if report.slowdown != 1.0:
-            self._sharing.add(choice.upstream.entry.service)
+        service = choice.upstream.entry.service
+        if self._estimates.on_report(service, choice.load, report, now):
+            self._log('upstreams share machines', service=service)
 
     def on_completed(self, route, service, key, choice, seconds, now):
         """Record a successful request and its duration."""
-        choice.load.on_success(seconds, choice.ahead)
-        if choice.ahead:
-            # The duration includes the wait in the queue.
-            seconds = None
         if not route.sticky:
             key = ''
-        self._run_times[service].on_run(
-            route,
-            key,
-            choice.upstream.entry.id,
-            seconds,
-            choice.known,
-            now,
-        )
+        self._estimates.on_completed(service, route, key, choice, seconds, now)
+
+    def on_end(self, choice, answered, now):
+        """Record the end of an attempt.
+
+        Args:
+            choice: the :class:`Choice`.
+            answered: whether the upstream answered.
+            now: monotonic seconds.
+        """
+        choice.load.on_end(choice.run)
+        if not answered:
+            service = choice.upstream.entry.service
+            self._estimates.on_given_up(service, choice.run, now)
 
     def forget_failures(self, since):
         """Take back the ejections of a time without a path to the upstreams.
