--- a/src/jasminehold/front/placement.py
+++ b/src/jasminehold/front/placement.py
@@ -62,6 +62,16 @@
             key: the object's key.
             upstreams: ids of the usable upstreams, a container.
         """
+        order = self.order(service, key)
+        return [name for name in order if name in upstreams]
+
+    def order(self, service, key):
+        """Return the ids of upstreams in order of ownership of an object.
+
+        Args:
+            service: name of the service.
+            key: the object's key.
+        """
         cache_key = (service, key)
         order = self._owner_cache.get(cache_key)
         if order is None:
@@ -69,7 +79,7 @@
                 self._owner_cache.clear()
             order = object_placement.owners(key, self.weights(service))
             self._owner_cache[cache_key] = order
-        return [name for name in order if name in upstreams]
+        return order
 
     def weights(self, service):
         """Return ``{upstream id: weight}`` for this instance's region."""
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -1,5 +1,6 @@
 """Routes, upstream state and upstream selection of one instance."""
 
+import itertools
 import typing
 
 from jasminehold.decisions import cold_start_limiter
@@ -357,26 +358,29 @@
             left_s: seconds until the request's deadline.
             now: monotonic seconds.
         """
-        upstreams, limited, paused = self._usable(
-            route, service, tried, only, now
+        sharing = self.shares_machines(service)
+        most = SHARED_OWNERS_PER_KEY if sharing else OWNERS_PER_KEY
+        order = self.placement.order(service, key or request_id)
+        held, limited, paused = [], [], []
+        usable = self._usable(
+            route, order, (tried, only), (held, limited, paused), now
         )
-        if not upstreams and (limited or paused):
+        ranked = list(itertools.islice(usable, most if key else None))
+        ranked = ranked or held[: most if key else None]
+        if not ranked and (limited or paused):
             pause = self._held_back_retry_after_s(limited, paused, now)
             reason = 'limits reached' if limited else 'upstreams pause'
             return Refusal(Kind.OVERLOADED, pause, reason)
-        if not upstreams:
+        if not ranked:
             return Refusal(
                 Kind.OVERLOADED, MIN_RETRY_AFTER_S, 'no usable upstream'
             )
-        ranked = self.placement.ranked(service, key or request_id, upstreams)
         candidates, full = [], []
-        sharing = self.shares_machines(service)
-        owners = SHARED_OWNERS_PER_KEY if sharing else OWNERS_PER_KEY
-        for rank, name in enumerate(ranked[: owners if key else None]):
+        for rank, upstream in enumerate(ranked):
             if key and rank >= OWNERS_PER_KEY and candidates:
                 break
             candidate, room = self._candidate(
-                route, service, key, upstreams[name], rank, left_s, now
+                route, service, key, upstream, rank, left_s, now
             )
             (candidates if room else full).append(candidate)
         best = selection.choose(candidates, self._rng)
@@ -398,11 +402,12 @@
                 for item in candidates + full
             )
             return Refusal(Kind.OVERLOADED, pause, reason, owners)
-        upstream = upstreams[best.id]
+        names = [upstream.entry.id for upstream in ranked]
+        upstream = self.view.upstreams[best.id]
         load = self._loads[best.id]
         why = {
-            'rank': ranked.index(best.id),
-            'of': len(ranked),
+            'rank': names.index(best.id),
+            'of': len(order),
             'load': round(self._estimates.count(service, load, now), 1),
             'finish_s': round(best.finish_s, 3),
             'entry_age_s': round(now - upstream.changed_at, 2),
@@ -417,23 +422,24 @@
             upstream_load.Run(best.run_s, best.wait_s),
         )
 
-    def _usable(self, route, service, tried, only, now):
-        # Returns usable upstreams by id, and the lists of those that only
-        # their own limit, or a pause that they asked for, excludes.
+    def _usable(self, route, order, bounds, rest, now):
+        # Generates usable upstreams in order, so that a choice does not look
+        # at all of them. Appends those that only an ejection, their own limit
+        # or a pause that they asked for excludes to the lists of ``rest``.
+        (tried, only), (held, limited, paused) = bounds, rest
         homes = route.home_regions
-        usable, held, limited, paused = {}, {}, [], []
         any_paused = self._pauses.any_in_force(now)
-        for name, upstream in self.view.upstreams.items():
+        for name in order:
+            upstream = self.view.upstreams[name]
             entry = upstream.entry
             if (
-                entry.service != service
-                or upstream.draining
+                upstream.draining
                 or name in tried
                 or (only is not None and name not in only)
                 or entry.place in self.evacuated
                 or self._misdirected.get(name) == _identity(entry)
                 or (homes and self.placement.region(entry.place) not in homes)
-                or not self._admits_cold(upstream, service, now)
+                or not self._admits_cold(upstream, entry.service, now)
             ):
                 continue
             if any_paused and self._pauses.seconds_left(
@@ -445,9 +451,10 @@
                 limited.append(upstream)
                 continue
             load = self._loads.get(name)
-            ejected = load is not None and now < load.ejected_until
-            (held if ejected else usable)[name] = upstream
-        return usable or held, limited, paused
+            if load is not None and now < load.ejected_until:
+                held.append(upstream)
+            else:
+                yield upstream
 
     def is_usable(self, choice, now):
         """Return whether a chosen upstream may still be sent to.
