--- a/tests/features/costs.feature
+++ b/tests/features/costs.feature
@@ -39,12 +39,20 @@
     Then a request with a tenth of its estimate left is sent
     And so is one after runs that took ten times the time-out
 
-  Scenario: Work near its time-out, moments of slow machines and a tail
+  Scenario: Work near its time-out, at an upstream that does not know it
     Given customers whose upstreams share their machines
     When they are played for 20 s with seeds 1 to 2
     Then less of the slots' time is lost than if each request counts as one
-    And the mean time to answer is at most 1.15 of the oracle's
-    And the 99th percentile is at most 1.3 of the oracle's
+
+  Scenario: Slow moments, a tail and uneven upstreams: the mean
+    Given customers whose upstreams share their machines
+    When they are played for 20 s with seeds 1 to 2
+    Then the mean time to answer is at most 1.15 of the oracle's
+
+  Scenario: Slow moments, a tail and uneven upstreams: the slowest
+    Given customers whose upstreams share their machines
+    When they are played for 20 s with seeds 1 to 2
+    Then the 99th percentile is at most 1.3 of the oracle's
 
   # Guards against a change for deployments whose reports state three figures.
   Scenario: Services that report no slowdown are served as before
--- a/tests/features/steps/costs_steps.py
+++ b/tests/features/steps/costs_steps.py
@@ -219,15 +219,14 @@
 
 @behave.then("the mean time to answer is at most {most:g} of the oracle's")
 def then_mean(context, most):
-    context.oracle = _latencies(_play(context, True))
-    found = statistics.mean(_latencies(context.results))
-    ratio = found / statistics.mean(context.oracle)
+    oracle = statistics.mean(_latencies(_play(context, True)))
+    ratio = statistics.mean(_latencies(context.results)) / oracle
     assert ratio <= most, ratio
 
 
 @behave.then("the 99th percentile is at most {most:g} of the oracle's")
 def then_p99(context, most):
-    oracle = context.oracle
+    oracle = _latencies(_play(context, True))
     found = _latencies(context.results)
     ratio = found[len(found) * 99 // 100] / oracle[len(oracle) * 99 // 100]
     assert ratio <= most, ratio
