Learn run times where an object is only assumed to be cached

The first owner of an object was taken to have it cached from the start, so requests waited there behind cold runs and passed the time-out.

Run times at a first owner where this instance has not seen the object lately are learnt by themselves, beginning with those of unknown objects.

--- a/src/jasminehold/decisions/finish_estimates.py
+++ b/src/jasminehold/decisions/finish_estimates.py
@@ -76,22 +76,23 @@
         )
 
     def candidate(
-        self, service, route, entry, rank, known, network_s, left_s, now
+        self, service, route, key, entry, rank, network_s, left_s, now
     ):
         """Return the :class:`~decisions.selection.Candidate` of an upstream.
 
         Args:
             service: the target service.
             route: the request's route.
+            key: the object's key.
             entry: the upstream's :class:`~decisions.upstream_view.Entry`.
             rank: its rank among the owners, from 0.
-            known: whether it is expected to have the object cached.
             network_s: round trip time in seconds.
             left_s: seconds until the request's deadline.
             now: monotonic seconds.
         """
         times = self._times(service)
         load = self.load(entry, route)
+        known = self.is_cached(service, route, key, entry.id, rank, now)
         run = times.estimate(route, known)
         unknown_s = times.estimate(route, False)
         learning = max(unknown_s - times.estimate(route, True), 0.0)
@@ -100,6 +101,8 @@
             return selection.Candidate(
                 entry.id, load.wait_s(now), run, network_s, extra
             )
+        if known and not times.has_cached(key, entry.id, now):
+            run = times.assumed(route)
         run *= load.speed(now)
         count, work_s = load.backlog(times.ratios, now)
         wait = load.backlog_wait_s(work_s)
@@ -177,6 +180,10 @@
         if self.shares_machines(service):
             queued = queued or load.had_queue
             if not queued:
+                if choice.known and not times.has_cached(
+                    key, choice.upstream.entry.id, now
+                ):
+                    times.on_assumed(route, seconds)
                 ratio = seconds / choice.run.run_s
                 times.ratios.on_run(ratio)
                 load.on_speed(ratio * load.speed(now), now)
--- a/src/jasminehold/decisions/run_times.py
+++ b/src/jasminehold/decisions/run_times.py
@@ -33,6 +33,7 @@
     def __init__(self):
         self.ratios = RunRatios()
         self._times = {}
+        self._assumed = {}
         self._last_runs = collections.OrderedDict()
 
     def estimate(self, route, cached):
@@ -43,6 +44,20 @@
         ratio = CACHED_TARGET_RATIO if cached else UNCACHED_TARGET_RATIO
         return ratio * route.latency_target_s
 
+    def assumed(self, route):
+        """Return the run time where others may have had an object cached.
+
+        It is that of requests for objects at their first owner that this
+        instance did not see run there lately.
+        """
+        first = UNCACHED_TARGET_RATIO * route.latency_target_s
+        return self._assumed.get(route.name, first)
+
+    def on_assumed(self, route, seconds):
+        """Record a run time for :meth:`assumed`."""
+        before = self.assumed(route)
+        self._assumed[route.name] = before + SMOOTHING * (seconds - before)
+
     def has_cached(self, key, upstream_id, now):
         """Return whether an upstream should have the object cached."""
         ran_at = self._last_runs.get(key, {}).get(upstream_id)
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -576,7 +576,7 @@
         if self.placement.region(entry.place) != self.placement.own_region:
             travel = CROSS_REGION_S
         candidate = estimates.candidate(
-            service, route, entry, rank, known, travel, left_s, now
+            service, route, key, entry, rank, travel, left_s, now
         )
         queue = QUEUE_FACTOR if known else UNCACHED_QUEUE_FACTOR
         if key and rank >= OWNERS_PER_KEY:
--- a/tests/features/steps/costs_steps.py
+++ b/tests/features/steps/costs_steps.py
@@ -39,7 +39,7 @@
     item.on_sent(choice, now - seconds)
     item.on_report(choice, report, now)
     item.on_end(choice, True, now)
-    item.on_completed(ROUTE, 'loja', '/a//k', choice, seconds, now)
+    item.on_completed(ROUTE, 'loja', 'k', choice, seconds, now)
 
 
 def _report(percent=b'100', running=b'1'):
@@ -70,7 +70,7 @@
     entry = context.steering.view.upstreams[context.owner].entry
     found = [
         estimates.candidate(
-            'loja', ROUTE, entry, 0, True, 0.0, 2.5, now
+            'loja', ROUTE, 'k', entry, 0, 0.0, 2.5, now
         ).finish_s
         for now in (5.5, 7.5)
     ]
@@ -129,7 +129,7 @@
 def then_finite(context):
     entry = context.steering.view.upstreams[context.owner].entry
     item = context.steering._estimates.candidate(
-        'loja', ROUTE, entry, 0, True, 0.0, 2.5, 5.6
+        'loja', ROUTE, 'k', entry, 0, 0.0, 2.5, 5.6
     )
     assert math.isfinite(item.finish_s), item
     assert item.finish_s >= 0.9 * context.usual_s, item
@@ -248,7 +248,7 @@
 @behave.then('its wait is its queue times its mean service time, as before')
 def then_as_before(context):
     item = context.steering._estimates.candidate(
-        'loja', ROUTE, context.choice.upstream.entry, 0, True, 0.0, 2.5, 1.5
+        'loja', ROUTE, 'k', context.choice.upstream.entry, 0, 0.0, 2.5, 1.5
     )
     others = 13 * math.exp(-0.5 / 2.0)
     expected = (others + 1 - 3) / 3 * context.load.service_s
