--- a/src/jasminehold/decisions/quotas.py
+++ b/src/jasminehold/decisions/quotas.py
@@ -13,6 +13,7 @@
 """
 
 import collections
+import functools
 import math
 import typing
 
@@ -47,6 +48,8 @@
 REMOTE_CANDIDATES = 2
 # Instances of a region from which on some collect for others.
 FAN_OUT = 32
+# Places in an order that are remembered.
+RANKS_KEPT = 65_536
 # Chance that a silent instance is tried at a tick.
 TRY_CHANCE = 0.5
 # Parts of the room beyond the quota: tokens that are held after a step within
@@ -135,6 +138,12 @@
     return hashing.number('quota', account) % SHARDS
 
 
+@functools.lru_cache(maxsize=RANKS_KEPT)
+def _rank(number, name):
+    # Place of an instance or a region in the order of a shard.
+    return hashing.number('quota', str(number), name)
+
+
 def _before(order, place):
     # Whom the instance at a place of its region's order may give to.
     heads = ()
@@ -279,7 +288,7 @@
                 by_region.setdefault(region, []).append(name)
 
             def rank(name, number=number):
-                return hashing.number('quota', str(number), name)
+                return _rank(number, name)
 
             peers = {self._own, *by_region.get(self._region, ())}
             near = sorted(peers, key=rank)
