--- a/src/jasminehold/decisions/quotas.py
+++ b/src/jasminehold/decisions/quotas.py
@@ -26,7 +26,7 @@
 TICK_S = 0.1
 GIFT_EVERY_S = 0.2
 # Time after which an instance that does not answer is passed over, seconds.
-SILENT_S = 0.7
+SILENT_S = 0.5
 # Age of the stamp that a gift echoes, up to which it counts, seconds.
 GIFT_AGE_MAX_S = 0.7
 # Gifts of an instance that are remembered: those of all shards that are young
@@ -332,6 +332,24 @@
             ),
         }
 
+    def on_down(self, name, now):
+        """Use another instance at once: the link to this one closed."""
+        if self._heard.pop(name, None) is None:
+            return
+        self._stamps.pop(name, None)
+        for number in self._used:
+            node = self._nodes[number]
+            if node.parent == name:
+                self._find_parent(node, number, now)
+        for ask in list(self._asks.values()):
+            pot = self._pots.get(ask.account)
+            if pot is not None and pot.node.parent is None:
+                del self._asks[ask.number]
+                pot.asked = None
+                self._serve(pot, now, RETURN_MIN_S)
+            elif pot is not None:
+                self._send_ask(ask, pot.node.parent)
+
     # Time.
 
     def on_tick(self, now):
@@ -420,9 +438,14 @@
     def _returned(self, node, now):
         back = {}
         for name, pot in self._pots.items():
-            if pot.node is node and pot.batches:
-                pot.held(now)
-            if pot.node is node and pot.back:
+            if pot.node is not node:
+                continue
+            pot.held(now)
+            # What it kept as a root goes on to the next one.
+            whole = int(pot.kept)
+            pot.kept -= whole
+            pot.back += whole
+            if pot.back:
                 back[name], pot.back = pot.back, 0
         return back
 
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -209,6 +209,13 @@
             _log,
         )
         self.path.on_regained = self.relay.tell
+        relay_on_down = self._peering.mesh.on_down
+
+        def on_down(name):
+            relay_on_down(name)
+            self.quotas.on_down(name)
+
+        self._peering.mesh.on_down = on_down
 
     def _on_path_lost(self, since):
         self.steering.forget_failures(since)
--- a/src/jasminehold/front/quotas.py
+++ b/src/jasminehold/front/quotas.py
@@ -92,6 +92,10 @@
         """Use the members in force: ``{id: region}``; ``now`` in seconds."""
         self._share.on_members(regions, now)
 
+    def on_down(self, name):
+        """Pass over an instance whose last link closed."""
+        self._share.on_down(name, self._loop.now())
+
     def limits(self, account):
         """Return whether an account has a quota; None is no account."""
         return account is not None and account.name in self._limits
