Refuse at once what a root's last tokens do not cover

Cause: who asked for more than was left waited for further answers, up to 0.4 s, and got 429 late. Change: a root that grants less than asked says so. quotas.feature: 40 passed.

--- a/src/jasminehold/decisions/quotas.py
+++ b/src/jasminehold/decisions/quotas.py
@@ -583,7 +583,9 @@
             closed_s = min(max(wait_s, CLOSED_MIN_S), CLOSED_MAX_S)
             pot.closed_until = now + closed_s
             pot.return_at = now + min(wait_s, RETURN_MAX_S)
-        self._serve(pot, now, 0.0 if granted else wait_s, granted > 0)
+        # With a time to wait, the root has no more for those that asked.
+        since = ask.at if wait_s else now - ASK_S
+        self._serve(pot, now, wait_s, since if granted else now)
         if pot.node.parent is not None:
             self._ask(ask.account, pot, pot.node.parent, now)
 
@@ -622,7 +624,9 @@
         granted = self._grant(pot, wanted, now)
         node = pot.node
         if granted:
-            done(granted, 0.0, now)
+            # A root that grants less than asked has none left.
+            short = granted < wanted and node.parent is None
+            done(granted, self._return_s(pot) if short else 0.0, now)
         elif node.parent is None:
             done(0, self._return_s(pot), now)
         elif now < pot.closed_until or len(pot.waiters) >= WAITERS_MAX:
@@ -683,8 +687,8 @@
             },
         )
 
-    def _serve(self, pot, now, wait_s, go_on=False):
-        # ``go_on``: whether those who have not waited long wait on.
+    def _serve(self, pot, now, wait_s, since=math.inf):
+        # ``since``: those that came later wait on.
         while pot.waiters:
             _, wanted, done = pot.waiters[0]
             granted = self._grant(pot, wanted, now)
@@ -692,14 +696,11 @@
                 break
             pot.waiters.popleft()
             done(granted, 0.0, now)
-        kept = [item for item in pot.waiters if now - item[0] < ASK_S]
-        if not go_on:
-            self._refuse_all(pot, wait_s, now)
-        elif len(kept) < len(pot.waiters):
-            pot.waiters, late = collections.deque(kept), pot.waiters
-            for at, _, done in late:
-                if now - at >= ASK_S:
-                    done(0, wait_s, now)
+        later = [item for item in pot.waiters if item[0] > since]
+        early = [item for item in pot.waiters if item[0] <= since]
+        pot.waiters = collections.deque(later)
+        for _, _, done in early:
+            done(0, wait_s, now)
 
     @staticmethod
     def _refuse_all(pot, wait_s, now):
