Let the instance whose news prove nothing start anew in its test

Cause: with a clock told before, late news still proved an age, so the test passed without the reads that it is about.

--- a/tests/features/steps/key_withdrawal_steps.py
+++ b/tests/features/steps/key_withdrawal_steps.py
@@ -88,6 +88,7 @@
 def when_slow(context, seconds):
     for world in context.worlds:
         _slow_links(world, seconds)
+        world.machines['i1'].start()
         world.run(15.0)
         _count_anew(world)
 
