Bound what is held for callers and upstreams that read slowly

Cause: responses that callers do not take, and requests that upstreams do not take, were held without a bound; a sent part kept the whole piece in memory.

Change: held bytes are counted by connection. A connection with many unread responses gets no further requests read, and its time-outs do not run meanwhile. Half of a piece is given back once half was sent. Below the bound nothing changes.

--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -10,6 +10,7 @@
 
 import circuits
 
+from jasminehold.decisions import held_bytes
 from jasminehold.decisions import instance_sample
 from jasminehold.decisions import route_table
 from jasminehold import errors
@@ -75,6 +76,7 @@
         self.loop = loop_module.Loop().register(self)
         self.metrics = metrics_module.Metrics()
         self.steering = steering_module.Steering(cfg, self.rng, _log)
+        self.held = held_bytes.HeldBytes(lambda: self.cfg.memory_mb)
         self._path = path
         self._members = {}
         self._stop_at = None
@@ -102,6 +104,7 @@
             self.loop,
             self.metrics,
             int(self._files() * UPSTREAM_FILES_FRACTION),
+            self.held,
         )
         self.store = kv.connect(
             self.loop, *self.cfg.store, self.rng, self.metrics
@@ -244,7 +247,9 @@
             self.relay.cut_off,
         )
         callers = int(files * CALLER_FILES_FRACTION)
-        self.callers = self._port(self.exchanges.on_request, callers)
+        self.callers = self._port(
+            self.exchanges.on_request, callers, self.held
+        )
         self._ready = self._port(answers.on_request, FILES_RESERVED)
         self._directory = self._port(answers.on_request, FILES_RESERVED)
         self._metrics = self._port(self._on_scrape, FILES_RESERVED)
@@ -252,7 +257,9 @@
     def _instances_to_name(self):
         return self._listed_instances if self._first_copy.in_force else ()
 
-    def _port(self, on_request, conns):
+    def _port(self, on_request, conns, held=None):
+        # Answers about the instance itself are small, and are given always.
+        held = held or held_bytes.HeldBytes(lambda: self.cfg.memory_mb)
         return caller.CallerPort(
             self.loop,
             self.metrics,
@@ -260,6 +267,7 @@
             lambda: self.steering.may_deny(self.loop.now()),
             on_request,
             conns,
+            held,
         )
 
     def _caller_limits(self):
@@ -273,6 +281,9 @@
         gauges.update(self.crash_guard.gauge_values())
         gauges.update(self.relay.gauge_values())
         gauges.update(self.accounts.gauge_values())
+        gauges['held_bytes'] = self.held.total
+        gauges['held_bytes_peak'] = self.held.peak
+        gauges['held_bytes_allowed'] = self.held.limit
         gauges['requests_in_flight'] = len(self.exchanges.exchanges)
         gauges['instance_leaving'] = int(self.leaving)
         replica = self._reader.replica
--- a/src/jasminehold/front/caller.py
+++ b/src/jasminehold/front/caller.py
@@ -10,6 +10,7 @@
 import h11
 
 from jasminehold import errors
+from jasminehold import logs
 from jasminehold.proxy import server as proxy_server
 
 Kind = errors.Kind
@@ -27,6 +28,8 @@
 _LIMIT_KINDS = (Kind.HEADERS_TOO_LARGE, Kind.BODY_TOO_LARGE)
 _KIND_BY_STATUS_HINT = {431: Kind.HEADERS_TOO_LARGE}
 
+_log = logs.get('callers')
+
 
 class CallerRequest:
     """A caller's request and its response.
@@ -57,6 +60,16 @@
         self._size = 0
         self.pending_response = None
 
+    @property
+    def body_bytes(self):
+        """Size of its body, as far as it came."""
+        return self._size
+
+    @property
+    def response_bytes(self):
+        """Size of the body of its response, if it has one yet."""
+        return len(self.pending_response[2]) if self.pending_response else 0
+
     def add(self, data):
         """Append body bytes; returns False when the body is too large."""
         self._size += len(data)
@@ -144,6 +157,7 @@
         self.timeout_at = port.loop.now() + port.limits().head_s
         conn.on_data = self._on_data
         conn.on_close = self._on_close
+        conn.on_drain = self._on_drain
 
     @property
     def idle(self):
@@ -179,7 +193,7 @@
         self._parsing = True
         try:
             while not self._closing and not self._conn.closed:
-                if len(self._queue) >= PIPELINE_MAX:
+                if not self._takes_more():
                     self._set_reading(False)
                     return
                 event = self._http.next_event()
@@ -190,6 +204,8 @@
                 elif isinstance(event, h11.Data):
                     if not self._current.add(bytes(event.data)):
                         self._reject(Kind.BODY_TOO_LARGE)
+                    elif not self._port.has_room(self):
+                        self._reject(Kind.OVERLOADED)
                 elif isinstance(event, h11.EndOfMessage):
                     self._on_request_end()
         finally:
@@ -231,7 +247,10 @@
         self.timeout_at = math.inf
         last = self._http.their_state is h11.MUST_CLOSE
         rest = bytes(self._http.trailing_data[0])
-        self._port.on_request(inbound)
+        if self._port.has_room(self):
+            self._port.on_request(inbound)
+        else:
+            inbound.fail(Kind.OVERLOADED)
         if last or self._conn.closed or self._closing:
             return
         self._http = self._parser()
@@ -283,23 +302,50 @@
             self._conn.write(data)
             if last:
                 self._end()
+                self._port.note_held(self)
                 return
+        self._port.note_held(self)
         if self._conn.closed:
             return
         if not self._queue and self._closing:
             self._end()
             return
-        if not self._queue and not self._receiving:
+        if not self._queue and not self._receiving and self._reading:
             self.timeout_at = (
                 self._port.loop.now() + self._port.limits().idle_s
             )
-        if len(self._queue) < PIPELINE_MAX and not self._reading:
+        self._read_on()
+
+    def _read_on(self):
+        if self._takes_more() and not self._reading and not self._closing:
             self._set_reading(True)
             try:
                 self._parse()
             except h11.RemoteProtocolError as exc:
                 self._malformed(exc)
 
+    def _takes_more(self):
+        # One that does not take its responses gets no further ones.
+        unread = self.unread_bytes
+        return len(self._queue) < PIPELINE_MAX and (
+            not unread or unread < self._port.held.conn_limit
+        )
+
+    @property
+    def unread_bytes(self):
+        """Bytes of responses that the caller has not taken."""
+        waiting = sum(item.response_bytes for item in self._queue)
+        return self._conn.held + waiting
+
+    @property
+    def held_bytes(self):
+        """Bytes of responses and of requests that are held."""
+        return self.unread_bytes + sum(item.body_bytes for item in self._queue)
+
+    def _on_drain(self):
+        self._port.note_held(self)
+        self._read_on()
+
     def _end(self):
         # Pipelined requests after the last response are treated as not
         # received; none of them may be executed from here on.
@@ -317,6 +363,16 @@
 
     def _set_reading(self, reading):
         self._reading = reading
+        limits = self._port.limits()
+        if self._closing:
+            pass
+        elif not reading:
+            # Its time does not run while nothing is read from it.
+            self.timeout_at = math.inf
+        elif self._receiving:
+            self.timeout_at = self._port.loop.now() + limits.head_s
+        elif not self._queue:
+            self.timeout_at = self._port.loop.now() + limits.idle_s
         (self._conn.resume if reading else self._conn.pause)()
 
     def expire(self):
@@ -346,6 +402,7 @@
     def _on_close(self, exc):
         self._port.forget(self)
         queue, self._queue = self._queue, []
+        self._port.note_held(self)
         for inbound in queue:
             inbound.answered = True
             if inbound.on_disconnect is not None:
@@ -363,6 +420,7 @@
             good; else another instance may have newer ones.
         on_request: called with each complete :class:`CallerRequest`.
         max_conns: maximum number of open connections.
+        held: the :class:`~decisions.held_bytes.HeldBytes`.
 
     Attributes:
         leaving: whether responses carry ``Connection: close``.
@@ -370,8 +428,11 @@
 
     SWEEP_S = 0.25
 
-    def __init__(self, loop, metrics, limits, may_deny, on_request, max_conns):
+    def __init__(
+        self, loop, metrics, limits, may_deny, on_request, max_conns, held
+    ):
         self.loop = loop
+        self.held = held
         self.metrics = metrics
         self.limits = limits
         self.may_deny = may_deny
@@ -399,6 +460,36 @@
             caller.expire()
         self.loop.call_later(self.SWEEP_S, self._sweep)
 
+    def note_held(self, caller):
+        """Record what is held for a caller; cut off some if it is too much.
+
+        Args:
+            caller: a :class:`CallerConn` of this port.
+        """
+        now = self.loop.now()
+        may_cut = caller.unread_bytes > 0
+        self.held.update(caller, caller.held_bytes, now, may_cut)
+        for cut in self.held.take_cuts(now):
+            self.metrics.inc('responses_cut_off_total', reason='memory')
+            _log(
+                'response cut off',
+                level='warning',
+                reason='memory',
+                peer=cut.holder.peer,
+                bytes=cut.size,
+                held_s=round(cut.held_s, 1),
+                held_by_all=self.held.total,
+            )
+            cut.holder.abort()
+
+    def has_room(self, caller):
+        """Return whether a request may be held, and count it if not."""
+        self.note_held(caller)
+        if self.held.is_full():
+            self.metrics.inc('requests_refused_memory_total')
+            return False
+        return True
+
     def forget(self, caller):
         """Remove a closed connection."""
         self._conns.discard(caller)
--- a/src/jasminehold/front/upstream_conn.py
+++ b/src/jasminehold/front/upstream_conn.py
@@ -143,6 +143,7 @@
         conn.on_data = self._on_data
         conn.on_close = self._on_close
         conn.on_eof = self._on_eof
+        conn.on_drain = self._note_held
 
     @staticmethod
     def _parser():
@@ -179,6 +180,12 @@
             out += self._http.send(h11.Data(data=body))
         out += self._http.send(h11.EndOfMessage())
         self._conn.write(out)
+        self._note_held()
+
+    def _note_held(self):
+        # A request that its upstream has not taken yet.
+        pool = self._pool
+        pool.held.update(self, self._conn.held, pool.loop.now())
 
     @property
     def received_bytes(self):
@@ -227,6 +234,7 @@
         self._conn.abort()
 
     def _on_close(self, exc):
+        self._note_held()
         self._pool.forget(self)
         if isinstance(exc, ConnectionError):
             self._pool.record_closed(self)
@@ -363,6 +371,7 @@
         loop: the :class:`~jasminehold.loop.Loop`.
         metrics: counters.
         max_conns: maximum of open connections to all upstreams.
+        held: the :class:`~decisions.held_bytes.HeldBytes`.
 
     Attributes:
         on_closed: called with the address of an upstream that has closed a
@@ -372,8 +381,9 @@
 
     SWEEP_S = 0.5
 
-    def __init__(self, loop, metrics, max_conns):
+    def __init__(self, loop, metrics, max_conns, held):
         self.loop = loop
+        self.held = held
         self.metrics = metrics
         self.on_closed = lambda address: None
         self.on_refused = lambda address: None
--- a/src/jasminehold/loop.py
+++ b/src/jasminehold/loop.py
@@ -151,6 +151,15 @@
         """Bytes waiting to be sent."""
         return self._write_buffer_bytes
 
+    @property
+    def held(self):
+        """Bytes of memory that the write buffer takes."""
+        if not self._write_buffer:
+            return 0
+        first = self._write_buffer[0]
+        whole = getattr(first, 'obj', first)
+        return self._write_buffer_bytes + len(whole) - len(first)
+
     def write(self, data):
         """Send bytes and buffer those that the socket does not accept yet."""
         if self.closed or self._closing or not data:
@@ -260,7 +269,7 @@
                 return
             self._write_buffer_bytes -= sent
             if sent < len(chunk):
-                self._write_buffer[0] = memoryview(chunk)[sent:]
+                self._write_buffer[0] = _without_sent(chunk, sent)
                 return
             self._write_buffer.pop(0)
         if self._closing:
@@ -483,6 +492,12 @@
     return socket.AF_INET6 if ':' in host else socket.AF_INET
 
 
+def _without_sent(chunk, sent):
+    # A view keeps the whole object in memory.
+    rest = memoryview(chunk)[sent:]
+    return rest if 2 * len(rest) > len(rest.obj) else bytes(rest)
+
+
 def _configure_socket(sock):
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/builders/endless_responses.py
+++ b/tests/builders/endless_responses.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from jasminehold.decisions import held_bytes
 from jasminehold.front import upstream_conn
 from jasminehold import metrics
 
@@ -25,7 +26,7 @@
 class _Conn:
     def __init__(self):
         self.on_data = self.on_close = self.on_eof = None
-        self.buffered = 0
+        self.buffered = self.held = 0
         self.closed = False
 
     def write(self, data):
@@ -51,7 +52,10 @@
             call_later=lambda *args: None,
             call_soon=lambda func, *args: self._soon.append((func, args)),
         )
-        self.pool = upstream_conn.UpstreamPool(loop, metrics.Metrics(), 1000)
+        held = held_bytes.HeldBytes(lambda: 300.0)
+        self.pool = upstream_conn.UpstreamPool(
+            loop, metrics.Metrics(), 1000, held
+        )
         self.received = 0
         self.answers = []
         self._framing = framing
