--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -10,6 +10,7 @@
 
 import circuits
 
+from jasminehold.decisions import held_bytes
 from jasminehold.decisions import instance_sample
 from jasminehold.decisions import route_table
 from jasminehold import errors
@@ -76,6 +77,7 @@
         self.loop = loop_module.Loop().register(self)
         self.metrics = metrics_module.Metrics()
         self.steering = steering_module.Steering(cfg, self.rng, _log)
+        self.held = held_bytes.HeldBytes(lambda: self.cfg.memory_mb)
         self._path = path
         self._members = {}
         self._stop_at = None
@@ -103,6 +105,7 @@
             self.loop,
             self.metrics,
             int(self._files() * UPSTREAM_FILES_FRACTION),
+            self.held,
         )
         self.store = kv.connect(
             self.loop, *self.cfg.store, self.rng, self.metrics
@@ -170,11 +173,11 @@
         self.accounts = account_check.AccountCheck(
             lambda: self.cfg,
             self._reader.proven_age,
-            self._reader.replica.is_complete,
             self.steering.may_deny,
             self.metrics,
             _log,
         )
+        self._reader.needs_proof = self.accounts.needs_proof
 
         self.quotas = quotas.Quotas(
             self.loop,
@@ -262,7 +265,9 @@
             self.relay.cut_off,
         )
         callers = int(files * CALLER_FILES_FRACTION)
-        self.callers = self._port(self.exchanges.on_request, callers)
+        self.callers = self._port(
+            self.exchanges.on_request, callers, self.held
+        )
         self._ready = self._port(answers.on_request, FILES_RESERVED)
         self._directory = self._port(answers.on_request, FILES_RESERVED)
         self._metrics = self._port(self._on_scrape, FILES_RESERVED)
@@ -270,7 +275,9 @@
     def _instances_to_name(self):
         return self._listed_instances if self._first_copy.in_force else ()
 
-    def _port(self, on_request, conns):
+    def _port(self, on_request, conns, held=None):
+        # Answers about the instance itself are small, and are given always.
+        held = held or held_bytes.HeldBytes(lambda: self.cfg.memory_mb)
         return caller.CallerPort(
             self.loop,
             self.metrics,
@@ -278,6 +285,7 @@
             lambda: self.steering.may_deny(self.loop.now()),
             on_request,
             conns,
+            held,
         )
 
     def _caller_limits(self):
@@ -292,6 +300,9 @@
         gauges.update(self.relay.gauge_values())
         gauges.update(self.accounts.gauge_values())
         gauges.update(self.quotas.gauge_values())
+        gauges['held_bytes'] = self.held.total
+        gauges['held_bytes_peak'] = self.held.peak
+        gauges['held_bytes_allowed'] = self.held.limit
         gauges['requests_in_flight'] = len(self.exchanges.exchanges)
         gauges['instance_leaving'] = int(self.leaving)
         replica = self._reader.replica
