Note which services share machines

Upstreams of some services report a slowdown of their machines, as the fourth figure of a load report. Rules for such services need to know it; UpstreamLoad got only the first two figures.

UpstreamLoad.on_report gets the whole report, and Steering.shares_machines tells whether an upstream of a service has reported a slowdown other than 1.0.

--- a/bench/model.py
+++ b/bench/model.py
@@ -22,6 +22,7 @@
 from jasminehold.decisions import upstream_view
 from jasminehold.front import cfg as front_cfg
 from jasminehold.front import steering as steering_module
+from jasminehold.platform import wire
 from jasminehold import settings
 
 # Callers come back within this part of the time that they have left.
@@ -348,7 +349,8 @@
         if len(upstream.memory) > upstream.pool.keeps:
             upstream.memory.popitem(last=False)
         load = attempt.choice.load
-        load.on_report(upstream.running, len(upstream.waiting), self.now)
+        report = self._report(upstream)
+        attempt.instance.on_report(attempt.choice, report, self.now)
         load.on_end()
         route = self._routes[attempt.request.kind.name]
         attempt.instance.on_completed(
@@ -361,6 +363,12 @@
         )
         self._end(attempt.request, 'served')
 
+    @staticmethod
+    def _report(upstream):
+        return wire.LoadReport(
+            upstream.running, len(upstream.waiting), upstream.pool.slots
+        )
+
     def _leave(self, attempt):
         attempt.done = True
         upstream = attempt.upstream
@@ -375,7 +383,8 @@
     def _shed(self, attempt):
         upstream, now = attempt.upstream, self.now
         load = attempt.choice.load
-        load.on_report(upstream.running, len(upstream.waiting), now)
+        report = self._report(upstream)
+        attempt.instance.on_report(attempt.choice, report, now)
         load.on_end()
         kind = attempt.request.kind
         attempt.instance.on_failed(attempt.choice, 'shed', now)
--- a/src/jasminehold/decisions/upstream_load.py
+++ b/src/jasminehold/decisions/upstream_load.py
@@ -49,10 +49,15 @@
         """Count an ended request."""
         self.in_flight -= 1
 
-    def on_report(self, running, waiting, now):
-        """Record the load reported by an answer; call before ``on_end``."""
+    def on_report(self, report, now):
+        """Record the load reported by an answer; call before ``on_end``.
+
+        Args:
+            report: the :class:`~platform.wire.LoadReport`.
+            now: monotonic seconds.
+        """
         # The reported load includes this instance's own requests in flight.
-        others = running + waiting - (self.in_flight - 1)
+        others = report.running + report.waiting - (self.in_flight - 1)
         self._others_load = max(others, 0)
         self._reported_at = now
 
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -459,7 +459,7 @@
         load = answer.get(wire.LOAD)
         report = wire.decode_load(load) if load else None
         if report is not None:
-            self._choice.load.on_report(report.running, report.waiting, now)
+            self._steering.on_report(self._choice, report, now)
         if end in (End.REJECTED, End.MISDIRECTED):
             self._on_not_run(answer, report, limit, now, end)
             return
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -124,6 +124,7 @@
         self._misdirected = {}
         self._retries = {}
         self._run_times = {}
+        self._sharing = set()
         self._usual_timeout_s = {}
         self._fleet = fleet_size.FleetSize(cfg.retry_window)
 
@@ -583,6 +584,13 @@
         room = load.load(now) + 1 <= load.slots * (1 + queue)
         return candidate, room
 
+    def shares_machines(self, service):
+        """Return whether upstreams of a service share their machines.
+
+        It is known once one has reported a slowdown other than 1.0.
+        """
+        return service in self._sharing
+
     # Results of attempts.
 
     def on_sent(self, choice, now):
@@ -595,6 +603,18 @@
                 name, cold_start_limiter.ColdStartLimiter()
             ).on_sent(now)
 
+    def on_report(self, choice, report, now):
+        """Record the load reported by an answer; call before its end.
+
+        Args:
+            choice: the :class:`Choice` that got the request.
+            report: the :class:`~platform.wire.LoadReport`.
+            now: monotonic seconds.
+        """
+        choice.load.on_report(report, now)
+        if report.slowdown != 1.0:
+            self._sharing.add(choice.upstream.entry.service)
+
     def on_completed(self, route, service, key, choice, seconds, now):
         """Record a successful request and its duration."""
         choice.load.on_success(seconds, choice.ahead)
