Let the parts of regions follow their demand

Each region counted for an equal part of all room of a service, whatever its callers asked for. Where a region has a tenth of the upstreams and demand comes in waves, one region is overrun while others have room.

Instances measure the demand of their callers, tell it on the links, and move the parts in steps that change at most 0.075 of a region's requests in 2 s, as far as a region would run short of room.

--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -17,6 +17,7 @@
 from jasminehold.front import caller
 from jasminehold.front import cfg as cfg_module
 from jasminehold.front import crash_guard
+from jasminehold.front import demand_news
 from jasminehold.front import departures
 from jasminehold.front import directory
 from jasminehold.front import exchange
@@ -150,6 +151,13 @@
         self.departures = departures.Departures(
             self.loop, self._peering.mesh, self.steering, self.metrics
         )
+        self._demand_news = demand_news.DemandNews(
+            self.loop,
+            self._peering.mesh,
+            self.cfg,
+            self.steering,
+            self.metrics,
+        )
         self._first_copy = first_copy.FirstCopy(
             self.loop,
             self._peering.mesh,
@@ -302,6 +310,7 @@
         self._reader.start()
         self._settled_era.start()
         self._registration.start()
+        self._demand_news.start()
         self._loaded_file = self._stat_settings()
         self.loop.call_later(SETTINGS_CHECK_EVERY_S, self._watch_settings)
         _log('instance started', instance=cfg.id, place=cfg.place)
@@ -443,6 +452,7 @@
         regions = {name: doc['region'] for name, doc in members.items()}
         self.steering.on_members(regions, self.loop.now())
         self._peering.on_members(members)
+        self._demand_news.on_members(regions)
         self.crash_guard.on_members(members)
         self._registration.on_members(items)
 
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -127,7 +127,9 @@
             remaining_s = min(remaining_s, stated_s)
         self._deadline = now + remaining_s
         if origin is None:
-            self._service = self._steering.service(route, now)
+            self._service = self._steering.service(
+                route, now, self._caller_retry
+            )
         else:
             self._caller_retry = origin.returned
             self._service = self._steering.relayed_service(
--- a/src/jasminehold/front/placement.py
+++ b/src/jasminehold/front/placement.py
@@ -1,9 +1,11 @@
 """Owners of objects, as one instance sees the upstreams."""
 
 from jasminehold.decisions import object_placement
+from jasminehold.decisions import region_demand
 
-# Fraction of the fleet's capacity that demand is assumed to use, spread evenly
-# over the regions; demand beyond a region's own capacity goes to the others.
+# Fraction of the fleet's capacity that demand is assumed to use, spread over
+# the regions by their parts, which are equal unless measured; demand beyond a
+# region's own capacity goes to the others.
 # See docs/design.md, section 7.
 PLANNED_USE = 1.0
 OWNERS_CACHE_MAX = 20_000
@@ -26,9 +28,13 @@
         self._view = view
         self._owner_cache = {}
         self._weight_cache = {}
+        # Parts by service, of those whose demand is followed.
+        self._parts = {}
 
     def on_settings(self, cfg):
         """Apply new settings."""
+        if cfg.places != self._cfg.places or cfg.place != self._cfg.place:
+            self._parts.clear()
         self._cfg = cfg
         self.clear()
 
@@ -54,6 +60,31 @@
         """The region of this instance."""
         return self._cfg.places[self._cfg.place]
 
+    def regions(self):
+        """Return the set of all regions."""
+        return set(self._cfg.places.values())
+
+    def on_demand(self, service, rates, now):
+        """Follow the demand of a service, one step.
+
+        Args:
+            service: name of the service.
+            rates: ``{region: slot-seconds a second}``, without those regions
+                that are not known now.
+            now: monotonic seconds.
+
+        Returns:
+            The regions' new parts, None if they did not move.
+        """
+        parts = self._parts.get(service)
+        if parts is None:
+            parts = region_demand.Parts(self.regions(), self.own_region)
+            self._parts[service] = parts
+        if not parts.step(rates, self._rooms(service)[1], now):
+            return None
+        self.clear()
+        return parts.parts
+
     def ranked(self, service, key, upstreams):
         """Return usable upstreams in order of ownership of an object.
 
@@ -75,6 +106,25 @@
         """Return ``{upstream id: weight}`` for this instance's region."""
         if service in self._weight_cache:
             return self._weight_cache[service]
+        slots, rooms = self._rooms(service)
+        followed = self._parts.get(service)
+        regions = self.regions()
+        parts = (
+            followed.parts
+            if followed
+            else dict.fromkeys(regions, 1.0 / len(regions))
+        )
+        shares = region_demand.shares(parts, rooms, PLANNED_USE)
+        own = shares[self.own_region]
+        weights = {
+            name: own.get(region, 0.0) * count / rooms[region]
+            for name, (region, count) in slots.items()
+        }
+        self._weight_cache[service] = weights
+        return weights
+
+    def _rooms(self, service):
+        # Returns the region and slots of each upstream, and slots by region.
         slots, rooms = {}, {}
         for name, upstream in self._view.upstreams.items():
             entry = upstream.entry
@@ -85,15 +135,4 @@
             region = self.region(entry.place)
             slots[name] = (region, entry.slots)
             rooms[region] = rooms.get(region, 0) + entry.slots
-        regions = set(self._cfg.places.values())
-        need = PLANNED_USE * sum(rooms.values()) / len(regions)
-        shares = object_placement.region_shares(
-            {region: need for region in regions}, rooms
-        )
-        own = shares[self.own_region]
-        weights = {
-            name: own.get(region, 0.0) * count / rooms[region]
-            for name, (region, count) in slots.items()
-        }
-        self._weight_cache[service] = weights
-        return weights
+        return slots, rooms
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -4,6 +4,7 @@
 
 from jasminehold.decisions import cold_start_limiter
 from jasminehold.decisions import fleet_size
+from jasminehold.decisions import region_demand
 from jasminehold.decisions import retry_token_bucket
 from jasminehold.decisions import run_times
 from jasminehold.decisions import selection
@@ -102,6 +103,7 @@
         instances: ids of the live instances.
         placement: the :class:`~jasminehold.front.placement.Placement`.
         limits: the :class:`~decisions.stated_limits.StatedLimits`.
+        own_demand: the :class:`~decisions.region_demand.OwnDemand`.
     """
 
     def __init__(self, cfg, rng, log):
@@ -124,6 +126,7 @@
         self._misdirected = {}
         self._retries = {}
         self._run_times = {}
+        self.own_demand = region_demand.OwnDemand()
         self._sharing = set()
         self._usual_timeout_s = {}
         self._fleet = fleet_size.FleetSize(cfg.retry_window)
@@ -275,13 +278,24 @@
         bound_s = ROUTES_CERTAIN_FRACTION * self._cfg.apply_within_ms / 1000
         return self.copy_age(now) <= bound_s and self.copy_may_deny(now)
 
-    def service(self, route, now):
+    def service(self, route, now, returned=False):
         """Choose the target service of a request and count the request.
 
-        The count is the base of the service's retry budget.
+        The count is the base of the service's retry budget, and of the
+        demand here, without callers' retries.
+
+        Args:
+            route: the request's route.
+            now: monotonic seconds.
+            returned: whether the request is a caller's retry.
         """
         name = self._target_turns.pick(route.name, route.targets)
         self._retry_share(name).on_request(now)
+        if not returned:
+            # Measured run times differ between instances, as few requests
+            # take many times longer than the rest.
+            run_s = run_times.CACHED_TARGET_RATIO * route.latency_target_s
+            self.own_demand.on_request(name, run_s, now)
         return name
 
     def relayed_service(self, route, stated):
@@ -584,6 +598,28 @@
         room = load.load(now) + 1 <= load.slots * (1 + queue)
         return candidate, room
 
+    def on_demand(self, found, now):
+        """Let the parts of the regions follow their demand, one step.
+
+        Args:
+            found: ``{region: decisions.region_demand.Rates}``, without those
+                regions that are not known now.
+            now: monotonic seconds.
+        """
+        for service in self._sharing:
+            rates = {
+                region: told.rates.get(service, 0.0)
+                for region, told in found.items()
+            }
+            parts = self.placement.on_demand(service, rates, now)
+            if parts is not None:
+                self._log(
+                    'parts of regions moved',
+                    service=service,
+                    parts={name: round(v, 3) for name, v in parts.items()},
+                    demand={name: round(v, 2) for name, v in rates.items()},
+                )
+
     def shares_machines(self, service):
         """Return whether upstreams of a service share their machines.
 
@@ -591,6 +627,10 @@
         """
         return service in self._sharing
 
+    def shares_any(self):
+        """Return whether upstreams of any service share their machines."""
+        return bool(self._sharing)
+
     # Results of attempts.
 
     def on_sent(self, choice, now):
