--- a/src/jasminehold/decisions/finish_estimates.py
+++ b/src/jasminehold/decisions/finish_estimates.py
@@ -30,12 +30,13 @@
 
     Attributes:
         loads: ``{upstream id: UpstreamLoad}``.
+        sharing: services of which an upstream has reported a slowdown.
     """
 
     def __init__(self):
         self.loads = {}
         self._run_times = {}
-        self._sharing = set()
+        self.sharing = set()
 
     def load(self, entry, route):
         """Return the :class:`~decisions.upstream_load.UpstreamLoad`.
@@ -57,7 +58,7 @@
 
         It is known once one has reported a slowdown other than 1.0.
         """
-        return service in self._sharing
+        return service in self.sharing
 
     def is_cached(self, service, route, key, upstream_id, rank, now):
         """Return whether an upstream is expected to have an object cached.
@@ -156,9 +157,9 @@
             Whether this is the first report of a slowdown of the service.
         """
         load.on_report(report, now)
-        if report.slowdown == 1.0 or service in self._sharing:
+        if report.slowdown == 1.0 or service in self.sharing:
             return False
-        self._sharing.add(service)
+        self.sharing.add(service)
         return True
 
     def on_completed(self, service, route, key, choice, seconds, now):
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -6,7 +6,9 @@
 from jasminehold.decisions import cold_start_limiter
 from jasminehold.decisions import finish_estimates
 from jasminehold.decisions import fleet_size
+from jasminehold.decisions import region_demand
 from jasminehold.decisions import retry_token_bucket
+from jasminehold.decisions import run_times
 from jasminehold.decisions import selection
 from jasminehold.decisions import stated_limits
 from jasminehold.decisions import upstream_load
@@ -108,6 +110,7 @@
         instances: ids of the live instances.
         placement: the :class:`~jasminehold.front.placement.Placement`.
         limits: the :class:`~decisions.stated_limits.StatedLimits`.
+        own_demand: the :class:`~decisions.region_demand.OwnDemand`.
     """
 
     def __init__(self, cfg, rng, log):
@@ -130,6 +133,7 @@
         self._cold_limiters = {}
         self._misdirected = {}
         self._retries = {}
+        self.own_demand = region_demand.OwnDemand()
         self._usual_timeout_s = {}
         self._fleet = fleet_size.FleetSize(cfg.retry_window)
 
@@ -278,13 +282,24 @@
         bound_s = ROUTES_CERTAIN_FRACTION * self._cfg.apply_within_ms / 1000
         return self.copy_age(now) <= bound_s and self.copy_may_deny(now)
 
-    def service(self, route, now):
+    def service(self, route, now, returned=False):
         """Choose the target service of a request and count the request.
 
-        The count is the base of the service's retry budget.
+        The count is the base of the service's retry budget, and of the
+        demand here, without callers' retries.
+
+        Args:
+            route: the request's route.
+            now: monotonic seconds.
+            returned: whether the request is a caller's retry.
         """
         name = self._target_turns.pick(route.name, route.targets)
         self._retry_share(name).on_request(now)
+        if not returned:
+            # Measured run times differ between instances, as few requests
+            # take many times longer than the rest.
+            run_s = run_times.CACHED_TARGET_RATIO * route.latency_target_s
+            self.own_demand.on_request(name, run_s, now)
         return name
 
     def relayed_service(self, route, stated):
@@ -604,6 +619,32 @@
         """
         return self._estimates.shares_machines(service)
 
+    def on_demand(self, found, now):
+        """Let the parts of the regions follow their demand, one step.
+
+        Args:
+            found: ``{region: decisions.region_demand.Rates}``, without those
+                regions that are not known now.
+            now: monotonic seconds.
+        """
+        for service in self._estimates.sharing:
+            rates = {
+                region: told.rates.get(service, 0.0)
+                for region, told in found.items()
+            }
+            parts = self.placement.on_demand(service, rates, now)
+            if parts is not None:
+                self._log(
+                    'parts of regions moved',
+                    service=service,
+                    parts={name: round(v, 3) for name, v in parts.items()},
+                    demand={name: round(v, 2) for name, v in rates.items()},
+                )
+
+    def shares_any(self):
+        """Return whether upstreams of any service share their machines."""
+        return bool(self._estimates.sharing)
+
     # Results of attempts.
 
     def on_sent(self, choice, now):
