--- a/tests/features/steps/region_demand_steps.py
+++ b/tests/features/steps/region_demand_steps.py
@@ -107,7 +107,7 @@
     context.demand = demand
 
 
-@behave.when('{seconds:d} s pass')
+@behave.when('{seconds:d} s of demand pass')
 def when_pass(context, seconds):
     for _ in range(int(seconds / TICK_S)):
         context.fleet.advance(context.demand)
@@ -353,7 +353,7 @@
         context.news[name] = item
 
         # Nothing is told where no upstream reports a slowdown.
-        steering._sharing.add('loja')
+        steering._estimates.sharing.add('loja')
         _serve(loop, steering.own_demand, 1 + REGIONS.index(region))
 
 
