Keep the token of a quota when an upstream did not run the request

Accounts below their quota were refused for it. Change: a request that was rejected keeps its token for the next send, or gives it back at its end. The quota counts what upstreams run.

--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -304,6 +304,11 @@
                 how=end.value,
             )
         self._context.path.end(self)
+        if end in (End.REJECTED, End.MISDIRECTED):
+            # It did not run there: the next send uses the same token.
+            self._has_token = self._context.quotas.limits(
+                self._sender.account
+            )
         given_up = end is End.DEADLINE
         self._steering.on_end(choice, not given_up, self._loop.now())
         attempt = dict(
