--- a/src/jasminehold/decisions/urgency.py
+++ b/src/jasminehold/decisions/urgency.py
@@ -122,7 +122,7 @@
         >>> room = Urgency()
         >>> room.on_report(0, 9, 1.0)
         >>> caller = Caller('x', 0.0, 8.0)
-        >>> room.pause_s(Need(0, 0.3, 1.0), caller, 0.0, 0.5, 1.0)
+        >>> room.pause_s(Need(0, 0.3, 1.0), caller, 0.5, 1.0)
     """
 
     def __init__(self):
@@ -155,13 +155,12 @@
             return 0.0
         return self._queue
 
-    def pause_s(self, need, caller, wall_s, chance, now):
+    def pause_s(self, need, caller, chance, now):
         """Decide on a request; count it.
 
         Args:
             need: its :class:`Need`.
             caller: its :class:`Caller`.
-            wall_s: time of day in seconds, as at all instances.
             chance: random number in [0, 1), for the time to come back.
             now: monotonic seconds.
 
@@ -173,7 +172,7 @@
         place, part = self._part(need, caller, now)
         if part < 1.0:
             part = self._account_part(need.priority, caller, part, now)
-            if _point(caller, wall_s) >= part:
+            if _point(caller, now) >= part:
                 return return_s(caller.left_s, place, chance)
         self._admitted.add(now)
         return None
@@ -323,9 +322,9 @@
     return MIN_RETURN_S + part * (longest_s - MIN_RETURN_S)
 
 
-def _point(caller, wall_s):
-    # The same for the repeats of a request at all instances; each request
-    # has its own time at which it changes.
+def _point(caller, now):
+    # The same for the repeats of a request within a turn; each request has
+    # its own time at which it changes.
     phase = hashing.point('urgency phase', caller.source)
-    turn = math.floor(wall_s / TURN_S + phase)
+    turn = math.floor(now / TURN_S + phase)
     return hashing.point('urgency', caller.source, str(turn))
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -10,6 +10,7 @@
 
 import circuits
 
+from jasminehold.decisions import held_bytes
 from jasminehold.decisions import instance_sample
 from jasminehold.decisions import route_table
 from jasminehold import errors
@@ -17,6 +18,7 @@
 from jasminehold.front import caller
 from jasminehold.front import cfg as cfg_module
 from jasminehold.front import crash_guard
+from jasminehold.front import demand_news
 from jasminehold.front import departures
 from jasminehold.front import directory
 from jasminehold.front import exchange
@@ -24,6 +26,7 @@
 from jasminehold.front import limit_news
 from jasminehold.front import path_check
 from jasminehold.front import peering
+from jasminehold.front import quotas
 from jasminehold.front import reader
 from jasminehold.front import registration
 from jasminehold.front import relay
@@ -75,6 +78,7 @@
         self.loop = loop_module.Loop().register(self)
         self.metrics = metrics_module.Metrics()
         self.steering = steering_module.Steering(cfg, self.rng, _log)
+        self.held = held_bytes.HeldBytes(lambda: self.cfg.memory_mb)
         self._path = path
         self._members = {}
         self._stop_at = None
@@ -102,6 +106,7 @@
             self.loop,
             self.metrics,
             int(self._files() * UPSTREAM_FILES_FRACTION),
+            self.held,
         )
         self.store = kv.connect(
             self.loop, *self.cfg.store, self.rng, self.metrics
@@ -150,6 +155,13 @@
         self.departures = departures.Departures(
             self.loop, self._peering.mesh, self.steering, self.metrics
         )
+        self._demand_news = demand_news.DemandNews(
+            self.loop,
+            self._peering.mesh,
+            self.cfg,
+            self.steering,
+            self.metrics,
+        )
         self._first_copy = first_copy.FirstCopy(
             self.loop,
             self._peering.mesh,
@@ -169,11 +181,20 @@
         self.accounts = account_check.AccountCheck(
             lambda: self.cfg,
             self._reader.proven_age,
-            self._reader.replica.is_complete,
             self.steering.may_deny,
             self.metrics,
             _log,
         )
+        self._reader.needs_proof = self.accounts.needs_proof
+
+        self.quotas = quotas.Quotas(
+            self.loop,
+            self._peering.mesh,
+            lambda: self.cfg,
+            self.rng,
+            self.metrics,
+            _log,
+        )
 
     def _build_relay(self):
         self.path = path_check.PathCheck(
@@ -199,6 +220,13 @@
             _log,
         )
         self.path.on_regained = self.relay.tell
+        relay_on_down = self._peering.mesh.on_down
+
+        def on_down(name):
+            relay_on_down(name)
+            self.quotas.on_down(name)
+
+        self._peering.mesh.on_down = on_down
 
     def _on_path_lost(self, since):
         self.steering.forget_failures(since)
@@ -233,6 +261,7 @@
             self.path,
             self.relay,
             self.accounts,
+            self.quotas,
             self.metrics,
             self.rng,
             _log,
@@ -244,7 +273,9 @@
             self.relay.cut_off,
         )
         callers = int(files * CALLER_FILES_FRACTION)
-        self.callers = self._port(self.exchanges.on_request, callers)
+        self.callers = self._port(
+            self.exchanges.on_request, callers, self.held
+        )
         self._ready = self._port(answers.on_request, FILES_RESERVED)
         self._directory = self._port(answers.on_request, FILES_RESERVED)
         self._metrics = self._port(self._on_scrape, FILES_RESERVED)
@@ -252,7 +283,9 @@
     def _instances_to_name(self):
         return self._listed_instances if self._first_copy.in_force else ()
 
-    def _port(self, on_request, conns):
+    def _port(self, on_request, conns, held=None):
+        # Answers about the instance itself are small, and are given always.
+        held = held or held_bytes.HeldBytes(lambda: self.cfg.memory_mb)
         return caller.CallerPort(
             self.loop,
             self.metrics,
@@ -260,6 +293,7 @@
             lambda: self.steering.may_deny(self.loop.now()),
             on_request,
             conns,
+            held,
         )
 
     def _caller_limits(self):
@@ -273,6 +307,10 @@
         gauges.update(self.crash_guard.gauge_values())
         gauges.update(self.relay.gauge_values())
         gauges.update(self.accounts.gauge_values())
+        gauges.update(self.quotas.gauge_values())
+        gauges['held_bytes'] = self.held.total
+        gauges['held_bytes_peak'] = self.held.peak
+        gauges['held_bytes_allowed'] = self.held.limit
         gauges['requests_in_flight'] = len(self.exchanges.exchanges)
         gauges['instance_leaving'] = int(self.leaving)
         replica = self._reader.replica
@@ -284,6 +322,8 @@
         for service, use in self.steering.retry_uses(now).items():
             for name, value in use._asdict().items():
                 self.metrics.set('retry_%s' % name, value, service=service)
+        for account, per_s in self.quotas.label_values().items():
+            self.metrics.set('quota_allowed', per_s, account=account)
         self.metrics.set(
             'instance_info', 1, instance=self.cfg.id, place=self.cfg.place
         )
@@ -302,6 +342,7 @@
         self._reader.start()
         self._settled_era.start()
         self._registration.start()
+        self._demand_news.start()
         self._loaded_file = self._stat_settings()
         self.loop.call_later(SETTINGS_CHECK_EVERY_S, self._watch_settings)
         _log('instance started', instance=cfg.id, place=cfg.place)
@@ -424,6 +465,7 @@
         if self.steering.on_config(table):
             self.accounts.on_config(table.accounts)
             self.exchanges.on_config()
+            self.quotas.on_config(table.accounts, self.loop.now())
 
     def _on_members(self, items):
         members = self._decoder.members(items)
@@ -443,7 +485,9 @@
         self.relay.on_members(self._listed_instances)
         regions = {name: doc['region'] for name, doc in members.items()}
         self.steering.on_members(regions, self.loop.now())
+        self.quotas.on_members(regions, self.loop.now())
         self._peering.on_members(members)
+        self._demand_news.on_members(regions)
         self.crash_guard.on_members(members)
         self._registration.on_members(items)
 
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -90,6 +90,8 @@
         self._helpers_tried = set()
         self._connect_failures = 0
         self._path_retry_asked = False
+        # Whether a token of the account's quota is held for the next send.
+        self._has_token = False
 
     def start(self):
         """Match the route and send the request, or answer with an error."""
@@ -127,7 +129,9 @@
             remaining_s = min(remaining_s, stated_s)
         self._deadline = now + remaining_s
         if origin is None:
-            self._service = self._steering.service(route, now)
+            self._service = self._steering.service(
+                route, now, self._caller_retry
+            )
         else:
             self._caller_retry = origin.returned
             self._service = self._steering.relayed_service(
@@ -175,6 +179,10 @@
         if self._context.path.lost:
             self._start_relay()
             return
+        quotas, account = self._context.quotas, self._sender.account
+        if not self._has_token and quotas.limits(account):
+            quotas.take(account, now, self._on_quota)
+            return
         remaining_s = self._deadline - now
         found = self._steering.pick(
             self._route,
@@ -237,6 +245,24 @@
             account.rate_per_s if account else 0.0,
         )
 
+    def _on_quota(self, wait_s):
+        # ``wait_s``: None if the request may go.
+        self._has_token = wait_s is None
+        if self._ended:
+            self._give_token_back()
+        elif wait_s is None:
+            self._start_attempt()
+        elif self._last_failure is not None:
+            self._end_failed('quota')
+        else:
+            self._fail(Kind.OVER_QUOTA, wait_s, 'quota')
+
+    def _give_token_back(self):
+        if self._has_token:
+            self._has_token = False
+            account = self._sender.account
+            self._context.quotas.give_back(account, self._loop.now())
+
     def _allowed_upstreams(self):
         return None if self._attempts_left() > 0 else self._sent_to
 
@@ -248,6 +274,7 @@
     def _send(self, conn, reused):
         now = self._loop.now()
         self._conn = conn
+        self._has_token = False
         self._sent_at = now
         self._sends += 1
         self._sent_to.add(self._choice.upstream.entry.id)
@@ -293,7 +320,11 @@
                 how=end.value,
             )
         self._context.path.end(self)
-        choice.load.on_end()
+        if end in (End.REJECTED, End.MISDIRECTED):
+            # It did not run there: the next send uses the same token.
+            self._has_token = self._context.quotas.limits(self._sender.account)
+        given_up = end is End.DEADLINE
+        self._steering.on_end(choice, not given_up, self._loop.now())
         attempt = dict(
             choice.why, upstream=choice.upstream.entry.id, end=outcome
         )
@@ -361,6 +392,7 @@
         )
 
     def _relay(self, helper, single):
+        self._give_token_back()
         self._relays += 1
         self._helpers_tried.add(helper.id)
         origin = relay_module.Origin(
@@ -714,6 +746,7 @@
 
     def _finish(self, outcome, reason=''):
         self._ended = True
+        self._give_token_back()
         if self._timer is not None:
             self._timer.cancel()
         self._context.exchanges.discard(self)
@@ -749,8 +782,14 @@
             left_s=round(self._deadline - now, 3),
             sends=self._attempts,
             owners=self._owners,
+            **self._quota_note(reason),
         )
 
+    def _quota_note(self, reason):
+        if reason != 'quota':
+            return {}
+        return {'quota': self._context.quotas.note(self._sender.account)}
+
 
 def _end_of(answer, exc):
     # The ``End`` of a send whose connection delivered a response or failed.
@@ -783,6 +822,7 @@
         path,
         relay,
         accounts,
+        quotas,
         metrics,
         rng,
         log,
@@ -790,6 +830,7 @@
         self.loop = loop
         self.steering = steering
         self.accounts = accounts
+        self.quotas = quotas
         self.pool = pool
         self.crash_guard = crash_guard
         self.limit_news = limit_news
