--- a/bench/model.py
+++ b/bench/model.py
@@ -18,7 +18,6 @@
 import random
 import typing
 
-from jasminehold.decisions import accounts
 from jasminehold.decisions import hashing
 from jasminehold.decisions import route_table
 from jasminehold.decisions import upstream_view
@@ -118,7 +117,7 @@
         pools: ``{service: Pool}``.
         kinds: list of :class:`Kind`.
         retry_burst: repeats of the fleet on top of a fifth of the requests.
-        has_accounts: whether the configuration has accounts.
+        urgent_first: whether less urgent requests give way.
     """
 
     places: dict
@@ -126,7 +125,7 @@
     pools: dict
     kinds: tuple
     retry_burst: int = 58
-    has_accounts: bool = False
+    urgent_first: bool = False
 
 
 class Change(typing.NamedTuple):
@@ -333,7 +332,6 @@
             list(self._routes.values()),
             [],
             route_table.CallerLimits(),
-            accounts.AccountTable([]) if self.dep.has_accounts else None,
         )
         found = {}
         for place, name in names:
@@ -701,6 +699,7 @@
         places=deployment.places,
         retry_ratio=0.2,
         retry_burst=deployment.retry_burst,
+        urgent_first=deployment.urgent_first,
         cold_over=1.5,
         cold_slack=5.0,
     )
--- a/src/jasminehold/front/cfg.py
+++ b/src/jasminehold/front/cfg.py
@@ -153,6 +153,14 @@
     _number('quota_overage', 0, 0, 1000, 'Share beyond a quota allowed.'),
     _number('quota_slack', 0, 0, 1e9, 'Requests beyond a quota allowed.'),
     _number('memory_mb', 300, 1, 1e9, 'Memory of the process, MB.'),
+    settings.Key(
+        'urgent_first',
+        bool,
+        settings.check_flag,
+        'true or false',
+        False,
+        'Whether less urgent requests give way where room is short.',
+    ),
     _number('retry_ratio', 0.1, 0, 1000, 'Repeats allowed, as share.'),
     _number(
         'retry_burst', 10, 0, 1e9, 'Repeats allowed on top, of the fleet.'
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -429,7 +429,7 @@
             return Refusal(
                 Kind.OVERLOADED, MIN_RETRY_AFTER_S, 'no usable upstream'
             )
-        if self.table.accounts is None:
+        if not self._cfg.urgent_first:
             caller = None
         part = self._queue_part(route, service, caller, now)
         candidates, full = [], []
--- a/tests/builders/front_rig.py
+++ b/tests/builders/front_rig.py
@@ -247,6 +247,7 @@
             quota_overage=0.1,
             quota_slack=20.0,
             memory_mb=300.0,
+            urgent_first=False,
             retry_ratio=0.2,
             retry_burst=50,
             retry_window=10.0,
--- a/tests/features/steps/urgency_steps.py
+++ b/tests/features/steps/urgency_steps.py
@@ -75,13 +75,13 @@
     )
 
 
-def _play(kinds, has_accounts=True):
+def _play(kinds, urgent_first=True):
     deployment = model.Deployment(
         PLACES,
         dict.fromkeys(PLACES, 3),
         {'s': POOL},
         tuple(kinds),
-        has_accounts=has_accounts,
+        urgent_first=urgent_first,
     )
     return model.run(deployment, SEED, SECONDS)
 
@@ -95,18 +95,18 @@
 
 @behave.given('a service with requests of three priorities')
 def given_priorities(context):
-    context.has_accounts = True
+    context.urgent_first = True
 
 
-@behave.given('its configuration has no accounts')
-def given_no_accounts(context):
-    context.has_accounts = False
+@behave.given('its settings let nobody give way')
+def given_off(context):
+    context.urgent_first = False
 
 
 @behave.when('it is played alone and at {load:g} times its room')
 def when_short(context, load):
     context.alone = _play(_priorities(0.1))
-    context.result = _play(_priorities(load), context.has_accounts)
+    context.result = _play(_priorities(load), context.urgent_first)
 
 
 @behave.then('the most urgent are in time within 2 points of the share alone')
--- a/tests/features/urgency.feature
+++ b/tests/features/urgency.feature
@@ -34,11 +34,10 @@
     When a third of the callers repeat 3 times at once when refused
     Then they are in time no more often than the patient ones
 
-  # Guards against deployments whose upstreams report no slowdown and that
-  # have no accounts being served by the new rule.
-  Scenario: Without accounts nobody gives way
+  # Guards against deployments being served by the rule without their asking.
+  Scenario: Nobody gives way unless the settings say so
     Given a service with requests of three priorities
-    And its configuration has no accounts
+    And its settings let nobody give way
     When it is played alone and at 3 times its room
     Then the priorities are in time within 5 points of each other
 
