--- a/bench/model.py
+++ b/bench/model.py
@@ -21,6 +21,7 @@
 from jasminehold.decisions import hashing
 from jasminehold.decisions import route_table
 from jasminehold.decisions import upstream_view
+from jasminehold.decisions import urgency
 from jasminehold.front import cfg as front_cfg
 from jasminehold.front import steering as steering_module
 from jasminehold.platform import wire
@@ -29,6 +30,10 @@
 # Callers come back within this part of the time that they have left.
 RETURN_PART = 1 / 3
 SERIES_S = 2.0
+# Seconds from the start after which slots are expected to be busy.
+BUSY_FROM_S = 4.0
+# Seconds after which callers come back that do not wait.
+AT_ONCE_S = 0.02
 # Cost of learning an object relative to its time, for the oracle.
 ORACLE_LEARNING_WEIGHT = 0.25
 
@@ -48,6 +53,9 @@
         objects: objects of each region.
         idempotent: whether it may run again.
         priority: rank, 0 is the highest.
+        account: name of the callers' account, '' for none.
+        at_once: repeats that a rejected caller sends at once, without regard
+            to the time after which it should come back.
     """
 
     name: str
@@ -61,6 +69,8 @@
     objects: int = 24
     idempotent: bool = True
     priority: int = 2
+    account: str = ''
+    at_once: int = 0
 
 
 class Pool(typing.NamedTuple):
@@ -107,6 +117,7 @@
         pools: ``{service: Pool}``.
         kinds: list of :class:`Kind`.
         retry_burst: repeats of the fleet on top of a fifth of the requests.
+        urgent_first: whether less urgent requests give way.
     """
 
     places: dict
@@ -114,6 +125,7 @@
     pools: dict
     kinds: tuple
     retry_burst: int = 58
+    urgent_first: bool = False
 
 
 class Change(typing.NamedTuple):
@@ -147,6 +159,9 @@
         known: runs at an upstream that knew the object.
         series: credit by spans of two seconds.
         latencies: seconds to each answer.
+        in_time: share answered within the aim by kind, ``{name: share}``.
+        served_by_kind: share answered by kind, ``{name: share}``.
+        busy: share of the slots that worked, from ``BUSY_FROM_S`` on.
         failed: requests that ended at their time-out.
         lost: part of the slots' time that ran for requests without an answer.
         busiest: requests at the busiest upstream over the mean.
@@ -162,6 +177,9 @@
     known: float
     series: tuple
     latencies: tuple
+    in_time: dict
+    served_by_kind: dict
+    busy: float
     failed: float = 0.0
     lost: float = 0.0
     busiest: float = 0.0
@@ -208,14 +226,16 @@
 
 
 class _Request:
-    def __init__(self, kind, region, place, key, now):
+    def __init__(self, kind, region, place, key, number, now):
         self.kind = kind
+        self.number = number
         self.region = region
         self.place = place
         self.key = key
         self.born = now
         self.ends = now + kind.deadline_s
         self.retried = False
+        self.at_once = kind.at_once
 
 
 class _Attempt:
@@ -259,6 +279,7 @@
         self.budget_used = 0.0
         self._heap = []
         self._order = itertools.count()
+        self._numbers = itertools.count()
         self._routes = {kind.name: _route(kind) for kind in deployment.kinds}
         self.upstreams = {}
         for service, pool in deployment.pools.items():
@@ -274,6 +295,8 @@
         self.instances = self._start_instances()
         self.ended = []
         self.known = self.runs = 0
+        self.busy_s = 0.0
+        self._until = math.inf
         self.run_s = self.lost_s = 0.0
         for change in changes:
             self.at(change.at, self._change, change, change.shed, change.slow)
@@ -305,7 +328,10 @@
             ]
         ]
         table = route_table.RouteTable(
-            1, list(self._routes.values()), [], route_table.CallerLimits()
+            1,
+            list(self._routes.values()),
+            [],
+            route_table.CallerLimits(),
         )
         found = {}
         for place, name in names:
@@ -313,6 +339,7 @@
             rng = random.Random(self.rng.random())
             item = steering_module.Steering(cfg, rng, _silent)
             item.on_config(table)
+            item.wall = lambda: self.now
             # The fleet has run for a while when its callers come.
             regions = {
                 other: self.dep.places[other_place]
@@ -349,7 +376,10 @@
         self.at(self._gap(kind), self._arrive, kind, region, place)
         number = self.rng.randrange(kind.objects)
         key = '%s/%s-%d' % (kind.name, region, number)
-        self._attempt(_Request(kind, region, place, key, self.now), False)
+        request = _Request(
+            kind, region, place, key, next(self._numbers), self.now
+        )
+        self._attempt(request, False)
 
     def _attempt(self, request, returned):
         instance = self.rng.choice(self.instances[request.region])
@@ -374,6 +404,7 @@
             only,
             attempt.deadline - self.now,
             self.now,
+            None if attempt.tried else _caller(attempt.request, self.now),
         )
         if isinstance(found, steering_module.Refusal):
             self._reject(attempt, found.retry_after_s)
@@ -490,6 +521,8 @@
                 upstream.waiting.remove(attempt)
             return
         upstream.running -= 1
+        begin = max(attempt.began, BUSY_FROM_S)
+        self.busy_s += max(min(self.now, self._until) - begin, 0.0)
         upstream.at_work.discard(attempt)
         self.run_s += self.now - attempt.began
         while upstream.waiting and upstream.running < upstream.pool.slots:
@@ -527,6 +560,10 @@
         attempt.done = True
         request = attempt.request
         left = request.ends - self.now
+        if request.at_once and left > AT_ONCE_S:
+            request.at_once -= 1
+            self.at(self.now + AT_ONCE_S, self._attempt, request, True)
+            return
         if request.retried or retry_after_s > left * RETURN_PART:
             self._end(request, 'rejected')
             return
@@ -556,6 +593,7 @@
         counts = collections.Counter()
         spans = collections.defaultdict(lambda: [0.0, 0.0])
         latencies = []
+        kinds = collections.defaultdict(collections.Counter)
         for request, how, seconds in self.ended:
             kind = request.kind
             credit = 0.0
@@ -564,13 +602,18 @@
                 in_time = seconds <= kind.aim_s
                 credit = kind.worth * (1.0 if in_time else 0.2)
                 counts['late'] += not in_time
+                kinds[kind.name]['in time'] += in_time
             counts[how] += 1
+            kinds[kind.name][how] += 1
+            kinds[kind.name]['all'] += 1
             owed[request.region] += kind.worth
             earned[request.region] += credit
             span = spans[int(request.born // SERIES_S)]
             span[0] += credit
             span[1] += kind.worth
         total = max(len(self.ended), 1)
+        slots = sum(item.pool.slots for item in self.upstreams.values())
+        slot_s = slots * max(self._until - BUSY_FROM_S, 1e-9)
         pools = collections.defaultdict(list)
         for item in self.upstreams.values():
             pools[id(item.pool)].append(item)
@@ -594,6 +637,9 @@
                 for key in sorted(spans)
             ),
             latencies=tuple(latencies),
+            in_time=_shares(kinds, 'in time'),
+            served_by_kind=_shares(kinds, 'served'),
+            busy=self.busy_s / slot_s,
             failed=counts['failed'] / total,
             lost=self.lost_s / max(self.run_s, 1e-9),
             busiest=max(use.values()),
@@ -609,6 +655,19 @@
     return Model(deployment, seed, changes, oracle).run(seconds)
 
 
+def _shares(kinds, what):
+    return {name: item[what] / item['all'] for name, item in kinds.items()}
+
+
+def _caller(request, now):
+    return urgency.Caller(
+        '%d %s' % (request.number, request.key),
+        now - request.born,
+        request.ends - now,
+        request.kind.account,
+    )
+
+
 def _silent(event, level='info', **fields):
     """Drop a log line."""
 
@@ -640,6 +699,7 @@
         places=deployment.places,
         retry_ratio=0.2,
         retry_burst=deployment.retry_burst,
+        urgent_first=deployment.urgent_first,
         cold_over=1.5,
         cold_slack=5.0,
     )
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -7,6 +7,7 @@
 from jasminehold.decisions import relay_choice
 from jasminehold.decisions import request_digest
 from jasminehold.decisions import send_end
+from jasminehold.decisions import urgency
 from jasminehold import errors
 from jasminehold.front import relay as relay_module
 from jasminehold.front import steering as steering_module
@@ -72,6 +73,7 @@
         self._may_have_run = False
         self._crashes = 0
         self._caller_retry = False
+        self._caller_left_s = _MAX_DEADLINE_MS / 1000
         # Ids of upstreams that got the request, and of those to exclude.
         self._sent_to = set()
         self._tried = set()
@@ -119,6 +121,7 @@
         stated_ms = self._header_values.get(wire.DEADLINE_MS, b'')
         if stated_ms.isdigit():
             stated_s = min(int(stated_ms), _MAX_DEADLINE_MS) / 1000
+            self._caller_left_s = stated_s
             if origin is None:
                 self._caller_retry = self._steering.is_caller_retry(
                     route, stated_s
@@ -190,6 +193,7 @@
             self._allowed_upstreams(),
             remaining_s,
             now,
+            None if self._tried else self._caller(now),
         )
         if isinstance(found, steering_module.Refusal):
             self._owners = found.owners
@@ -229,6 +233,18 @@
             failed,
         )
 
+    def _caller(self, now):
+        account = self._sender.account
+        left_s = self._inbound.arrived_at + self._caller_left_s - now
+        path = self._inbound.target.decode('latin-1')
+        return urgency.Caller(
+            '%s %s %s' % (self._account_name(), self._peer(), path),
+            self._steering.waited_s(self._route, left_s),
+            left_s,
+            self._account_name(),
+            account.rate_per_s if account else 0.0,
+        )
+
     def _on_quota(self, wait_s):
         # ``wait_s``: None if the request may go.
         self._has_token = wait_s is None
@@ -306,9 +322,7 @@
         self._context.path.end(self)
         if end in (End.REJECTED, End.MISDIRECTED):
             # It did not run there: the next send uses the same token.
-            self._has_token = self._context.quotas.limits(
-                self._sender.account
-            )
+            self._has_token = self._context.quotas.limits(self._sender.account)
         given_up = end is End.DEADLINE
         self._steering.on_end(choice, not given_up, self._loop.now())
         attempt = dict(
--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -14,6 +14,7 @@
 from jasminehold.decisions import upstream_load
 from jasminehold.decisions import upstream_pauses
 from jasminehold.decisions import upstream_view
+from jasminehold.decisions import urgency
 from jasminehold.decisions import weighted_round_robin
 from jasminehold import errors
 from jasminehold.front import placement
@@ -135,6 +136,7 @@
         self._retries = {}
         self.own_demand = region_demand.OwnDemand()
         self._usual_timeout_s = {}
+        self._urgency = {}
         self._fleet = fleet_size.FleetSize(cfg.retry_window)
 
     # Updates from the store and the settings.
@@ -353,6 +355,15 @@
         self._usual_timeout_s[route.name] = usual
         return stated_s < CALLER_RETRY_FRACTION * usual
 
+    def waited_s(self, route, left_s):
+        """Return how long a caller has waited since its first attempt.
+
+        Args:
+            route: the request's route.
+            left_s: seconds until the caller's own deadline.
+        """
+        return max(self._usual_timeout_s.get(route.name, 0.0) - left_s, 0.0)
+
     def _retry_share(self, service):
         if service not in self._retries:
             self._retries[service] = retry_token_bucket.RetryTokenBucket(
@@ -360,7 +371,33 @@
             )
         return self._retries[service]
 
-    def pick(self, route, service, key, request_id, tried, only, left_s, now):
+    def _queue_part(self, route, service, caller, now):
+        if caller is None or service not in self._urgency:
+            return 1.0
+        room = self._urgency[service]
+        return room.queue_part(route.priority, caller, now)
+
+    def _gives_way_s(self, route, service, caller, best, now):
+        # None if the request need not give way to others.
+        if caller is None or best is None:
+            return None
+        room = self._urgency.setdefault(service, urgency.Urgency())
+        run_s = best.run_s + best.network_s
+        need = urgency.Need(route.priority, run_s, route.latency_target_s)
+        return room.pause_s(need, caller, self._rng.random(), now)
+
+    def pick(
+        self,
+        route,
+        service,
+        key,
+        request_id,
+        tried,
+        only,
+        left_s,
+        now,
+        caller=None,
+    ):
         """Select an upstream: a :class:`Choice` or a :class:`Refusal`.
 
         Args:
@@ -372,6 +409,8 @@
             only: ids of the allowed upstreams, None for all.
             left_s: seconds until the request's deadline.
             now: monotonic seconds.
+            caller: the :class:`~decisions.urgency.Caller` of a request that
+                has to give way to more urgent ones, else None.
         """
         sharing = self.shares_machines(service)
         most = SHARED_OWNERS_PER_KEY if sharing else OWNERS_PER_KEY
@@ -390,23 +429,31 @@
             return Refusal(
                 Kind.OVERLOADED, MIN_RETRY_AFTER_S, 'no usable upstream'
             )
+        if not self._cfg.urgent_first:
+            caller = None
+        part = self._queue_part(route, service, caller, now)
         candidates, full = [], []
         for rank, upstream in enumerate(ranked):
             if key and rank >= OWNERS_PER_KEY and candidates:
                 break
             candidate, room = self._candidate(
-                route, service, key, upstream, rank, left_s, now
+                route, service, key, upstream, rank, part, left_s, now
             )
             (candidates if room else full).append(candidate)
         best = selection.choose(candidates, self._rng)
         # Reject only if there is a wait: the estimated run time alone may be
         # wrong.
         late = best is not None and best.wait_s and best.finish_s >= left_s
-        if best is None or late:
-            pause = selection.retry_after_s(
+        way_s = self._gives_way_s(route, service, caller, best, now)
+        if best is None or late or way_s is not None:
+            pause = way_s or selection.retry_after_s(
                 candidates + full, MIN_RETRY_AFTER_S, self._rng
             )
+            if caller is not None:
+                pause = min(pause, urgency.RETURN_FRACTION * caller.left_s)
             reason = 'queues full' if best is None else 'too late'
+            if best is not None and not late:
+                reason = 'gives way'
             owners = tuple(
                 (
                     item.id,
@@ -582,7 +629,9 @@
         rate = declared.cold_per_s if declared else 0.0
         return rate * self._cfg.cold_over + self._cfg.cold_slack
 
-    def _candidate(self, route, service, key, upstream, rank, left_s, now):
+    def _candidate(
+        self, route, service, key, upstream, rank, part, left_s, now
+    ):
         entry = upstream.entry
         estimates = self._estimates
         load = estimates.load(entry, route)
@@ -597,7 +646,7 @@
         if key and rank >= OWNERS_PER_KEY:
             queue = 0.0
         count = estimates.count(service, load, now)
-        room = count + 1 <= load.slots * (1 + queue)
+        room = count + 1 <= load.slots * (1 + queue * part)
         return (
             candidate,
             room and candidate.chance >= finish_estimates.MIN_CHANCE,
@@ -668,6 +717,8 @@
         service = choice.upstream.entry.service
         if self._estimates.on_report(service, choice.load, report, now):
             self._log('upstreams share machines', service=service)
+        room = self._urgency.setdefault(service, urgency.Urgency())
+        room.on_report(report.waiting, report.slots, now)
 
     def on_completed(self, route, service, key, choice, seconds, now):
         """Record a successful request and its duration."""
