Let no token of a quota outlast its time at a request

Cause: a token that a request held while its connection stalled, or that it gave back later, counted anew. A rejection after the caller had left kept a token for good. Change: Token holds when it was taken; one that is too old is taken anew before the send and not given back. A rejected request keeps what is left. Result: five new scenarios of quotas.feature pass.

--- a/src/jasminehold/decisions/quotas.py
+++ b/src/jasminehold/decisions/quotas.py
@@ -609,11 +609,19 @@
             ),
         )
 
-    def give_back(self, account, now):
-        """Take a token back whose request was not sent."""
+    def give_back(self, account, taken_at, now):
+        """Take a token back whose request did not run.
+
+        Args:
+            account: name of the account.
+            taken_at: monotonic seconds at which it was taken.
+            now: monotonic seconds.
+        """
         pot = self._pots.get(account)
-        if pot is not None:
-            until = now + self.bounds.hold_s(pot.quota)
+        if pot is None:
+            return
+        until = taken_at + self.bounds.hold_s(pot.quota)
+        if until > now:
             pot.batches.append([1, until])
 
     def _request(self, name, wanted, now, done):
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -90,8 +90,8 @@
         self._helpers_tried = set()
         self._connect_failures = 0
         self._path_retry_asked = False
-        # Whether a token of the account's quota is held for the next send.
-        self._has_token = False
+        # Of the account's quota, once the account is known.
+        self._token = None
 
     def start(self):
         """Match the route and send the request, or answer with an error."""
@@ -116,6 +116,7 @@
             self._fail(sender, self._retry_after_s(), 'account')
             return
         self._sender = sender
+        self._token = self._context.quotas.token(sender.account)
         self._route = route = sender.route
         remaining_s = route.timeout_s
         stated_ms = self._header_values.get(wire.DEADLINE_MS, b'')
@@ -179,9 +180,8 @@
         if self._context.path.lost:
             self._start_relay()
             return
-        quotas, account = self._context.quotas, self._sender.account
-        if not self._has_token and quotas.limits(account):
-            quotas.take(account, now, self._on_quota)
+        if self._token.is_needed(now):
+            self._token.take(now, self._on_quota)
             return
         remaining_s = self._deadline - now
         found = self._steering.pick(
@@ -214,6 +214,12 @@
                 path.on_opened()
             if self._choice is not found:
                 self._context.pool.put_back(conn)
+            elif self._token.is_needed(self._loop.now()):
+                # The connection took longer than the token holds.
+                self._context.pool.put_back(conn)
+                self._tried.discard(entry.id)
+                self._release('not sent: quota')
+                self._start_attempt()
             elif self._steering.is_usable(found, self._loop.now()):
                 self._send(conn, reused)
             else:
@@ -247,9 +253,8 @@
 
     def _on_quota(self, wait_s):
         # ``wait_s``: None if the request may go.
-        self._has_token = wait_s is None
         if self._ended:
-            self._give_token_back()
+            self._token.give_back(self._loop.now())
         elif wait_s is None:
             self._start_attempt()
         elif self._last_failure is not None:
@@ -257,12 +262,6 @@
         else:
             self._fail(Kind.OVER_QUOTA, wait_s, 'quota')
 
-    def _give_token_back(self):
-        if self._has_token:
-            self._has_token = False
-            account = self._sender.account
-            self._context.quotas.give_back(account, self._loop.now())
-
     def _allowed_upstreams(self):
         return None if self._attempts_left() > 0 else self._sent_to
 
@@ -274,7 +273,7 @@
     def _send(self, conn, reused):
         now = self._loop.now()
         self._conn = conn
-        self._has_token = False
+        self._token.use()
         self._sent_at = now
         self._sends += 1
         self._sent_to.add(self._choice.upstream.entry.id)
@@ -321,8 +320,7 @@
             )
         self._context.path.end(self)
         if end in (End.REJECTED, End.MISDIRECTED):
-            # It did not run there: the next send uses the same token.
-            self._has_token = self._context.quotas.limits(self._sender.account)
+            self._token.keep()
         given_up = end is End.DEADLINE
         self._steering.on_end(choice, not given_up, self._loop.now())
         attempt = dict(
@@ -392,7 +390,7 @@
         )
 
     def _relay(self, helper, single):
-        self._give_token_back()
+        self._token.give_back(self._loop.now())
         self._relays += 1
         self._helpers_tried.add(helper.id)
         origin = relay_module.Origin(
@@ -514,6 +512,7 @@
         if self._ended:
             # The caller has disconnected: send nothing more for it.
             self._release('after the caller left', limit, end)
+            self._token.give_back(now)
             return
         if exc is not None:
             self._on_loss(exc, now, end)
@@ -746,7 +745,8 @@
 
     def _finish(self, outcome, reason=''):
         self._ended = True
-        self._give_token_back()
+        if self._token is not None:
+            self._token.give_back(self._loop.now())
         if self._timer is not None:
             self._timer.cancel()
         self._context.exchanges.discard(self)
--- a/src/jasminehold/front/quotas.py
+++ b/src/jasminehold/front/quotas.py
@@ -96,6 +96,10 @@
         """Pass over an instance whose last link closed."""
         self._share.on_down(name, self._loop.now())
 
+    def now(self):
+        """Return the monotonic time in seconds."""
+        return self._loop.now()
+
     def limits(self, account):
         """Return whether an account has a quota; None is no account."""
         return account is not None and account.name in self._limits
@@ -116,10 +120,28 @@
 
         self._share.take(account.name, now, taken)
 
-    def give_back(self, account, now):
-        """Take a token back whose request was not sent."""
+    def token(self, account):
+        """Return the :class:`Token` of a request.
+
+        Args:
+            account: its :class:`~decisions.accounts.Account`, or None.
+        """
+        return Token(self, account)
+
+    def hold_s(self, account):
+        """Return the seconds for which a token that was taken may be used."""
+        return self._share.bounds.hold_s(self._limits[account.name])
+
+    def give_back(self, account, taken_at, now):
+        """Take a token back whose request did not run.
+
+        Args:
+            account: a limited :class:`~decisions.accounts.Account`.
+            taken_at: monotonic seconds at which it was taken.
+            now: monotonic seconds.
+        """
         self._count(account.name, 'returned')
-        self._share.give_back(account.name, now)
+        self._share.give_back(account.name, taken_at, now)
 
     def note(self, account):
         """Return what the log says of an account's quota, or None."""
@@ -149,3 +171,52 @@
         self._metrics.inc(
             'quota_requests_total', account=label, outcome=outcome
         )
+
+
+class Token:
+    """One request's token of its account's quota.
+
+    A token that was taken may be used for a short time only, so that what
+    all requests hold stays within the bound.
+
+    Args:
+        quotas: the :class:`Quotas`.
+        account: the :class:`~decisions.accounts.Account`, or None.
+    """
+
+    def __init__(self, quotas, account):
+        self._quotas = quotas
+        self._account = account
+        self._taken_at = None
+        self._held = False
+
+    def is_needed(self, now):
+        """Return whether one has to be taken before the next send."""
+        if not self._quotas.limits(self._account):
+            return False
+        hold_s = self._quotas.hold_s(self._account)
+        return not self._held or now - self._taken_at > hold_s
+
+    def take(self, now, done):
+        """Take one; see :meth:`Quotas.take`."""
+
+        def taken(wait_s):
+            self._held = wait_s is None
+            self._taken_at = self._quotas.now()
+            done(wait_s)
+
+        self._quotas.take(self._account, now, taken)
+
+    def use(self):
+        """Use it for a send."""
+        self._held = False
+
+    def keep(self):
+        """Hold it again: the upstream did not run the request."""
+        self._held = self._taken_at is not None
+
+    def give_back(self, now):
+        """Return it if it is held."""
+        if self._held and self._quotas.limits(self._account):
+            self._quotas.give_back(self._account, self._taken_at, now)
+        self._held = False
--- a/tests/builders/pausing_upstreams.py
+++ b/tests/builders/pausing_upstreams.py
@@ -7,6 +7,7 @@
 from jasminehold.front import account_check
 from jasminehold.front import exchange
 from jasminehold.front import path_check
+from jasminehold.front import quotas
 from jasminehold.front import upstream_conn
 from jasminehold import metrics
 from tests.builders import front_values
@@ -74,7 +75,12 @@
                 sender=lambda route, *args: account_check.Sender(None, route),
                 is_valid=lambda *args: True,
             ),
-            types.SimpleNamespace(limits=lambda account: False),
+            types.SimpleNamespace(
+                token=lambda account: quotas.Token(
+                    types.SimpleNamespace(limits=lambda account: False),
+                    account,
+                )
+            ),
             metrics.Metrics(),
             random.Random(1),
             lambda *args, **kwargs: None,
--- a/tests/features/quotas.feature
+++ b/tests/features/quotas.feature
@@ -145,3 +145,18 @@
     Given four linked instances where "ada" has a quota and "bo" has none
     When the first has no path and sends 4 requests of "ada" through others
     Then the first has used no token and the others as many as ran
+
+  # Guards against requests beyond a quota that held their tokens while
+  # connections stalled.
+  Scenario Outline: A token that was <what> after <seconds> s
+    Given a request with a token that holds for 0.1 s
+    When it was <what> after <seconds> s
+    Then another token is needed "<needed>" and <back> s are given back
+
+    Examples:
+      | what     | seconds | needed | back |
+      | unused   | 0.05    | no     | 0.05 |
+      | unused   | 0.2     | yes    | 0    |
+      | used     | 0.05    | yes    | 0    |
+      | rejected | 0.05    | no     | 0.05 |
+      | rejected | 0.2     | yes    | 0    |
--- a/tests/features/steps/quotas_steps.py
+++ b/tests/features/steps/quotas_steps.py
@@ -2,13 +2,18 @@
 
 import io
 import json
+import random
 import time
+import types
 
 import behave
 import hypothesis
 from hypothesis import strategies
 
+from jasminehold.decisions import accounts
 from jasminehold.decisions import quotas
+from jasminehold import errors
+from jasminehold.front import quotas as front_quotas
 from jasminehold import logs
 from tests.builders import cut_upstreams
 from tests.builders import front_rig
@@ -281,3 +286,80 @@
         for outcome in ('used', 'returned')
     ]
     return counts[0] - counts[1]
+
+
+# A request's token.
+
+
+@behave.given('a request with a token that holds for {seconds:g} s')
+def given_token(context, seconds):
+    context.back = []
+    stub = types.SimpleNamespace(
+        limits=lambda account: True,
+        hold_s=lambda account: seconds,
+        now=lambda: 1.0,
+        take=lambda account, now, done: done(None),
+        give_back=lambda account, taken_at, now: context.back.append(
+            max(taken_at + seconds - now, 0.0)
+        ),
+    )
+    context.token = front_quotas.Token(stub, accounts.Account('ada'))
+    context.token.take(1.0, lambda wait_s: None)
+
+
+@behave.when('it was {what} after {seconds:g} s')
+def when_token(context, what, seconds):
+    context.token_now = 1.0 + seconds
+    if what != 'unused':
+        context.token.use()
+    if what == 'rejected':
+        context.token.keep()
+
+
+@behave.then(
+    'another token is needed "{needed}" and {left:g} s are given back'
+)
+def then_token(context, needed, left):
+    found = context.token.is_needed(context.token_now)
+    assert found == (needed == 'yes')
+    context.token.give_back(context.token_now)
+    assert abs(sum(context.back) - left) < 1e-6, context.back
+
+
+@behave.given('an instance that another one gives its part')
+def given_share(context):
+    context.share = quotas.QuotaShare(
+        'i1', 'sul', quotas.Bounds(5, 0.1, 20), random.Random(1), print, 0.0
+    )
+    context.share.on_quotas({'ada': quotas.Quota(30.0, 30.0)}, 0.0)
+    context.share.on_members({'i1': 'sul', 'i2': 'sul'}, 0.0)
+
+
+@behave.when('it gets a message with {field} of {value}')
+def when_malformed(context, field, value):
+    own = context.share._boot
+    message = {
+        'type': 'quota_gift',
+        'shard': quotas.shard('ada'),
+        'gift': 0.1,
+        'at': 1.0,
+        'boot': 7,
+        'echo': [own, 1.0],
+    }
+    number = value if value == 'word' else float(value)
+    message[field] = {'ada': number} if field == 'back' else number
+    context.refused = False
+    try:
+        context.share.on_message('i2', message, 1.0)
+    except errors.MALFORMED_MESSAGE_ERRORS:
+        context.refused = True
+
+
+@behave.then('the message is refused and the instance goes on')
+def then_goes_on(context):
+    assert context.refused
+    for tick in range(20):
+        context.share.on_tick(1.0 + tick / 10)
+    got = []
+    context.share.take('ada', 3.0, got.append)
+    assert got == [None], got
