Refuse malformed messages on quotas before anything is applied

Cause: a gift of NaN was kept and ended every later tick, an infinite count raised past the mesh's handler, a negative one let requests go free, a grant without its time lost its ask. A send that failed at once could end the walk over the asks; requests that waited when a limit went away got 429. Change: messages are read whole before they are applied; asks that are gone are passed over; without a limit the waiting requests go.

--- a/src/jasminehold/decisions/quotas.py
+++ b/src/jasminehold/decisions/quotas.py
@@ -262,7 +262,9 @@
         """Use the quotas in force: ``{account: Quota}``, limited ones only."""
         for name in [name for name in self._pots if name not in quotas]:
             pot = self._pots.pop(name)
-            self._refuse_all(pot, 0.0, now)
+            waiters, pot.waiters = list(pot.waiters), collections.deque()
+            for _, wanted, done in waiters:
+                done(wanted, 0.0, now)
         for name, quota in quotas.items():
             pot = self._pots.get(name)
             if pot is None:
@@ -342,6 +344,9 @@
             if node.parent == name:
                 self._find_parent(node, number, now)
         for ask in list(self._asks.values()):
+            # A send may fail at once and close the next link.
+            if ask.number not in self._asks:
+                continue
             pot = self._pots.get(ask.account)
             if pot is not None and pot.node.parent is None:
                 del self._asks[ask.number]
@@ -377,6 +382,8 @@
 
     def _repeat(self, now):
         for ask in list(self._asks.values()):
+            if ask.number not in self._asks:
+                continue
             pot = self._pots.get(ask.account)
             if pot is None or pot.asked != ask.number:
                 del self._asks[ask.number]
@@ -504,6 +511,13 @@
 
     def _on_gift(self, sender, message, now):
         number, gift = int(message['shard']), float(message['gift'])
+        back = message.get('back', {})
+        if not math.isfinite(gift):
+            raise ValueError('gift is not finite')
+        if not all(
+            type(count) is int and count >= 0 for count in back.values()
+        ):
+            raise ValueError('back holds something else than counts')
         sent_at, boot = float(message['at']), message['boot']
         node = self._nodes[number % SHARDS]
         stamp = (number, boot, sent_at)
@@ -517,7 +531,7 @@
         if echo is not None and echo[0] == self._boot:
             if now - echo[1] < GIFT_AGE_MAX_S:
                 self._add(node, min(max(gift, 0.0), 1.0), now)
-                self._take_back(message.get('back', {}), now)
+                self._take_back(back, now)
         self._send(
             sender,
             {
@@ -567,18 +581,18 @@
         self._request(str(message['account']), wanted, now, done)
 
     def _on_grant(self, sender, message, now):
+        granted, wait_s = int(message['granted']), float(message['wait'])
+        waited_s = float(message['waited'])
         ask = self._asks.pop(message['number'], None)
         pot = self._pots.get(ask.account) if ask else None
         if pot is None or pot.asked != ask.number:
             return
         pot.asked = None
-        granted = int(message['granted'])
         if granted > 0:
             far = sender in pot.node.far
-            granted_at = min(ask.at + float(message['waited']), now)
+            granted_at = min(ask.at + waited_s, now)
             until = granted_at + self.bounds.hold_s(pot.quota, far)
             pot.batches.append([granted, until])
-        wait_s = float(message['wait'])
         if not granted:
             closed_s = min(max(wait_s, CLOSED_MIN_S), CLOSED_MAX_S)
             pot.closed_until = now + closed_s
@@ -709,9 +723,3 @@
         pot.waiters = collections.deque(later)
         for _, _, done in early:
             done(0, wait_s, now)
-
-    @staticmethod
-    def _refuse_all(pot, wait_s, now):
-        waiters, pot.waiters = pot.waiters, collections.deque()
-        for _, _, done in waiters:
-            done(0, wait_s, now)
--- a/src/jasminehold/errors.py
+++ b/src/jasminehold/errors.py
@@ -269,6 +269,7 @@
     TypeError,
     ValueError,
     AttributeError,
+    OverflowError,
     PeerError,
 )
 
--- a/tests/features/quotas.feature
+++ b/tests/features/quotas.feature
@@ -160,3 +160,16 @@
       | used     | 0.05    | yes    | 0    |
       | rejected | 0.05    | no     | 0.05 |
       | rejected | 0.2     | yes    | 0    |
+
+  # Guards against a faulty peer that ends the quotas of an instance.
+  Scenario Outline: A message with <field> of <value> changes nothing
+    Given an instance that another one gives its part
+    When it gets a message with <field> of <value>
+    Then the message is refused and the instance goes on
+
+    Examples:
+      | field | value |
+      | gift  | NaN   |
+      | gift  | word  |
+      | back  | inf   |
+      | back  | -5    |
