Check a key again after a wait, also when the accounts are gone

Cause: a retry after a version without accounts raised AttributeError in is_valid. The first send after a wait for a token was not checked again, and a helping instance did not look at its seconds before its first send. Change: is_valid allows a sender without an account; what waited is checked.

--- a/src/jasminehold/front/account_check.py
+++ b/src/jasminehold/front/account_check.py
@@ -154,7 +154,10 @@
             known = self._table is not None and name in self._table.by_name
             return known and now < sender.valid_until
         again = self.sender(sender.route, inbound, None, now)
-        return isinstance(again, Sender) and again.account.name == name
+        if not isinstance(again, Sender):
+            return False
+        # Without an account now: the route or all routes became public.
+        return again.account is None or again.account.name == name
 
     def _refuse(self, kind, reason):
         self._metrics.inc('account_checks_failed_total', reason=reason)
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -166,7 +166,9 @@
 
     def _start_attempt(self):
         now = self._loop.now()
-        if self._attempts and not self._context.accounts.is_valid(
+        # The key was checked at the arrival; a token may have taken a while.
+        waited = self._attempts or self._token.is_held or self._origin
+        if waited and not self._context.accounts.is_valid(
             self._sender, self._inbound, self._origin, now
         ):
             self._end_invalid_key()
--- a/src/jasminehold/front/quotas.py
+++ b/src/jasminehold/front/quotas.py
@@ -190,6 +190,11 @@
         self._taken_at = None
         self._held = False
 
+    @property
+    def is_held(self):
+        """Whether one was taken and not used."""
+        return self._held
+
     def is_needed(self, now):
         """Return whether one has to be taken before the next send."""
         if not self._quotas.limits(self._account):
--- a/tests/features/front_accounts.feature
+++ b/tests/features/front_accounts.feature
@@ -37,6 +37,12 @@
     When the key of "bo" is added again
     Then a request with the key of "bo" runs for "bo"
 
+  # Guards against a retry that raises once the accounts are gone.
+  Scenario: A request goes on when the configuration loses its accounts
+    Given an instance with accounts "ada" and "bo"
+    When a version without accounts comes while a request of "ada" runs
+    Then the request may be sent again
+
   Scenario: A public route needs no key and passes none on
     Given an instance with accounts "ada" and "bo"
     When a request on the public route has the key of "ada"
--- a/tests/features/steps/front_accounts_steps.py
+++ b/tests/features/steps/front_accounts_steps.py
@@ -2,6 +2,7 @@
 
 import io
 import time
+import types
 
 import behave
 import h11
@@ -191,6 +192,28 @@
     then_ran(context, account)
 
 
+@behave.when('a version without accounts comes while a request of "ada" runs')
+def when_no_accounts(context):
+    app = context.rig.apps['i1']
+    route = app.steering.table.match('shop.example', '/browse/a')
+    headers = [(b'x-credential', KEYS['ada'].encode())]
+    inbound = types.SimpleNamespace(headers=headers)
+    check, now = app.accounts, app.loop.now()
+    sender = context.rig.on_loop(
+        app.loop, check.sender, route, inbound, None, now
+    )
+    assert sender.account.name == 'ada', sender
+    doc = front_rig.configuration(9, list(RULES))
+    context.rig.put('op/config', doc)
+    context.rig.wait(lambda: not check.in_use, 'the version')
+    context.valid = check.is_valid(sender, inbound, None, now)
+
+
+@behave.then('the request may be sent again')
+def then_valid(context):
+    assert context.valid
+
+
 @behave.when('the store is down for {seconds:g} s')
 def when_down(context, seconds):
     store = context.rig.store
