Forget owners when an entry changes its service

Cause: the choice looks only at the cached order of a service, which was cleared when upstreams joined or left. An entry that named another service under its id stayed in the former order. Change: a change of service clears the order.

--- a/src/jasminehold/front/steering.py
+++ b/src/jasminehold/front/steering.py
@@ -161,7 +161,7 @@
             entries: list of :class:`~decisions.upstream_view.Entry`.
             as_of: monotonic seconds at which the list was current.
         """
-        before = self._usable_ids()
+        before = self._usable_services()
         joined, left = self.view.on_list(entries, as_of)
         for upstream in left:
             key = upstream.entry.id
@@ -184,7 +184,7 @@
         if self.limits.items():
             known = {entry.incarnation for entry in entries}
             self.limits.keep(known, as_of)
-        if joined or left or self._usable_ids() != before:
+        if joined or left or self._usable_services() != before:
             self.placement.clear()
 
     def on_leaving(self, incarnation, said_at):
@@ -208,9 +208,9 @@
         """The set of evacuated places."""
         return self.placement.evacuated
 
-    def _usable_ids(self):
+    def _usable_services(self):
         return {
-            key
+            key: item.entry.service
             for key, item in self.view.upstreams.items()
             if not item.draining
         }
--- a/tests/features/front_rules.feature
+++ b/tests/features/front_rules.feature
@@ -40,6 +40,12 @@
     Then it has no room for a request 0.3 s later
     And it has room again 2 s later
 
+  # Guards against requests at an upstream that now serves another service.
+  Scenario: An entry that changes its service is used for the new one only
+    Given upstreams "u1" and "u2" of one service that got requests
+    When the entry of "u1" names another service
+    Then requests of the first service go to "u2" only
+
   Scenario: Parts of the retry budget add up to the fleet's
     Given 9 instances that each repeat as often as they may
     When each has 200 requests in 10 s, unevenly in time
--- a/tests/features/steps/front_rules_steps.py
+++ b/tests/features/steps/front_rules_steps.py
@@ -611,3 +611,35 @@
 @behave.then('it was under way for {seconds:g} s beyond the usual')
 def then_delayed(context, seconds):
     assert abs(context.seconds - seconds) < 1e-6, context.seconds
+
+
+@behave.given('upstreams "u1" and "u2" of one service that got requests')
+def given_two_upstreams(context):
+    context.steering = front_values.steering('u1', 2.0)
+    entries = [front_values.entry(name) for name in ('u1', 'u2')]
+    context.steering.on_entries(entries, 1.0)
+    _picked(context)
+
+
+def _picked(context):
+    route = front_values.route()
+    return {
+        context.steering.pick(
+            route, 'loja', 'k%d' % number, 'r', (), None, 2.0, 2.0
+        ).upstream.entry.id
+        for number in range(20)
+    }
+
+
+@behave.when('the entry of "u1" names another service')
+def when_service(context):
+    entries = [
+        front_values.entry('u1', service='oficina', seq=2),
+        front_values.entry('u2'),
+    ]
+    context.steering.on_entries(entries, 2.0)
+
+
+@behave.then('requests of the first service go to "u2" only')
+def then_second(context):
+    assert _picked(context) == {'u2'}
