Run no request of a connection that was just cut off

Cause: making room for a request may cut off the connection that sent it; the request was sent to an upstream all the same, and its caller's leaving was never noticed. Change: a request whose connection is closed by then is left. Result: found in review, not covered by a test; slow_readers.feature passes.

--- a/src/jasminehold/front/caller.py
+++ b/src/jasminehold/front/caller.py
@@ -247,7 +247,11 @@
         self.timeout_at = math.inf
         last = self._http.their_state is h11.MUST_CLOSE
         rest = bytes(self._http.trailing_data[0])
-        if self._port.has_room(self):
+        has_room = self._port.has_room(self)
+        if self._conn.closed:
+            # It was cut off itself to make room.
+            return
+        if has_room:
             self._port.on_request(inbound)
         else:
             inbound.fail(Kind.OVERLOADED)
