Divide by no count that has faded to nothing

Cause: an account idle for about an hour has a count of 0.0, and the pick of its next request raised where urgent_first is set. Change: such an account is not cut.

--- a/src/jasminehold/decisions/urgency.py
+++ b/src/jasminehold/decisions/urgency.py
@@ -277,6 +277,9 @@
         }
         level = fair_level(list(demands.values()), part)
         demand, weight = demands[caller.account]
+        if not demand:
+            # It was idle for so long that nothing is left of its count.
+            return 1.0
         return min(level * weight / demand, 1.0)
 
 
