Decode negative priorities as before

Cause: since the decoder checks types, a priority below 0 refused the whole configuration, which it did not before. Change: any finite number is a priority.

--- a/src/jasminehold/platform/wire.py
+++ b/src/jasminehold/platform/wire.py
@@ -224,7 +224,7 @@
         latency_target_s=_number(rule.get('LatencyTargetMs') or timeout_ms)
         / 1000,
         max_attempts=_number(action.get('MaxAttempts') or 1),
-        priority=_number(rule.get('Priority') or 0),
+        priority=_finite(rule.get('Priority') or 0),
         home_regions=_regions(action),
         sticky=bool(rule.get('Sticky')),
         public=bool(rule.get('Public')),
