Bound estimates of run times from below

Cause: a route with a time-out of nothing has an estimate of nothing, by which other estimates are divided while its request is in flight. Change: no estimate is below 1 ms.

--- a/src/jasminehold/decisions/finish_estimates.py
+++ b/src/jasminehold/decisions/finish_estimates.py
@@ -25,6 +25,10 @@
 MIN_CHANCE = 0.3
 
 
+# Estimates below this are taken for it: a route may state times of nothing.
+MIN_RUN_S = 0.001
+
+
 class FinishEstimates:
     """Loads and run times of the upstreams, as one instance sees them.
 
@@ -104,7 +108,7 @@
             )
         if known and not times.has_cached(key, entry.id, now):
             run = times.assumed(route)
-        run *= load.speed(now)
+        run = max(run * load.speed(now), MIN_RUN_S)
         count, work_s = load.backlog(times.ratios, now)
         wait = load.backlog_wait_s(work_s)
         age_s = load.report_age_s(now)
