Refuse home regions that are no names and numbers beyond floats

Cause: a home region of another type ended check-config with a traceback, a number beyond the range of floats also the decoding of configurations and of upstreams' entries. Change: both are faults of their entry.

--- a/src/jasminehold/platform/wire.py
+++ b/src/jasminehold/platform/wire.py
@@ -32,6 +32,7 @@
 # The key of the caller's account, and the account's name for upstreams.
 CREDENTIAL = b'x-credential'
 ACCOUNT = b'x-tenant'
+ACCOUNT_HEADERS = frozenset({CREDENTIAL, ACCOUNT})
 AFFINITY_COOKIE = 'X-Affinity-Key'
 
 READY_PATH = '/api/ready'
@@ -68,7 +69,13 @@
 }
 _SLOTS_MAX = 100_000
 _CREDENTIAL_FORM = re.compile(rb'[\x21-\x7e]{1,1024}')
-_DECODING_ERRORS = (LookupError, TypeError, ValueError, AttributeError)
+_DECODING_ERRORS = (
+    LookupError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+)
 _COUNT_DIGITS_MAX = 12
 # Factors outside of it are reported by mistake.
 SLOWDOWN_RANGE = (0.1, 20.0)
@@ -248,8 +255,10 @@
 
 def _regions(row):
     regions = row.get('HomeRegions') or []
-    if not isinstance(regions, list):
-        raise TypeError('HomeRegions is not a list')
+    if not isinstance(regions, list) or not all(
+        isinstance(region, str) for region in regions
+    ):
+        raise TypeError('HomeRegions is not a list of names')
     return frozenset(regions)
 
 
@@ -297,7 +306,7 @@
             seq=_typed(doc, 'Seq', int),
             born_ms=_integer(doc.get('born', 0)),
         )
-    except (LookupError, TypeError, ValueError, AttributeError) as exc:
+    except _DECODING_ERRORS as exc:
         raise MalformedBody('%s: %r' % (item.key, exc)) from exc
     address = host.split('.')
     if (
--- a/tests/features/config_checks.feature
+++ b/tests/features/config_checks.feature
@@ -12,6 +12,8 @@
       | a list for its listeners    | 2      | E100 | Listeners             |
       | a rule without a name       | 2      | E100 | Listeners[0].Rules[0] |
       | an endless time-out         | 2      | E100 | Listeners[0].Rules[0] |
+      | a time-out beyond floats    | 2      | E100 | Listeners[0].Rules[0] |
+      | a home that is no name      | 2      | E100 | Listeners[0].Rules[0] |
       | an unknown service          | 2      | E101 | Listeners[0].Rules[0] |
       | weights of nothing          | 2      | E102 | Listeners[0].Rules[0] |
       | a rule twice                | 2      | E103 | Listeners[0].Rules[3] |
--- a/tests/features/steps/config_checks_steps.py
+++ b/tests/features/steps/config_checks_steps.py
@@ -65,6 +65,8 @@
         'Name'
     ),
     'an endless time-out': _action(TimeoutMs=float('inf')),
+    'a time-out beyond floats': _action(TimeoutMs=10**400),
+    'a home that is no name': _action(HomeRegions=[None]),
     'an unknown service': _action(Service='loka'),
     'weights of nothing': lambda doc: _split(doc, ('loja', 0)),
     'a rule twice': lambda doc: doc['Listeners'][0]['Rules'].append(
