Touch a caller's headers only where the configuration has accounts

Cause: without accounts upstreams no longer got the headers of accounts that a caller sends, and callers that read steadily counted with what they held at first, so that others were cut off although little was held (both found in review). Change: the headers are dropped where accounts are in force; while too much is held, at most every 0.1 s, all callers' bytes are read anew. Result: the new scenario of front_accounts.feature failed before; 19 pass, and front_cut_off, front_pauses and slow_readers.

--- a/src/jasminehold/front/account_check.py
+++ b/src/jasminehold/front/account_check.py
@@ -83,6 +83,11 @@
         """Return whether keys may be used only for a proven age."""
         return self.in_use and self._revoke_s() is not None
 
+    @property
+    def headers(self):
+        """Names of the headers that upstreams do not get from callers."""
+        return wire.ACCOUNT_HEADERS if self.in_use else frozenset()
+
     def gauge_values(self):
         """Return the current ``{gauge name: value}``."""
         if self._table is None:
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -220,6 +220,7 @@
             _log,
         )
         self.path.on_regained = self.relay.tell
+        self.relay.account_headers = lambda: self.accounts.headers
         relay_on_down = self._peering.mesh.on_down
 
         def on_down(name):
--- a/src/jasminehold/front/caller.py
+++ b/src/jasminehold/front/caller.py
@@ -24,6 +24,9 @@
 LINGER_S = proxy_server.LINGER_S
 LINGER_MAX_BYTES = proxy_server.LINGER_MAX_BYTES
 
+# Interval at which all callers' bytes are read anew while they are too many.
+HELD_READ_EVERY_S = 0.1
+
 # Errors that depend on the limits of the configuration.
 _LIMIT_KINDS = (Kind.HEADERS_TOO_LARGE, Kind.BODY_TOO_LARGE)
 _KIND_BY_STATUS_HINT = {431: Kind.HEADERS_TOO_LARGE}
@@ -445,6 +448,7 @@
         self._max_conns = max_conns
         self._conns = set()
         self._listener = None
+        self._held_read_at = -math.inf
 
     def listen(self, host, port):
         """Start accepting connections."""
@@ -471,8 +475,15 @@
             caller: a :class:`CallerConn` of this port.
         """
         now = self.loop.now()
-        may_cut = caller.unread_bytes > 0
-        self.held.update(caller, caller.held_bytes, now, may_cut)
+        self._update_held(caller, now)
+        if (
+            self.held.is_full()
+            and now - self._held_read_at >= HELD_READ_EVERY_S
+        ):
+            # Callers that read steadily hold less than they did.
+            self._held_read_at = now
+            for other in self._conns:
+                self._update_held(other, now)
         for cut in self.held.take_cuts(now):
             self.metrics.inc('responses_cut_off_total', reason='memory')
             _log(
@@ -486,6 +497,10 @@
             )
             cut.holder.abort()
 
+    def _update_held(self, caller, now):
+        may_cut = caller.unread_bytes > 0
+        self.held.update(caller, caller.held_bytes, now, may_cut)
+
     def has_room(self, caller):
         """Return whether a request may be held, and count it if not."""
         self.note_held(caller)
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -36,8 +36,6 @@
     b'content-length',
     wire.DEADLINE_MS,
     wire.EXPECT_INSTANCE,
-    wire.CREDENTIAL,
-    wire.ACCOUNT,
 }
 _RESPONSE_HEADERS_DROPPED = proxy_exchange.HOP_BY_HOP | {b'content-length'}
 # Ends for which the line of the request is enough.
@@ -284,7 +282,7 @@
         left_ms = max(int((self._deadline - now) * 1000), 1)
         headers = proxy_exchange.strip_headers(
             self._inbound.headers,
-            _REQUEST_HEADERS_DROPPED,
+            _REQUEST_HEADERS_DROPPED | self._context.accounts.headers,
             relay_module.OWN_PREFIX,
         )
         headers.append((wire.DEADLINE_MS, b'%d' % left_ms))
--- a/src/jasminehold/front/relay.py
+++ b/src/jasminehold/front/relay.py
@@ -34,8 +34,6 @@
     b'expect',
     b'content-length',
     wire.DEADLINE_MS,
-    wire.CREDENTIAL,
-    wire.ACCOUNT,
 }
 # Fields of an ``Origin`` that versions without accounts read.
 _ORIGIN_FIELDS_WITHOUT_ACCOUNT = 5
@@ -181,12 +179,15 @@
         helped: requests of other instances in flight here.
         own_id: id of this instance.
         on_change: called when another instance lost or regained its path.
+        account_headers: ``() -> names`` of the headers of accounts, which
+            stay here.
     """
 
     def __init__(self, loop, cfg, key, mesh, pool, path, rng, metrics, log):
         self.helped = 0
         self.own_id = cfg.id
         self.on_change = lambda: None
+        self.account_headers = frozenset
         self._loop = loop
         self._cfg = cfg
         self._key = key
@@ -365,7 +366,9 @@
 
     def _request(self, inbound, origin, receiver, deadline):
         headers = proxy_exchange.strip_headers(
-            inbound.headers, _REQUEST_HEADERS_DROPPED, OWN_PREFIX
+            inbound.headers,
+            _REQUEST_HEADERS_DROPPED | self.account_headers(),
+            OWN_PREFIX,
         )
         headers.append((wire.DEADLINE_MS, deadline))
         if origin.account:
--- a/tests/builders/pausing_upstreams.py
+++ b/tests/builders/pausing_upstreams.py
@@ -74,6 +74,7 @@
             types.SimpleNamespace(
                 sender=lambda route, *args: account_check.Sender(None, route),
                 is_valid=lambda *args: True,
+                headers=frozenset(),
             ),
             types.SimpleNamespace(
                 token=lambda account: quotas.Token(
--- a/tests/features/front_accounts.feature
+++ b/tests/features/front_accounts.feature
@@ -43,6 +43,12 @@
     When a version without accounts comes while a request of "ada" runs
     Then the request may be sent again
 
+  # Guards against deployments without accounts that lose headers.
+  Scenario: Without accounts a caller's headers reach the upstream
+    Given an instance without accounts
+    When a request has the key of "ada" and states the account "bo"
+    Then the upstream gets both headers
+
   Scenario: A public route needs no key and passes none on
     Given an instance with accounts "ada" and "bo"
     When a request on the public route has the key of "ada"
--- a/tests/features/steps/front_accounts_steps.py
+++ b/tests/features/steps/front_accounts_steps.py
@@ -88,6 +88,21 @@
     _start(context, ('i1',))
 
 
+@behave.given('an instance without accounts')
+def given_none(context):
+    context.rig = front_rig.FrontRig()
+    context.add_cleanup(context.rig.stop)
+    context.rig.start()
+    context.rig.wait_ready()
+
+
+@behave.then('the upstream gets both headers')
+def then_both(context):
+    found = _headers(context)
+    assert found['x-credential'] == KEYS['ada'], found
+    assert found['x-tenant'] == 'bo', found
+
+
 @behave.given('four linked instances with accounts "ada" and "bo"')
 def given_fleet(context):
     context.rig = front_rig.FrontRig(('u1', 'u2'), configured=False)
