--- a/review/1/case.py
+++ b/review/1/case.py
@@ -58,9 +58,7 @@
     ]
     services = ('loja', 'oficina')
     rules = [st.route('browse', '/browse/', 'loja')]
-    await store.put(
-        'op/config', st.configuration(1, st.HOST, rules, services)
-    )
+    await store.put('op/config', st.configuration(1, st.HOST, rules, services))
     instances = [
         st.Instance(record, store, name, zone, host, st.ZONES, st.BOUNDS)
         for name, zone, host in (
@@ -106,7 +104,9 @@
         for _, request_id in server.runs
         if sent[request_id] > changed + apply_s
     ]
-    late = [request_id for request_id, at in sent.items() if at > changed + apply_s]
+    late = [
+        request_id for request_id, at in sent.items() if at > changed + apply_s
+    ]
     in_zone = [
         request_id
         for server in servers
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -95,9 +95,9 @@
                 except (st.Closed, ConnectionError, asyncio.TimeoutError):
                     for request_id in waiting:
                         self.record('client gets no answer', id=request_id)
-                        self.state['unanswered'][request_id] = (
-                            self.record.now()
-                        )
+                        self.state['unanswered'][
+                            request_id
+                        ] = self.record.now()
                     return
                 request_id = waiting.pop(0)
                 self.record(
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -54,9 +54,7 @@
     path = '/permits/' + request_id
     got, error = b'', ''
     try:
-        await loop.sock_connect(
-            sock, (instance.host, instance.ports['Front'])
-        )
+        await loop.sock_connect(sock, (instance.host, instance.ports['Front']))
         sent_at = record.now()
         headers = {
             'X-Request-Id': request_id,
--- a/review/standins.py
+++ b/review/standins.py
@@ -70,7 +70,9 @@
             body = await reader.readexactly(int(headers['content-length']))
         elif 'chunked' in headers.get('transfer-encoding', ''):
             while True:
-                size = int((await reader.readuntil(b'\r\n')).split(b';')[0], 16)
+                size = int(
+                    (await reader.readuntil(b'\r\n')).split(b';')[0], 16
+                )
                 body += (await reader.readexactly(size + 2))[:size]
                 if not size:
                     break
@@ -349,9 +351,7 @@
         self._writers = set()
 
     async def start(self, port=0):
-        self._server = await asyncio.start_server(
-            self._serve, self.host, port
-        )
+        self._server = await asyncio.start_server(self._serve, self.host, port)
         self.port = self._server.sockets[0].getsockname()[1]
         self._beats = asyncio.ensure_future(self._beat())
         return self
@@ -427,7 +427,9 @@
         if request_id:
             base['X-Request-Id'] = request_id
         if path.startswith('/health'):
-            return answer_bytes(200, {**base, 'X-Server-Load': self._load()}, b'')
+            return answer_bytes(
+                200, {**base, 'X-Server-Load': self._load()}, b''
+            )
         if headers.get('x-expect-instance', self.id) != self.id:
             return answer_bytes(421, base, b'')
         if not request_id:
@@ -582,9 +584,7 @@
         """Send a signal to the process, if it still runs."""
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
-            self.record(
-                signal.Signals(number).name, instance=self.name
-            )
+            self.record(signal.Signals(number).name, instance=self.name)
 
     async def ready(self):
         """Return whether the instance says that it is ready."""
