--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,160 +1,151 @@
-"""A late copy of a rejection is taken for the answer to the next send."""
+"""A leaving instance cuts off pipelined requests that servers run."""
 
 import asyncio
-import collections
 import pathlib
-import random
+import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import standins as st  # noqa: E402
 
-SERVERS = 8
-# srv_grey: share 0.14 (one of eight), x 0.45, 6.5 s, how "shed".
-GREY_SHARE = 0.45
-GREY_S = 6.5
-# garble: share 0.35 to 0.6, x 0.03, 5 s, how "extra late".
-GARBLED = 4
-EXTRA_SHARE = 0.03
-GARBLE_S = 5.0
-GAP_S = 0.5
-WINDOWS = 12
-LATE_S = (0.005, 0.2)
-PER_S = 75
-THINGS = 24
-
-
-class FaultyServer(st.Server):
-    """Rejects some requests though it has free slots; repeats some answers.
-
-    Each answer bears the id of the request that it answers, also its copy.
-    """
-
-    grey = False
-    garbled = False
-
-    def __init__(self, *args, seed, **kwargs):
-        super().__init__(*args, **kwargs)
-        self._rng = random.Random(seed)
-        self.extras = 0
-
-    async def _handle(self, method, path, headers):
-        request_id = headers.get('x-request-id')
-        if (
-            self.grey
-            and headers.get('x-expect-instance') == self.id
-            and self._running < self.slots
-            and self._rng.random() < GREY_SHARE
-        ):
-            self.record('server rejects', server=self.id, id=request_id)
-            return st.answer_bytes(
-                503,
-                {
-                    'X-Request-Id': request_id,
-                    'X-Instance-Id': self.id,
-                    'X-Not-Executed': '1',
-                    'X-Server-Load': self._load(),
-                    'Keep-Alive': 'timeout=10',
-                },
-                b'',
-            )
-        return await super()._handle(method, path, headers)
-
-    def on_answered(self, writer, headers, answer):
-        if self.garbled and self._rng.random() < EXTRA_SHARE:
-            late_s = self._rng.uniform(*LATE_S)
-            loop = asyncio.get_running_loop()
-            loop.call_later(late_s, self._send_extra, writer, headers, answer)
-
-    def _send_extra(self, writer, headers, answer):
-        if not writer.is_closing():
-            self.extras += 1
-            self.record(
-                'server sends extra',
-                server=self.id,
-                id=headers.get('x-request-id'),
-                status=answer[9:12].decode(),
-            )
-            writer.write(answer)
+# Answers of the directory hold for TtlS; some clients keep them three times
+# as long: here each third one. They ask at times spread over that span.
+CLIENTS = 12
+LONG = 3
+KEEP_FACTOR = 3
+# Requests under way on a connection, and the pause between the first ones.
+AHEAD = 4
+PAUSE_S = 0.1
 
 
-class Clients:
-    """Send orders over kept connections, one at a time on each."""
+class Client:
+    """Keeps some safe requests under way on one connection."""
 
-    def __init__(self, record, instances):
+    def __init__(self, number, record, instances, state):
+        self.number = number
         self.record = record
-        self.instances = instances
-        self.idle = collections.defaultdict(list)
-        self.statuses = {}
-
-    async def order(self, number):
-        item = self.instances[number % len(self.instances)]
-        request_id = st.new_id()
-        headers = {
-            'X-Request-Id': request_id,
-            'X-Timeout-Ms': '6000',
-            'Cookie': 'X-Affinity-Key=%d' % (number % THINGS),
-        }
-        status = 'none'
-        self.record('client sends', id=request_id, to=item.name)
+        self.directories = instances
+        self.state = state
+        self.asked_at = None
+        self.keep_s = None
+        self.addresses = ()
+
+    async def look_up(self):
+        path = '/api/resolve?Name=%s&Region=sul&Zone=blumenau-a' % st.HOST
+        for item in self.directories:
+            try:
+                status, _, body = await asyncio.wait_for(
+                    st.get(item.host, item.ports['Directory'], path), 1.0
+                )
+            except (OSError, st.Closed, asyncio.TimeoutError):
+                continue
+            if status == 200:
+                answer = st.json.loads(body)
+                ttl_s = min(answer['TtlS'], st.BOUNDS['ttl_max_s'])
+                self.asked_at = self.record.now()
+                self.keep_s = ttl_s
+                if self.number % LONG == 0:
+                    self.keep_s = KEEP_FACTOR * ttl_s
+                self.addresses = answer['Addrs']
+                self.record(
+                    'directory says', client=self.number, addrs=answer['Addrs']
+                )
+                return
+
+    def is_old(self):
+        return self.record.now() >= self.asked_at + self.keep_s
+
+    async def run(self, wait_s):
+        await asyncio.sleep(wait_s)
+        await self.look_up()
+        while not self.state['end']:
+            # Clients pick one of the addresses at random; here half of them
+            # begin with each.
+            address = self.addresses[self.number % len(self.addresses)]
+            await self.use(address)
+
+    async def use(self, address):
+        """Use one connection until it ends or its address is not named."""
+        host, _, port = address.rpartition(':')
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            await asyncio.sleep(0.2)
+            await self.look_up()
+            return
+        waiting = []
+        in_use = True
         try:
-            if self.idle[item.name]:
-                reader, writer = self.idle[item.name].pop()
-            else:
-                reader, writer = await asyncio.open_connection(
-                    item.host, item.ports['Front']
+            for _ in range(AHEAD):
+                waiting.append(self.send(writer, address))
+                await asyncio.sleep(PAUSE_S)
+            while True:
+                if in_use and self.is_old():
+                    await self.look_up()
+                    in_use = address in self.addresses
+                in_use = in_use and not self.state['end']
+                while in_use and len(waiting) < AHEAD:
+                    waiting.append(self.send(writer, address))
+                if not waiting:
+                    return
+                try:
+                    line, headers, _ = await asyncio.wait_for(
+                        st.read_message(reader), 4.0
+                    )
+                except (st.Closed, ConnectionError, asyncio.TimeoutError):
+                    for request_id in waiting:
+                        self.record('client gets no answer', id=request_id)
+                        self.state['unanswered'][
+                            request_id
+                        ] = self.record.now()
+                    return
+                request_id = waiting.pop(0)
+                self.record(
+                    'client gets', id=request_id, status=line.split(' ')[1]
                 )
-            data = st.request_bytes(
-                'POST', st.HOST, '/order/x', headers, b'one locomotive'
-            )
-            writer.write(data)
-            line, found, _ = await asyncio.wait_for(
-                st.read_message(reader), 6.0
+                if headers.get('connection', '').lower() == 'close':
+                    # Those behind it count as not read, and are sent again.
+                    for behind in waiting:
+                        self.record('client sends again', id=behind)
+                    return
+        finally:
+            writer.close()
+
+    def send(self, writer, address):
+        request_id = st.new_id()
+        self.state['sent'][request_id] = (self.record.now(), address)
+        writer.write(
+            st.request_bytes(
+                'GET',
+                st.HOST,
+                '/browse/%d' % self.number,
+                {'X-Request-Id': request_id, 'X-Timeout-Ms': '4000'},
             )
-            status = line.split(' ')[1]
-            if found.get('connection', '').lower() == 'close':
-                writer.close()
-            else:
-                self.idle[item.name].append((reader, writer))
-        except (OSError, st.Closed, asyncio.TimeoutError) as exc:
-            status = type(exc).__name__
-        self.statuses[request_id] = status
-        self.record('client gets', id=request_id, status=status)
-
-
-async def faults(servers):
-    """Switch the two disruptions on and off, again and again."""
-    for _ in range(WINDOWS):
-        servers[0].grey = True
-        for server in servers[:GARBLED]:
-            server.garbled = True
-        await asyncio.sleep(GARBLE_S)
-        for server in servers:
-            server.garbled = False
-        await asyncio.sleep(GREY_S - GARBLE_S)
-        servers[0].grey = False
-        await asyncio.sleep(GAP_S)
+        )
+        self.record(
+            'client sends', id=request_id, client=self.number, to=address
+        )
+        return request_id
 
 
 async def case(record, ended):
     store = await st.Store(record).start()
     servers = [
-        await FaultyServer(
-            record,
-            store,
-            's%d' % number,
-            'loja',
-            'blumenau-a' if number % 2 else 'blumenau-b',
-            st.host(31 + number),
-            work_s=0.1,
-            seed=number,
+        await st.Server(
+            record, store, 's%d' % number, 'loja', zone, host, work_s=0.4
         ).start()
-        for number in range(SERVERS)
+        for number, (zone, host) in enumerate(
+            (
+                ('blumenau-a', st.host(31)),
+                ('blumenau-b', st.host(32)),
+                ('blumenau-a', st.host(33)),
+                ('blumenau-b', st.host(34)),
+            )
+        )
     ]
-    rule = st.route('order', '/order/', 'loja', 'unsafe', 2500)
-    rule['Sticky'] = True
+    rules = [st.route('browse', '/browse/', 'loja', timeout_ms=2500)]
     await store.put(
-        'op/config', st.configuration(1, st.HOST, [rule], ('loja',))
+        'op/config', st.configuration(1, st.HOST, rules, ('loja',))
     )
     instances = [
         st.Instance(record, store, name, zone, host, st.ZONES, st.BOUNDS)
@@ -169,47 +160,74 @@
         await item.start()
     for item in instances:
         await item.wait_ready()
-    await asyncio.sleep(6)
-
-    clients = Clients(record, instances)
-    tasks = []
-    switching = None
-    start = record.now()
-    length_s = 4 + WINDOWS * (GREY_S + GAP_S)
-    number = 0
-    while record.now() < start + length_s:
-        number += 1
-        tasks.append(asyncio.ensure_future(clients.order(number)))
-        if switching is None and record.now() > start + 4 and st.TROUBLE:
-            switching = asyncio.ensure_future(faults(servers))
-        await asyncio.sleep(max(start + number / PER_S - record.now(), 0))
-    await asyncio.wait(tasks, timeout=8)
-
-    runs = collections.Counter(
-        request_id for server in servers for _, request_id in server.runs
+    await asyncio.sleep(8)
+
+    state = {'sent': {}, 'unanswered': {}, 'end': False}
+    clients = [
+        Client(number, record, instances, state) for number in range(CLIENTS)
+    ]
+    step = 6.0 / CLIENTS
+    tasks = [
+        asyncio.ensure_future(client.run(step * number))
+        for number, client in enumerate(clients)
+    ]
+    await asyncio.sleep(8)
+    # Just after a client has asked anew, its instance is told to stop.
+    found = clients[0]
+    before = found.asked_at
+    while found.asked_at == before:
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(0.1)
+    leaving = next(
+        item
+        for item in instances
+        if '%s:%d' % (item.host, item.ports['Front'])
+        == found.addresses[found.number % len(found.addresses)]
     )
-    twice = [request_id for request_id, count in runs.items() if count > 1]
-    for request_id in twice:
-        where = [
-            (server.id, round(at, 3))
-            for server in servers
-            for at, run_id in server.runs
-            if run_id == request_id
-        ]
-        record(
-            'ran more than once',
-            id=request_id,
-            runs=where,
-            client_got=clients.statuses[request_id],
-        )
-    extras = sum(server.extras for server in servers)
-    record('summary', sent=number, ran=len(runs), extras=extras)
-    record('summary', twice=len(twice))
-    if len(runs) < 1000:
+    front = '%s:%d' % (leaving.host, leaving.ports['Front'])
+    told_at = record.now()
+    if st.TROUBLE:
+        leaving.signal(signal.SIGTERM)
+    grace_s = st.BOUNDS['GraceS']
+    await asyncio.sleep(grace_s)
+    if st.TROUBLE:
+        record('instance ended', code=leaving.process.returncode)
+        leaving.signal(signal.SIGKILL)
+    await asyncio.sleep(1.5)
+    state['end'] = True
+    await asyncio.wait(tasks, timeout=6)
+
+    reached = {
+        request_id: (at, server)
+        for server in servers
+        for at, request_id in server.arrivals
+    }
+    lost = []
+    for request_id, at in state['unanswered'].items():
+        sent_at, address = state['sent'][request_id]
+        if address != front or request_id not in reached:
+            continue
+        # Not from a request that has used its time, nor one sent no later
+        # than 3 s after the SIGTERM whose server was at work to the end.
+        if at - sent_at >= 2.5 or sent_at <= told_at + 3:
+            continue
+        if told_at <= at <= told_at + grace_s + 1:
+            lost.append(request_id)
+            record(
+                'lost',
+                id=request_id,
+                sent_after_term='%.3f' % (sent_at - told_at),
+                reached_server_after_term='%.3f'
+                % (reached[request_id][0] - told_at),
+                connection_ended_after_term='%.3f' % (at - told_at),
+            )
+    record('summary', sent=len(state['sent']), lost=len(lost))
+    if len(state['sent']) < 50:
         raise st.CannotRun('too few requests')
-    if twice:
+    if lost:
         return [
-            'TWICE: %d of %d orders ran more than once' % (len(twice), number)
+            'LOST: after a SIGTERM %d requests that servers had received'
+            ' got no answer' % len(lost)
         ]
     return []
 
