--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,7 @@
 """A helper that stands still keeps the requests of a cut-off instance."""
 
 import asyncio
+import itertools
 import os
 import pathlib
 import signal
@@ -21,6 +22,14 @@
 }
 BOUNDS = {**st.BOUNDS, 'StabilityWindowMs': 4000, 'MaxStretchMs': 6000}
 BOUNDS['RetryBurst'] = 64
+# The site's twelve machines, by zone.
+PLACES = (
+    ['mid-a'] * 2
+    + ['nord-a'] * 3
+    + ['syd-a'] * 3
+    + ['mid-b', 'nord-b']
+    + ['syd-b'] * 2
+)
 PER_S = 20
 TIMEOUT_MS = 1000
 CUT_S = 8.0
@@ -84,21 +93,27 @@
     rule = st.route('board', '/board/', 'app', 'safe', TIMEOUT_MS)
     await store.put('op/config', st.configuration(1, st.HOST, [rule], ['app']))
     instances = [
-        st.Instance(record, store, name, zone, host, ZONES, BOUNDS)
-        for name, zone, host in (
-            ('front-cut', 'mid-a', st.host(11)),
-            ('front-helper', 'mid-a', st.host(12)),
-            ('front-other', 'nord-a', st.host(13)),
+        st.Instance(
+            record,
+            store,
+            'front-%s-%d' % (place, n),
+            place,
+            st.host(11 + n),
+            ZONES,
+            BOUNDS,
         )
+        for n, place in enumerate(PLACES)
     ]
     ended += instances
-    cut, helper, other = instances
+    cut, helper, *others = instances
+    turns = itertools.cycle(others)
+    seeds = [others[0].control, others[3].control, others[6].control]
     for item in instances:
-        item.fields['Seeds'] = [one.control for one in instances]
+        item.fields['Seeds'] = seeds
         await item.start()
     CutServer.processes = {one.name: one.process for one in instances}
     for item in instances:
-        await item.wait_ready()
+        await item.wait_ready(40)
     await asyncio.sleep(8)
 
     results, tasks = [], []
@@ -127,7 +142,7 @@
     async def traffic():
         while True:
             tasks.append(asyncio.ensure_future(ask(cut)))
-            tasks.append(asyncio.ensure_future(ask(other)))
+            tasks.append(asyncio.ensure_future(ask(next(turns))))
             await asyncio.sleep(1 / PER_S)
 
     sending = asyncio.ensure_future(traffic())
@@ -152,23 +167,24 @@
     await asyncio.wait(tasks, timeout=4)
 
     shares = {}
-    for name in (cut.name, other.name):
+    for is_cut in (True, False):
         found = [
             status == 200
             for where, at, status in results
-            if where == name and began + stable_s <= at <= began + CUT_S
+            if (where == cut.name) == is_cut
+            and began + stable_s <= at <= began + CUT_S
         ]
-        shares[name] = (sum(found), len(found))
-        record('summary', instance=name, served=sum(found), sent=len(found))
-    served, sent = shares[cut.name]
-    other_served, other_sent = shares[other.name]
+        shares[is_cut] = (sum(found), len(found))
+        record('summary', cut=is_cut, served=sum(found), sent=len(found))
+    served, sent = shares[True]
+    other_served, other_sent = shares[False]
     if sent < 40 or other_served < 40:
         raise st.CannotRun('too few requests')
     low = served / sent < 2 / 3 * other_served / other_sent
     if low and sent - served > 10 + sent / 50:
         return [
             'RECOVER: %d of %d first tries served at the instance without a'
-            ' path, %d of %d at the other'
+            ' path, %d of %d at the others'
             % (served, sent, other_served, other_sent)
         ]
     return []
