--- a/review/standins.py
+++ b/review/standins.py
@@ -26,6 +26,7 @@
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 HEARTBEAT_S = 1.5
 _ids = itertools.count(1)
+_ports = itertools.cycle(range(12_000, 32_000))
 
 
 class CannotRun(Exception):
@@ -108,9 +109,18 @@
 
 
 def free_port(host):
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+    """Return a port that nobody listens on, another one at each call.
+
+    They lie below the range from which connections get theirs.
+    """
+    while True:
+        port = next(_ports)
+        with socket.socket() as sock:
+            try:
+                sock.bind((host, port))
+            except OSError:
+                continue
+        return port
 
 
 # The platform's store
