Log unexpected responses, and the evidence for sends that did not run

Neither logs nor metrics told whether a rejection could belong to another send. An instance now counts the ends of sends as not run by evidence, puts it into the line of the request, and logs each response that nothing waits for with the request that it names and what that one got before. No decision changes.

--- a/bench/late_refusals.py
+++ b/bench/late_refusals.py
@@ -14,6 +14,7 @@
 import argparse
 import asyncio
 import collections
+import json
 import pathlib
 import random
 import sys
@@ -256,10 +257,46 @@
             due = start + len(tasks) / PER_S
             await asyncio.sleep(max(due - record.now(), 0))
         await asyncio.wait(tasks, timeout=8)
+        logs = [item.log_text(0) for item in instances]
     finally:
         for item in instances:
             await item.end()
-    return report(servers, callers.statuses, len(tasks))
+    return report(servers, callers.statuses, len(tasks)) + seen_by(logs)
+
+
+def seen_by(logs):
+    """Return the lines that say what the instances saw.
+
+    Args:
+        logs: text of the log of each instance.
+    """
+    evidence, unexpected = collections.Counter(), collections.Counter()
+    for text in logs:
+        for line in text.splitlines():
+            fields = json.loads(line) if line.startswith('{') else {}
+            for send in fields.get('sends', ()):
+                if 'evidence' in send:
+                    evidence[send['evidence']] += 1
+            if fields.get('event') == 'unexpected response':
+                what = 'rejection' if fields['rejection'] else 'answer'
+                before = fields['answered_before']
+                unexpected[
+                    '%s on %s connection, %s'
+                    % (
+                        what,
+                        fields['state'],
+                        'answered %d before' % before if before else 'new',
+                    )
+                ] += 1
+    return [
+        'sends not run, by evidence: %s' % _counts(evidence),
+        'unexpected: %s' % _counts(unexpected),
+    ]
+
+
+def _counts(counter):
+    parts = ['%s %d' % item for item in sorted(counter.items())]
+    return '; '.join(parts) or 'none'
 
 
 def report(servers, statuses, sent):
@@ -271,8 +308,7 @@
     refused = sum(statuses.get(name) in PROMISES for name in runs)
     ends = collections.Counter(statuses.values())
     return [
-        'orders %d, ended %s'
-        % (sent, ', '.join('%s %d' % item for item in sorted(ends.items()))),
+        'orders %d, ended %s' % (sent, _counts(ends)),
         'rejections %d, copies %d'
         % (
             sum(server.rejections for server in servers),
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -108,6 +108,7 @@
             int(self._files() * UPSTREAM_FILES_FRACTION),
             self.held,
         )
+        self._pool.log = _log
         self.store = kv.connect(
             self.loop, *self.cfg.store, self.rng, self.metrics
         )
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -1,5 +1,6 @@
 """Forwarding of a caller's request to upstreams, with retries."""
 
+import collections
 import math
 
 import h11
@@ -74,6 +75,7 @@
         self._caller_left_s = _MAX_DEADLINE_MS / 1000
         # Ids of upstreams that got the request, and of those to exclude.
         self._sent_to = set()
+        self._sends_by_address = collections.Counter()
         self._tried = set()
         self._same_upstream_retries = 0
         self._attempts = []
@@ -277,6 +279,7 @@
         self._sent_at = now
         self._sends += 1
         self._sent_to.add(self._choice.upstream.entry.id)
+        self._sends_by_address[conn.key] += 1
         self._may_have_run = True
         self._context.path.begin(self, self._choice.upstream.entry.id, True)
         left_ms = max(int((self._deadline - now) * 1000), 1)
@@ -567,9 +570,12 @@
 
     def _on_not_run(self, answer, report, limit, now, end):
         reason = 'misdirected' if end is End.MISDIRECTED else 'shed'
+        evidence = self._evidence(answer)
+        self._context.metrics.inc('sends_not_run_total', evidence=evidence)
         if reason == 'shed' and report is None:
             self._choice.load.on_full(now)
         choice = self._release(reason, limit, end)
+        self._attempts[-1]['evidence'] = evidence
         self._may_have_run = self._last_failure is not None
         if report is not None and report.running < report.slots:
             # The upstream rejects at random while it has free slots; as the
@@ -585,6 +591,14 @@
         else:
             self._fail(Kind.NOT_RUN, self._retry_after_s(), reason)
 
+    def _evidence(self, answer):
+        # Which send a rejection tells of: the only one to its address, one of
+        # several there, or none that it names.
+        if answer.get(wire.REQUEST_ID) != self._id:
+            return 'unnamed'
+        several = self._sends_by_address[self._conn.key] > 1
+        return 'ambiguous' if several else 'single'
+
     def _on_lost_to_path(self, exc, now, end):
         # The upstream is not to blame.
         self._release('lost with the path: %s' % exc, end=end)
--- a/src/jasminehold/front/upstream_conn.py
+++ b/src/jasminehold/front/upstream_conn.py
@@ -1,5 +1,6 @@
 """Pool of keep-alive HTTP/1.1 connections to upstreams."""
 
+import collections
 import re
 
 import h11
@@ -39,6 +40,9 @@
 # Limit on the bytes that frame a body, such as chunk extensions, beyond the
 # size of the body itself.
 FRAMING_MAX_BYTES = 128 * 1024
+# Answered requests that a connection remembers, so that the log tells which of
+# them an unexpected response repeats.
+ANSWERED_REMEMBERED = 4
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout\s*=\s*(\d+)')
 
 
@@ -140,6 +144,8 @@
         self._foreign_responses = 0
         self._response_begun = False
         self._ended = False
+        # Ids and statuses of the last answered requests.
+        self._answered = collections.deque(maxlen=ANSWERED_REMEMBERED)
         conn.on_data = self._on_data
         conn.on_close = self._on_close
         conn.on_eof = self._on_eof
@@ -211,6 +217,7 @@
     def _on_data(self, data):
         if self._done is None:
             self._pool.metrics.inc('upstream_stray_bytes_total')
+            self._report_unexpected(_parse_head(data), 'idle')
             self._conn.abort()
             return
         self._response_begun = True
@@ -307,6 +314,7 @@
             self._skip_foreign_response()
             return
         head = self._head
+        self._answered.append((self._request_id, head.status_code))
         answer = Response(
             head.status_code, list(head.headers), bytes(self._body)
         )
@@ -331,6 +339,7 @@
         # A duplicate response to an earlier request; the expected one follows
         # it.
         self._pool.metrics.inc('upstream_foreign_answers_total')
+        self._report_unexpected(self._head, 'busy')
         self._foreign_responses += 1
         if self._foreign_responses > FOREIGN_RESPONSES_MAX:
             raise EndlessResponse('too many responses to other requests')
@@ -350,6 +359,22 @@
         if rest:
             self._http.receive_data(rest)
 
+    def _report_unexpected(self, head, state):
+        if head is None:
+            return
+        request_id = _first_value(head.headers, wire.REQUEST_ID)
+        self._pool.log(
+            'unexpected response',
+            level='warning',
+            upstream='%s:%d' % self.key,
+            id=(request_id or b'').decode('latin-1'),
+            status=head.status_code,
+            rejection=wire.is_rejection(head.status_code, head.headers),
+            state=state,
+            expected=(self._request_id or b'').decode('latin-1'),
+            answered_before=dict(self._answered).get(request_id),
+        )
+
     def _keep_alive(self, answer):
         stated = answer.get(b'keep-alive')
         match = _KEEP_ALIVE_TIMEOUT.search(stated) if stated else None
@@ -360,6 +385,19 @@
         self._pool.put_back(self)
 
 
+def _parse_head(data):
+    # Returns the ``h11.Response`` that bytes begin with, or None.
+    http = UpstreamConn._parser()
+    http.send(h11.Request(method='GET', target='/', headers=[('host', '-')]))
+    http.send(h11.EndOfMessage())
+    try:
+        http.receive_data(data)
+        event = http.next_event()
+    except h11.RemoteProtocolError:
+        return None
+    return event if isinstance(event, h11.Response) else None
+
+
 def _received_bytes(conn):
     return conn.received_bytes
 
@@ -377,6 +415,7 @@
         on_closed: called with the address of an upstream that has closed a
             connection.
         on_refused: called with an address that has refused one.
+        log: structured log.
     """
 
     SWEEP_S = 0.5
@@ -387,6 +426,7 @@
         self.metrics = metrics
         self.on_closed = lambda address: None
         self.on_refused = lambda address: None
+        self.log = lambda event, **fields: None
         self._max_conns = max_conns
         self._idle = {}
         self._open = 0
--- a/src/jasminehold/platform/wire.py
+++ b/src/jasminehold/platform/wire.py
@@ -394,6 +394,16 @@
         return None
 
 
+def is_rejection(status, headers):
+    """Return whether a response says that its request was not executed.
+
+    Args:
+        status: HTTP status.
+        headers: list of ``(lower-case name, value)``, bytes.
+    """
+    return status == 421 or any(name == NOT_EXECUTED for name, _ in headers)
+
+
 def decode_leaving(value):
     """Return whether the value of a leaving header, or None, says so."""
     return value is not None and value.strip() == b'1'
