--- a/src/jasminehold/standin/sealed.py
+++ b/src/jasminehold/standin/sealed.py
@@ -7,6 +7,11 @@
 
 - ``shed``: rejected as not executed.
 - ``late-shed``: rejected as not executed, after the service time.
+- ``repeat-HOW``: rejected as not executed the first time, with free slots in
+  the load header, and the rejection is sent again ``REPEAT_S`` later: ``late``
+  on its connection, ``unnamed`` there without the request's id, ``renamed``
+  there with another id, ``everywhere`` on all connections of the upstream;
+  ``behind``: at once, right behind itself. Later sends are executed.
 - ``busy``: executed, then 503 without ``X-Not-Executed``.
 - ``lost``: executed, then closed without a response.
 - ``reset``: executed, then reset in the middle of the response.
@@ -39,6 +44,7 @@
 ERROR_STATUS = 500
 DOWN_S = 1.0
 CRASH_LATER_S = 0.08
+REPEAT_S = 0.05
 # What a crash sends first, and how long before the connections end.
 CRASH_SENDS = {
     'crash-head': (b'HTTP/1.1 200 OK\r\nX-Server-', 0.01),
@@ -75,6 +81,25 @@
     return (pattern * (size // len(pattern) + 1))[:size]
 
 
+def raw_response(status, headers, length, request_id):
+    """Return the head of a response.
+
+    Args:
+        status: HTTP status.
+        headers: list of ``(name, value)``, bytes.
+        length: size of the body, None for no ``Content-Length``.
+        request_id: id that it names, bytes, or None.
+    """
+    headers = list(headers)
+    if request_id is not None:
+        headers.append((b'x-request-id', request_id))
+    if length is not None:
+        headers.append((b'content-length', b'%d' % length))
+    lines = [b'HTTP/1.1 %d Raw' % status]
+    lines += [name + b': ' + value for name, value in headers]
+    return b'\r\n'.join(lines) + b'\r\n\r\n'
+
+
 class SealedUpstream:
     """An upstream on an event loop.
 
@@ -119,6 +144,7 @@
         self.on_event = lambda name, request_id, ran: None
         self.conns = set()
         self._running = 0
+        self._repeated = set()
         self._held = set()
         self._waiting = collections.deque()
         self._listener = loop.listen('127.0.0.1', 0, self._on_accept)
@@ -169,6 +195,8 @@
             req.send_response(421, id_headers, b'')
         elif self._fault(req) == 'shed' or self.retry_after is not None:
             self._reject(req)
+        elif self._repeats(req):
+            self._reject_and_repeat(req)
         elif self._fault(req) == 'late-shed':
             self.loop.call_later(self.work_s, self._reject, req)
         elif self._running < self.slots:
@@ -185,6 +213,31 @@
             headers.append((b'x-server-load', self._load_header()))
         req.send_response(503, headers, b'')
 
+    def _repeats(self, req):
+        fault = self._fault(req)
+        return fault.startswith('repeat-') and req.id not in self._repeated
+
+    def _reject_and_repeat(self, req):
+        self._repeated.add(req.id)
+        how = self._fault(req)[len('repeat-') :]
+        headers = [
+            (b'x-not-executed', b'1'),
+            (b'x-server-load', self._load_header()),
+        ]
+        req.send_response(503, headers, b'')
+        names = {'unnamed': None, 'renamed': b'another-request'}
+        copy = raw_response(503, headers, 0, names.get(how, req.id.encode()))
+        if how == 'behind':
+            req.session.conn.write(copy)
+            return
+
+        def send_again():
+            everywhere = how == 'everywhere'
+            for session in list(self.conns) if everywhere else [req.session]:
+                session.conn.write(copy)
+
+        self.loop.call_later(REPEAT_S, send_again)
+
     def _fault(self, req):
         target = req.headers.get(b'x-fault-at', b'').decode()
         if target and target != self.name:
@@ -348,10 +401,6 @@
 
     def send_raw(self, status, headers, length, body, request_id=None):
         """Write a response directly to the connection, bypassing h11."""
-        lines = [b'HTTP/1.1 %d Raw' % status]
-        ids = (request_id or self.id.encode(),)
-        for name, value in headers + [(b'x-request-id', ids[0])]:
-            lines.append(name + b': ' + value)
-        if length is not None:
-            lines.append(b'content-length: %d' % length)
-        self.session.conn.write(b'\r\n'.join(lines) + b'\r\n\r\n' + body)
+        request_id = request_id or self.id.encode()
+        head = raw_response(status, headers, length, request_id)
+        self.session.conn.write(head + body)
