Skip odd entries of another writer, and let them stop nothing

Callers saw an old configuration stay in force.

Cause: decode_upstream let the RecursionError of deeply nested bytes through, out of the callback of each read. Found beside it by the same test: numbers beyond 64 bits in Seq and born, which messages between instances cannot carry; addresses that are names, out of range, or of no host; ids that no header can carry; text with halves of surrogate pairs, also in keys, at which the copy for starting instances failed to be sent; reasons in the log as long as the entry, once for each write.

Change: each of these names no upstream. RecursionError counts as malformed wherever documents of others are read. One line for each entry, not for each write.

The scenario 'Odd entries among those of the upstreams stop nothing' failed before with a RecursionError and 'the new version was not reached'; with a key that is no text its start from the peers' copy failed as well.

--- a/src/jasminehold/errors.py
+++ b/src/jasminehold/errors.py
@@ -270,6 +270,8 @@
     ValueError,
     AttributeError,
     OverflowError,
+    # Of deeply nested documents.
+    RecursionError,
     PeerError,
 )
 
--- a/src/jasminehold/front/crash_guard.py
+++ b/src/jasminehold/front/crash_guard.py
@@ -23,6 +23,7 @@
 from jasminehold.decisions import path_monitor
 from jasminehold.decisions import quarantine
 from jasminehold.decisions import send_end
+from jasminehold import errors
 from jasminehold.platform import wire
 
 Finding = crash_doubts.Finding
@@ -433,7 +434,7 @@
             try:
                 digest = bytes.fromhex(key[len(wire.QUARANTINE_PREFIX) :])
                 left = _decode_left_s(item.value)
-            except (LookupError, TypeError, ValueError) as exc:
+            except errors.MALFORMED_MESSAGE_ERRORS as exc:
                 self._log(
                     'quarantine skipped', level='warning', key=key, error=exc
                 )
--- a/src/jasminehold/front/reader.py
+++ b/src/jasminehold/front/reader.py
@@ -451,17 +451,20 @@
         for key, item in items.items():
             known = self._entries.get(key)
             if known is None or known[0] != item.value:
-                known = (item.value, self._upstream(item))
+                was_skipped = known is not None and known[1] is None
+                known = (item.value, self._upstream(item, was_skipped))
             kept[key] = known
         self._entries = kept
         return [entry for _, entry in kept.values() if entry is not None]
 
-    def _upstream(self, item):
+    def _upstream(self, item, was_skipped):
         try:
             return wire.decode_upstream(item)
         except wire.MalformedBody as exc:
             self._metrics.inc('upstream_entries_malformed_total')
-            self._log('entry skipped', level='warning', error=exc)
+            # Its writer may go on for ever.
+            if not was_skipped:
+                self._log('entry skipped', level='warning', error=exc)
             return None
 
     def operator(self, items):
--- a/src/jasminehold/platform/kv.py
+++ b/src/jasminehold/platform/kv.py
@@ -25,7 +25,13 @@
 # Regions are at most 35 ms apart. A packet lost in a network outage must not
 # delay the next attempt.
 CONNECT_TIMEOUT_S = 0.4
-MALFORMED = (LookupError, TypeError, ValueError, AttributeError)
+MALFORMED = (
+    LookupError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    RecursionError,
+)
 
 
 class Range(typing.NamedTuple):
--- a/src/jasminehold/platform/wire.py
+++ b/src/jasminehold/platform/wire.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import ipaddress
 import json
 import math
 import re
@@ -71,6 +72,12 @@
     'draining': upstream_view.DRAINING,
 }
 _SLOTS_MAX = 100_000
+_NAME_MAX_CHARS = 1024
+# Numbers beyond do not fit into messages between instances.
+_INTEGER_MAX = 2**63 - 1
+# Ids that a header can carry.
+_UPSTREAM_ID_FORM = re.compile(r'[\x21-\x7e]{1,200}')
+_FAULT_MAX_CHARS = 200
 _CREDENTIAL_FORM = re.compile(rb'[\x21-\x7e]{1,1024}')
 _DECODING_ERRORS = (
     LookupError,
@@ -78,6 +85,8 @@
     ValueError,
     AttributeError,
     OverflowError,
+    # Of deeply nested documents.
+    RecursionError,
 )
 _COUNT_DIGITS_MAX = 12
 # Factors outside of it are reported by mistake.
@@ -117,7 +126,11 @@
 
 
 def decode_items(items):
-    """Return :class:`store_replica.Item` values of store rows."""
+    """Return :class:`store_replica.Item` values of store rows.
+
+    Keys with halves of surrogate pairs are left out, as no message between
+    instances can carry them.
+    """
     return [
         store_replica.Item(
             row['Key'],
@@ -129,9 +142,18 @@
             row['Revision'],
         )
         for row in items
+        if _is_text(row['Key'])
     ]
 
 
+def _is_text(value):
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def decode_config(value):
     """Return the :class:`~decisions.route_table.RouteTable` of a value.
 
@@ -296,33 +318,52 @@
     """
     try:
         doc = json.loads(item.value)
-        host, _, port = doc['Addr'].rpartition(':')
+        host, port = _address(_name(doc, 'Addr'))
         entry = upstream_view.Entry(
             id=item.key[len(UPSTREAM_PREFIX) :],
-            service=_typed(doc, 'Service', str),
+            service=_name(doc, 'Service'),
             host=host,
-            port=int(port),
-            place=_typed(doc, 'Zone', str),
+            port=port,
+            place=_name(doc, 'Zone'),
             slots=_typed(doc, 'Slots', int),
             state=_STATES[doc['State']],
             cold_s=_number(doc.get('ColdLeftMs', 0)) / 1000,
-            seq=_typed(doc, 'Seq', int),
+            seq=_integer(doc['Seq']),
             born_ms=_integer(doc.get('born', 0)),
         )
     except _DECODING_ERRORS as exc:
-        raise MalformedBody('%s: %r' % (item.key, exc)) from exc
-    address = host.split('.')
+        reason = repr(exc)[:_FAULT_MAX_CHARS]
+        raise MalformedBody('%s: %s' % (item.key[:200], reason)) from exc
     if (
-        not entry.id
-        or not 0 < entry.port < 65536
+        not _UPSTREAM_ID_FORM.fullmatch(entry.id)
         or not 0 < entry.slots <= _SLOTS_MAX
-        or len(address) != 4
-        or not all(part.isdigit() for part in address)
+        or entry.born_ms < 0
     ):
-        raise MalformedBody('%s: value out of range' % item.key)
+        raise MalformedBody('%s: value out of range' % item.key[:200])
     return entry
 
 
+def _address(value):
+    host, _, port = value.rpartition(':')
+    address = ipaddress.IPv4Address(host)
+    if address.is_unspecified or address.is_multicast:
+        raise ValueError('address of no host')
+    if not port.isascii() or not port.isdecimal() or len(port) > 5:
+        raise ValueError('not a port')
+    if not 0 < int(port) < 65536:
+        raise ValueError('port out of range')
+    return host, int(port)
+
+
+def _name(doc, key):
+    value = _typed(doc, key, str)
+    if len(value) > _NAME_MAX_CHARS:
+        raise ValueError('%s is too long' % key)
+    # Fails for halves of surrogate pairs, which no message can carry.
+    value.encode()
+    return value
+
+
 def _typed(doc, name, kind):
     value = doc[name]
     if not isinstance(value, kind) or isinstance(value, bool):
@@ -347,6 +388,8 @@
 def _integer(value):
     if isinstance(value, bool) or not isinstance(value, int):
         raise TypeError('not an integer')
+    if abs(value) > _INTEGER_MAX:
+        raise ValueError('out of range')
     return value
 
 
--- /dev/null
+++ b/tests/builders/odd_entries.py
@@ -0,0 +1,69 @@
+"""Entries of another writer among those of the upstreams."""
+
+import json
+
+from jasminehold.platform import wire
+
+DEPTH = 100_000
+
+
+def _entry(port, **changes):
+    doc = {
+        'Service': 'loja',
+        'Addr': '127.0.0.1:%d' % port,
+        'Zone': 'sul-a',
+        'Version': 'v1',
+        'Slots': 3,
+        'State': 'ready',
+        'ColdLeftMs': 0,
+        'Seq': 1,
+        'born': 1,
+    }
+    doc.update(changes)
+    return doc
+
+
+def _texts(port):
+    yield 'nested', '[' * DEPTH
+    yield 'nested value', '{"Service": %s1' % ('[' * DEPTH)
+    yield 'many digits', '{"Seq": %s}' % ('9' * 5000)
+    # Values that only some readers can take.
+    for name, changes in (
+        ('large seq', {'Seq': 10**30}),
+        ('large born', {'born': 10**400}),
+        ('born beyond 64 bits', {'born': 2**64}),
+        ('negative born', {'born': -1}),
+        ('large slots', {'Slots': 10**9}),
+        ('large cold time', {'ColdLeftMs': 10**400}),
+        ('infinite cold time', {'ColdLeftMs': float('inf')}),
+        ('port out of range', {'Addr': '127.0.0.1:65536'}),
+        ('large port', {'Addr': '127.0.0.1:%s' % ('9' * 30)}),
+        ('port of other digits', {'Addr': '127.0.0.1:\u0663\u0663'}),
+        ('name for an address', {'Addr': 'localhost:%d' % port}),
+        ('address out of range', {'Addr': '999.1.1.1:%d' % port}),
+        ('any address', {'Addr': '0.0.0.0:%d' % port}),
+        ('group address', {'Addr': '224.0.0.1:%d' % port}),
+        ('broken text', {'Zone': '\ud800'}),
+        ('long name', {'Service': 'x' * 100_000}),
+        ('long state', {'State': 'x' * 100_000}),
+        ('list for a state', {'State': ['ready']}),
+    ):
+        yield name, json.dumps(_entry(port, **changes))
+
+
+def values(port):
+    """Return ``{name: bytes}`` of values that name no upstream.
+
+    Args:
+        port: of a real upstream, which most of them name.
+    """
+    found = {name: text.encode() for name, text in _texts(port)}
+    found['bytes'] = b'\xff\x00\x9a'
+    return found
+
+
+def keys(port):
+    """Return ``{key: bytes}`` of keys under which nothing can be sent."""
+    value = json.dumps(_entry(port)).encode()
+    ids = ('', 'a b', 'a\r\nx: y', '\u00fc', 'x' * 300, '\ud800')
+    return {wire.UPSTREAM_PREFIX + name: value for name in ids}
--- a/tests/features/front_control.feature
+++ b/tests/features/front_control.feature
@@ -38,6 +38,15 @@
       | {"Service": "loja", "Addr": "x", "Zone": "sul-a", "Slots": 3}  |
       | bytes                                                          |
 
+  # Guards against odd entries of another writer that end instances, stop what
+  # they hear of the store, or go on to linked ones.
+  Scenario: Odd entries among those of the upstreams stop nothing
+    Given two linked instances of one service
+    When another writer writes odd entries again and again for 2 s
+    Then a new version is in force at all instances within 2 s
+    And an instance that starts from the peers' copy knows the upstreams
+    And orders at all instances are served by the known upstreams
+
   Scenario: Routes and upstreams stay in use while the store is down
     Given two upstreams of one service behind an instance
     When the store is "silent" for 3 s
--- a/tests/features/wire.feature
+++ b/tests/features/wire.feature
@@ -31,3 +31,8 @@
       | unsafe   | not idempotent |
       | upload   | not idempotent |
       | other    | not idempotent |
+
+  # Guards against one odd entry that ends instances or stops all news.
+  Scenario: An odd entry names no upstream, and says so in few words
+    When entries of another writer are read
+    Then each is refused with a reason of at most 400 characters
