Prove that a response whose head ends early is never complete

Here it does not happen: seven forms of a response, ended after each of their bytes by a close or a reset, at both pools of connections, are complete only when whole. A body without a length is whole when its connection closes, as the users' pages say, and not when it is reset. Over sockets, a head that breaks off ends as a repeat for a safe request and as 502 for an order. No source changed.

--- a/tests/features/front_path.feature
+++ b/tests/features/front_path.feature
@@ -32,6 +32,7 @@
       | cut      | 2    |
       | encoded  | 2    |
       | bare     | 2    |
+      | broken-head | 2 |
       | error    | 2    |
       | unframed | 1    |
       | foreign  | 1    |
@@ -46,6 +47,7 @@
       | shed     | 200    | 1    |
       | lost     | 502    | 1    |
       | reset    | 502    | 1    |
+      | broken-head | 502 | 1    |
       | busy     | 502    | 1    |
       | error    | 500    | 1    |
       | unframed | 200    | 1    |
@@ -85,3 +87,24 @@
     Given upstream "u1" stopped without a word
     When 6 callers order
     Then all orders ran once
+
+  # Guards against a head that ends early and makes an empty, whole answer. A
+  # body without a length is whole when its connection closes.
+  Scenario Outline: A response that ends early is not complete: <name>, <way>
+    When a "<name>" response ends after each of its bytes, "<way>"
+    Then it is complete with "<left>" bytes left out
+
+    Examples:
+      | name          | way    | left          |
+      | measured      | closed | 0             |
+      | measured      | reset  | 0             |
+      | empty         | closed | 0             |
+      | empty         | reset  | 0             |
+      | chunked       | closed | 0             |
+      | chunked       | reset  | 0             |
+      | unframed      | closed | 0, 1, 2, 3, 4 |
+      | unframed      | reset  | no            |
+      | bare lines    | closed | 0             |
+      | after interim | closed | 0             |
+      | after another | closed | 0             |
+      | after another | reset  | 0             |
