Trust no refusal that names no request on a reused connection

Cause: an upstream that does not copy Jasminehold-Request may send a refusal of an earlier request on a kept connection, and it was taken for that of the request under way. The interface names each request once and never sends one to an upstream twice, so refusals that name their request are safe.

Change: on a connection that has carried a response, a refusal counts only if it names the request; else the send may have run. An upstream that names nothing loses its refusals on reused connections: an order ends as outcome_unknown there, as docs/operations/requests.md says.

--- a/src/jasminehold/proxy/exchange.py
+++ b/src/jasminehold/proxy/exchange.py
@@ -521,14 +521,18 @@
             self._upstream.echoes_request_id = True
         # A duplicate response to an earlier request can arrive after the
         # connection was reused for this one.
-        if self._upstream.echoes_request_id and echo != self._id:
+        is_refusal = (
+            event.status_code in (503, 504)
+            and values.get(b'jasminehold-run') == b'not-run'
+        )
+        must_name = self._upstream.echoes_request_id or (
+            is_refusal and self._upstream.is_reused
+        )
+        if must_name and echo != self._id:
             self._server.metrics.inc('answers_foreign_total')
             self._on_malformed_response()
             return
-        if (
-            event.status_code in (503, 504)
-            and values.get(b'jasminehold-run') == b'not-run'
-        ):
+        if is_refusal:
             self._refused = True
             if b'leaving' in values:
                 target = self._target.upstream
--- a/src/jasminehold/proxy/upstream.py
+++ b/src/jasminehold/proxy/upstream.py
@@ -49,12 +49,14 @@
     Attributes:
         echoes_request_id: whether a response on this connection carried
             its request's id; every later one must then carry it too.
+        is_reused: whether it has carried a response before.
     """
 
     def __init__(self, pool, entry, conn):
         self.handler = None
         self.idle_since = 0.0
         self.echoes_request_id = False
+        self.is_reused = False
         self._pool = pool
         self._entry = entry
         self._conn = conn
@@ -169,6 +171,7 @@
 
     def _on_response_complete(self):
         handler, self.handler = self.handler, None
+        self.is_reused = True
         self._interim_responses = 0
         http = self._http
         if http.trailing_data[0]:
--- a/src/jasminehold/standin/upstream.py
+++ b/src/jasminehold/standin/upstream.py
@@ -13,7 +13,9 @@
   delayed by ``LATE_DELAY_S``), ``foreign`` (response to another request),
   ``unframed`` (no ``Content-Length``), ``both`` (``Content-Length`` and
   ``Transfer-Encoding``), ``drop`` (executed, then closed without a response),
-  ``interim`` (executed, then interim responses without end).
+  ``interim`` (executed, then interim responses without end), ``unnamed`` (a
+  response that does not name its request), ``stale-refusal`` (the same; a
+  refusal that does not either is sent when the execution starts).
 - ``X-Fault-At``: name of the only upstream at which the fault occurs.
 - ``X-Crash``: the process exits when the execution starts, or
   ``X-Crash-After-Ms`` later, whether or not the request's connection is open.
@@ -163,13 +165,14 @@
             chunked: whether to use chunked transfer encoding.
             cut: number of body bytes after which the connection is closed,
                 None to send the whole body.
-            foreign: wrong request id to return in ``Jasminehold-Request``.
+            foreign: wrong request id to return in ``Jasminehold-Request``,
+                empty for none.
         """
         if self.conn.closed:
             return
         headers = list(headers)
         request_id = self.req.headers.get(b'jasminehold-request')
-        if request_id is not None:
+        if request_id is not None and foreign != b'':
             headers.append((b'jasminehold-request', foreign or request_id))
         if not chunked:
             headers.append((b'content-length', b'%d' % len(body)))
@@ -353,6 +356,8 @@
                 self._crash()
             return
         seconds = self._service_s(req)
+        if self._fault(req) == b'stale-refusal':
+            req.session.conn.write(_UNNAMED_REFUSAL)
         if self._fault(req) == b'late':
             seconds += LATE_DELAY_S
         req.timer = self._loop.call_later(seconds, self._complete, req)
@@ -429,9 +434,9 @@
             self._send_interim(session.conn)
         elif fault == b'drop':
             session.conn.close()
-        elif fault == b'foreign':
+        elif fault in _NAMES:
             session.send_response(
-                200, headers, body, chunked, foreign=b'other-1'
+                200, headers, body, chunked, foreign=_NAMES[fault]
             )
         elif fault in _RAW_HEADS:
             session.send_raw(_RAW_HEADS[fault] % len(body) + body)
@@ -485,6 +490,12 @@
     b'HTTP/1.1 200 OK\r\njasminehold-request: %s\r\n'
     b'content-length: %d\r\n\r\n'
 )
+# Ids of requests that responses name.
+_NAMES = {b'foreign': b'other-1', b'unnamed': b'', b'stale-refusal': b''}
+_UNNAMED_REFUSAL = (
+    b'HTTP/1.1 503 Refused\r\njasminehold-run: not-run\r\n'
+    b'content-length: 0\r\n\r\n'
+)
 _RAW_HEADS = {
     b'unframed': b'HTTP/1.1 200 OK\r\nx-size: %d\r\n\r\n',
     b'both': b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n'
--- a/tests/features/proxy_path.feature
+++ b/tests/features/proxy_path.feature
@@ -59,6 +59,13 @@
       | POST   | late     | all   | deadline_unknown | 1    |
       | GET    | late     | all   | deadline_unknown | 1    |
 
+  # Guards against a promise that rests on the refusal of an earlier request.
+  Scenario: A refusal that names no request may be that of another
+    Given the rig "proxies with one upstream"
+    When a caller sends POST with the fault "unnamed" at "all"
+    And a caller sends POST with the fault "stale-refusal" at "all"
+    Then the outcome is "outcome_unknown" with 2 executions
+
   Scenario: A shed request is not run and says so
     Given the rig "proxies with one slot and no queue"
     Then of 6 slow requests at once 2 run, others get "overloaded"
