Let the soak's upstreams send rejections again

Three of a hundred requests now meet an upstream that rejects them once and sends the rejection again in one of five ways; drawn apart, so that seeds draw their other faults as before. The copy comes after 0.02 s instead of 0.05, as the soak's upstreams work 0.03 s.

--- a/src/jasminehold/standin/sealed.py
+++ b/src/jasminehold/standin/sealed.py
@@ -44,7 +44,9 @@
 ERROR_STATUS = 500
 DOWN_S = 1.0
 CRASH_LATER_S = 0.08
-REPEAT_S = 0.05
+# How a rejection is sent again.
+REPEATS = ('late', 'unnamed', 'renamed', 'everywhere', 'behind')
+REPEAT_S = 0.02
 # What a crash sends first, and how long before the connections end.
 CRASH_SENDS = {
     'crash-head': (b'HTTP/1.1 200 OK\r\nX-Server-', 0.01),
--- a/tests/features/steps/front_late_rejections_steps.py
+++ b/tests/features/steps/front_late_rejections_steps.py
@@ -9,7 +9,7 @@
 
 # Between two orders; the first one has been rejected by then, and its
 # rejection has not come again.
-RIGHT_AFTER_S = 0.02
+RIGHT_AFTER_S = 0.005
 # After the last answer; what may still run has begun by then.
 SETTLE_S = 0.3
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -32,6 +32,10 @@
     'endless-foreign',
     'endless-behind',
 )
+# Drawn on their own, so that the others are drawn as before: part of the
+# requests whose rejection comes again.
+REPEAT_PART = 0.03
+REPEATS = tuple('repeat-' + how for how in sealed.REPEATS)
 
 
 class Caller(threading.Thread):
@@ -49,6 +53,7 @@
         self._world = world
         self._number = number
         self._rng = random.Random('%s/%s' % (seed, number))
+        self._repeat_rng = random.Random('%s/%s/repeats' % (seed, number))
         self._client = None
         self._instance = None
         self._incarnation = 0
@@ -116,6 +121,8 @@
         fault = ''
         if self._rng.random() < FAULT_PART:
             fault = self._rng.choice(FAULTS)
+        if self._repeat_rng.random() < REPEAT_PART:
+            fault = self._repeat_rng.choice(REPEATS)
         kind = self._rng.random()
         if kind < 0.5:
             return 'GET', '/browse/%d' % self._rng.randrange(9), fault
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -7,6 +7,7 @@
 import sys
 
 from jasminehold.decisions import retry_token_bucket
+from jasminehold.decisions import sends
 from jasminehold.decisions import stated_limits
 from jasminehold.decisions import upstream_view
 from jasminehold.front import app
@@ -146,6 +147,12 @@
     exchange.Exchange._on_connect_failed = patched
 
 
+def sends_orders_back():
+    """Sends orders again to upstreams that rejected them."""
+    exchange.Exchange._excluded_upstreams = lambda self: frozenset()
+    sends.Sends.evidence = lambda self, is_named: sends.Evidence.SINGLE
+
+
 def never_returns():
     """Refuses everything after some requests."""
     on_request = exchange.ExchangeContext.on_request
@@ -178,6 +185,7 @@
     'sends_crashing_requests_on': 'crashing_requests_are_stopped',
     'stops_at_once': 'planned_stop_cuts_nothing',
     'gives_up_without_a_path': 'cut_off_is_served',
+    'sends_orders_back': 'promise_is_true',
     'never_returns': 'service_returns',
 }
 
