--- a/src/jasminehold/standin/sealed.py
+++ b/src/jasminehold/standin/sealed.py
@@ -147,6 +147,8 @@
         self.conns = set()
         self._running = 0
         self._repeated = set()
+        # Sessions in the middle of a body that only their end ends.
+        self._unframed = set()
         self._held = set()
         self._waiting = collections.deque()
         self._listener = loop.listen('127.0.0.1', 0, self._on_accept)
@@ -181,7 +183,12 @@
     def _on_accept(self, conn):
         session = http_server.ServerConn(self.loop, conn, self._on_request)
         self.conns.add(session)
-        conn.on_close = lambda exc: self.conns.discard(session)
+
+        def on_close(exc):
+            self.conns.discard(session)
+            self._unframed.discard(session)
+
+        conn.on_close = on_close
 
     def _on_request(self, session, head, body):
         self.submit(_Request(self, session, head, body))
@@ -234,8 +241,8 @@
             return
 
         def send_again():
-            everywhere = how == 'everywhere'
-            for session in list(self.conns) if everywhere else [req.session]:
+            sessions = self.conns if how == 'everywhere' else {req.session}
+            for session in sessions - self._unframed:
                 session.conn.write(copy)
 
         self.loop.call_later(REPEAT_S, send_again)
@@ -338,6 +345,7 @@
             self.loop.call_later(0.02, req.session.conn.abort)
         elif fault in ('unframed', 'cut'):
             req.send_raw(200, headers, None, body)
+            self._unframed.add(req.session)
             end = req.session.conn.close
             if fault == 'cut':
                 end = req.session.conn.reset
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -186,7 +186,11 @@
     """A success is the whole answer to its own request."""
     for sent in record.sent:
         if sent.status == 200 and sent.whole and sent.named != sent.id:
-            yield '%s got the answer to %s' % (sent.id, sent.named)
+            yield '%s (fault "%s") got the answer to %s' % (
+                sent.id,
+                sent.fault,
+                sent.named,
+            )
 
 
 def drained_gets_nothing(record):
