End a planned stop when all that was read is answered and taken

Cause: the instance counted requests only. An answer left the queue when it was handed to the write buffer, and the process ended half the grace period after SIGTERM whatever lay there. 'Connection: close' came with an answer behind which nothing had been read, which a pipelining caller never allows.

Change: decisions/planned_stop.py holds the phases of a stop and what is owed. A connection takes no more requests while it owes an answer; the last answer closes it, and what was sent behind is discarded unread. Lines 'instance finishing' and 'instance stopped' tell phases and what was cut off. The product's own interface waited for requests only as well, and waits for its write buffers now.

--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -12,6 +12,7 @@
 
 from jasminehold.decisions import held_bytes
 from jasminehold.decisions import instance_sample
+from jasminehold.decisions import planned_stop
 from jasminehold.decisions import route_table
 from jasminehold import errors
 from jasminehold.front import account_check
@@ -44,17 +45,13 @@
 UPSTREAM_FILES_FRACTION = 0.3
 # File descriptors that are not for callers or upstreams.
 FILES_RESERVED = 200
-# Fraction of the grace period in which new connections are still accepted
-# after SIGTERM: callers reuse a lookup result for up to three times its TTL.
-ACCEPT_FRACTION = 0.5
-# Margin before the platform kills the process.
-STOP_MARGIN_S = 0.4
 STOP_CHECK_EVERY_S = 0.05
 # The platform may change the settings file without sending a signal.
 SETTINGS_CHECK_EVERY_S = 2.0
 # Ids of members that one log line names.
 MEMBERS_LOGGED = 16
 
+Phase = planned_stop.Phase
 _log = logs.get('front')
 
 
@@ -81,7 +78,7 @@
         self.held = held_bytes.HeldBytes(lambda: self.cfg.memory_mb)
         self._path = path
         self._members = {}
-        self._stop_at = None
+        self._planned_stop = None
         self._own_entry = {
             'callers': '%s:%d' % cfg.caller_listen,
             'place': cfg.place,
@@ -412,20 +409,33 @@
         self._registration.leave()
         self._peering.leave()
         grace = self.cfg.stop_grace
-        self._stop_at = self.loop.now() + grace - STOP_MARGIN_S
+        self._planned_stop = planned_stop.PlannedStop(self.loop.now(), grace)
         _log('instance leaving', instance=self.cfg.id, grace_s=grace)
-        self.loop.call_later(grace * ACCEPT_FRACTION, self._stop_accepting)
-
-    def _stop_accepting(self):
-        self.callers.stop_accepting()
-        idle = not self.exchanges.exchanges and not self.callers.busy
-        if not idle and self.loop.now() < self._stop_at:
-            self.loop.call_later(STOP_CHECK_EVERY_S, self._stop_accepting)
+        self._step_stop()
+
+    def _step_stop(self):
+        stop, now = self._planned_stop, self.loop.now()
+        before = stop.phase
+        owed = self.callers.owed()
+        phase = stop.step(owed, now)
+        if phase is Phase.FINISHING:
+            self.callers.stop_accepting()
+            if before is not phase:
+                _log(
+                    'instance finishing',
+                    instance=self.cfg.id,
+                    owed=owed._asdict(),
+                )
+        if phase is not Phase.ENDED:
+            self.loop.call_later(STOP_CHECK_EVERY_S, self._step_stop)
             return
         _log(
             'instance stopped',
             instance=self.cfg.id,
             in_flight=len(self.exchanges.exchanges),
+            cut_off=owed._asdict(),
+            accepting_s=round(stop.seconds(Phase.ACCEPTING, now), 2),
+            finishing_s=round(stop.seconds(Phase.FINISHING, now), 2),
         )
         self.stop()
 
--- a/src/jasminehold/front/caller.py
+++ b/src/jasminehold/front/caller.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from jasminehold.decisions import planned_stop
 from jasminehold import errors
 from jasminehold import logs
 from jasminehold.proxy import server as proxy_server
@@ -122,14 +123,18 @@
         body = proxy_server.error_body(kind)
         self.answer(answer.status, headers, body, close)
 
-    def serialize(self, leaving):
-        """Return ``(bytes, whether to close the connection)``."""
+    def serialize(self, closes):
+        """Return ``(bytes, whether the connection closes behind them)``.
+
+        Args:
+            closes: whether it is to close.
+        """
         status, headers, body, close = self.pending_response
         headers = list(headers)
         bodiless = status in (204, 304) or status < 200
         if not bodiless:
             headers.append((b'content-length', b'%d' % len(body)))
-        if close or leaving:
+        if close or closes:
             headers.append((b'connection', b'close'))
         http = self._http
         out = http.send(
@@ -175,6 +180,22 @@
         """Whether no request is being received or answered."""
         return not self._queue and not self._receiving
 
+    @property
+    def _unanswered(self):
+        # Requests that were read whole; the last one may still be received.
+        return len(self._queue) - (self._current in self._queue)
+
+    def add_owed(self, owed):
+        """Return the sum with what is owed to this caller.
+
+        Args:
+            owed: the :class:`~decisions.planned_stop.Owed` to others.
+        """
+        # A closing connection ends when the caller has taken all.
+        if self.idle and not self._conn.buffered and not self._closing:
+            return owed
+        return owed.plus(len(self._queue), self._conn.buffered)
+
     def _parser(self):
         return h11.Connection(
             h11.SERVER,
@@ -312,8 +333,10 @@
                 continue
             # Requests already read after this one are answered before the
             # connection closes.
-            ends = self._port.leaving and not self._queue
-            data, last = inbound.serialize(ends and not self._receiving)
+            closes = planned_stop.closes_connection(
+                self._port.leaving, self._unanswered
+            )
+            data, last = inbound.serialize(closes)
             self._conn.write(data)
             if last:
                 self._end()
@@ -340,6 +363,8 @@
                 self._malformed(exc)
 
     def _takes_more(self):
+        if not planned_stop.may_read(self._port.leaving, self._unanswered):
+            return False
         # One that does not take its responses gets no further ones.
         unread = self.unread_bytes
         return len(self._queue) < PIPELINE_MAX and (
@@ -369,9 +394,11 @@
             if inbound.on_disconnect is not None:
                 inbound.on_disconnect()
         self._queue = []
-        if self._receiving:
+        if self._receiving or not self._reading:
             # Closing with unread input sends a TCP reset, which can discard
             # the response before the caller reads it.
+            self._reading = True
+            self._conn.resume()
             self.timeout_at = self._port.loop.now() + LINGER_S
         else:
             self._conn.close()
@@ -528,7 +555,9 @@
         for caller in list(self._conns):
             caller.close_idle()
 
-    @property
-    def busy(self):
-        """Whether a request is being received or answered."""
-        return any(not caller.idle for caller in self._conns)
+    def owed(self):
+        """Return the :class:`~decisions.planned_stop.Owed` to all callers."""
+        owed = planned_stop.Owed()
+        for caller in self._conns:
+            owed = caller.add_owed(owed)
+        return owed
--- a/src/jasminehold/proxy/server.py
+++ b/src/jasminehold/proxy/server.py
@@ -547,7 +547,9 @@
         self.loop.call_later(self.limits.drain_s, self._check_drained)
 
     def _check_drained(self):
-        busy = [item for item in self.callers if not item.idle]
+        busy = [
+            item for item in self.callers if not item.idle or item.buffered
+        ]
         for caller in self.callers - set(busy):
             caller.close()
         if self.exchanges or busy:
--- a/tests/features/proxy_path.feature
+++ b/tests/features/proxy_path.feature
@@ -140,6 +140,12 @@
     When the proxy drains while a slow request is in flight
     Then it is answered, new ones get "leaving", and the drain ends
 
+  # Guards against a process that ends with answers in its write buffers.
+  Scenario: A graceful stop waits for callers that read slowly
+    Given the rig "proxies"
+    When the proxy drains while a caller has not taken its answer
+    Then the drain ends when it has, and not before
+
   Scenario: A hard stop ends requests in flight with a kind that is certain
     Given the rig "proxies"
     Then a slow request ends as "outcome_unknown" when the proxy stops
--- a/tests/features/steps/proxy_path_steps.py
+++ b/tests/features/steps/proxy_path_steps.py
@@ -406,6 +406,31 @@
     raise AssertionError('still accepts')
 
 
+class _SlowCaller:
+    # A connection whose last answer is still in its write buffer.
+    idle = True
+    buffered = 5
+
+    def close(self):
+        """Close, if it has been asked to, when all has been taken."""
+
+
+@behave.when('the proxy drains while a caller has not taken its answer')
+def when_drain_slow(context):
+    proxy = context.rig.proxies[0]
+    context.slow, context.ended = _SlowCaller(), []
+    context.rig.call(proxy.callers.add, context.slow)
+    context.rig.call(proxy.drain, lambda: context.ended.append(1))
+
+
+@behave.then('the drain ends when it has, and not before')
+def then_waits(context):
+    time.sleep(context.rig.proxies[0].limits.drain_s + 0.3)
+    assert not context.ended
+    context.slow.buffered = 0
+    assert _until(lambda: context.ended)
+
+
 @behave.then('a slow request ends as "{kind}" when the proxy stops')
 def then_ends(context, kind):
     client = _slow(context)
