Give the stand-in of a slow caller a time-out

With that the scenario 'A graceful stop waits for callers that read slowly' fails at 'assert not context.ended' on the former server and passes on the present one.

--- a/tests/features/steps/proxy_path_steps.py
+++ b/tests/features/steps/proxy_path_steps.py
@@ -410,6 +410,7 @@
     # A connection whose last answer is still in its write buffer.
     idle = True
     buffered = 5
+    timeout_at = float('inf')
 
     def close(self):
         """Close, if it has been asked to, when all has been taken."""
