--- a/src/jasminehold/front/upstream_conn.py
+++ b/src/jasminehold/front/upstream_conn.py
@@ -43,6 +43,7 @@
 # Answered requests that a connection remembers, so that the log tells which of
 # them an unexpected response repeats.
 ANSWERED_REMEMBERED = 4
+ID_LOGGED_MAX_BYTES = 64
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout\s*=\s*(\d+)')
 
 
@@ -368,9 +369,8 @@
         request_id = _first_value(head.headers, wire.REQUEST_ID)
         self._pool.log(
             'unexpected response',
-            level='warning',
             upstream='%s:%d' % self.key,
-            id=(request_id or b'').decode('latin-1'),
+            id=(request_id or b'')[:ID_LOGGED_MAX_BYTES].decode('latin-1'),
             status=head.status_code,
             rejection=wire.is_rejection(head.status_code, head.headers),
             state=state,
