Read once more before an instance that stops ends

Traced: the caller had connected and sent its request 1.537 s after SIGTERM, with a grace period of 3 s; the instance closed its listener and ended at 1.55 s, in the same step, and no line names the request, so it was not read. The users' page counts no request that crosses the close, but the caller has lost a try.

A finishing instance now closes its listener first, serves what comes on the connections accepted last, and closes idle ones a step (0.05 s) later.

--- a/src/jasminehold/decisions/planned_stop.py
+++ b/src/jasminehold/decisions/planned_stop.py
@@ -95,13 +95,16 @@
     def step(self, owed, now):
         """Return the phase now.
 
+        A finishing instance takes one more step at least, in which it reads
+        what came on connections that were accepted last.
+
         Args:
             owed: the :class:`Owed` to all callers.
             now: monotonic seconds.
         """
         if self.phase is Phase.ACCEPTING and now >= self._accepts_until:
             self._enter(Phase.FINISHING, now)
-        if self.phase is Phase.FINISHING and (
+        elif self.phase is Phase.FINISHING and (
             not owed.connections or now >= self._ends_at
         ):
             self._enter(Phase.ENDED, now)
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -418,14 +418,15 @@
         before = stop.phase
         owed = self.callers.owed()
         phase = stop.step(owed, now)
-        if phase is Phase.FINISHING:
+        if phase is Phase.FINISHING and before is not phase:
             self.callers.stop_accepting()
-            if before is not phase:
-                _log(
-                    'instance finishing',
-                    instance=self.cfg.id,
-                    owed=owed._asdict(),
-                )
+            _log(
+                'instance finishing',
+                instance=self.cfg.id,
+                owed=owed._asdict(),
+            )
+        elif phase is Phase.FINISHING:
+            self.callers.close_idle()
         if phase is not Phase.ENDED:
             self.loop.call_later(STOP_CHECK_EVERY_S, self._step_stop)
             return
--- a/src/jasminehold/front/caller.py
+++ b/src/jasminehold/front/caller.py
@@ -549,9 +549,12 @@
         self._conns.discard(caller)
 
     def stop_accepting(self):
-        """Close the listener and the idle connections."""
+        """Close the listener."""
         if self._listener is not None:
             self._listener.close()
+
+    def close_idle(self):
+        """Close the idle connections."""
         for caller in list(self._conns):
             caller.close_idle()
 
--- a/tests/builders/stopping_port.py
+++ b/tests/builders/stopping_port.py
@@ -178,7 +178,7 @@
     def _step_stop(self):
         phase = self._stop.step(self._port.owed(), self._now)
         if phase is planned_stop.Phase.FINISHING:
-            self._port.stop_accepting()
+            self._port.close_idle()
         return phase is planned_stop.Phase.ENDED
 
     def check(self, in_time):
