--- a/tests/features/front_path.feature
+++ b/tests/features/front_path.feature
@@ -88,6 +88,17 @@
     When 6 callers order
     Then all orders ran once
 
+  # Guards against a request whose rest is read as another one, and against a
+  # rejection that comes again for the next request.
+  Scenario Outline: A rejection that comes before the request is sent: <case>
+    When an upstream rejects a request of which <unsent> bytes are unsent
+    Then the request was rejected and its connection is <state>
+
+    Examples:
+      | case            | unsent | state  |
+      | a part of it    | 5000   | closed |
+      | the whole of it | 0      | kept   |
+
   # Guards against a head that ends early and makes an empty, whole answer. A
   # body without a length is whole when its connection closes.
   Scenario Outline: A response that ends early is not complete: <name>, <way>
--- a/tests/features/steps/early_ends_steps.py
+++ b/tests/features/steps/early_ends_steps.py
@@ -52,20 +52,30 @@
         conn.on_close(exc)
 
 
-def _request():
-    return h11.Request(method='GET', target='/', headers=[('host', 'h')])
+def _request(body=b''):
+    headers = [('host', 'h')]
+    if body:
+        headers.append(('content-length', str(len(body))))
+    return h11.Request(method='POST', target='/', headers=headers)
 
 
-def _front(data, way):
-    # Returns the complete responses that the conn reported.
+def _send(conn, body=b''):
+    # Returns the list that gets the response, or the error.
     loop = types.SimpleNamespace(
         now=lambda: 0.0, call_later=lambda *args: None
     )
     held = held_bytes.HeldBytes(lambda: 300.0)
     pool = front_conn.UpstreamPool(loop, metrics.Metrics(), 10, held)
-    conn, found = _Conn(), []
     item = front_conn.UpstreamConn(pool, ('h', 1), conn)
-    item.send(_request(), b'', b'r', lambda *args: found.append(args))
+    found = []
+    item.send(_request(body), body, b'r', lambda *args: found.append(args))
+    return found
+
+
+def _front(data, way):
+    # Returns the complete responses that the conn reported.
+    conn = _Conn()
+    found = _send(conn)
     conn.on_data(data)
     _end(conn, way)
     assert len(found) == 1, found
@@ -130,3 +140,23 @@
     expected = set() if left == 'no' else set(map(int, left.split(', ')))
     for reader, found in context.complete.items():
         assert found == expected, (reader, found)
+
+
+@behave.when(
+    'an upstream rejects a request of which {unsent:d} bytes are unsent'
+)
+def when_rejected(context, unsent):
+    context.conn = _Conn()
+    context.found = _send(context.conn, b'b' * 9000)
+    context.conn.buffered = context.conn.held = unsent
+    context.conn.on_data(
+        b'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Request-Id: r\r\n'
+        b'Content-Length: 0\r\n\r\n'
+    )
+
+
+@behave.then('the request was rejected and its connection is {state}')
+def then_rejected(context, state):
+    [(answer, exc)] = context.found
+    assert exc is None and answer.status == 503, (answer, exc)
+    assert context.conn.closed == (state == 'closed')
