End a loop at once that a timer stopped

Cause: timers run before the poll of the same iteration. A stop within a timer, as at the end of a planned stop, let that poll wait for the next event or timer, up to MAX_POLL_WAIT_S (0.5 s). So an instance outlived the time that it had chosen, and near the end of the grace period the platform would kill it.

Change: the poll waits for nothing once the loop is stopped.

--- a/src/jasminehold/loop.py
+++ b/src/jasminehold/loop.py
@@ -463,7 +463,8 @@
     @circuits.handler('generate_events', priority=1.0)
     def _on_generate_events(self, event):
         wait = self._run_due_timers()
-        event.reduce_time_left(wait)
+        # The poll below would delay the end of a loop that a timer stopped.
+        event.reduce_time_left(wait if self.root.running else 0.0)
 
     def _run_due_timers(self):
         heap = self._timer_heap
--- a/tests/features/loop.feature
+++ b/tests/features/loop.feature
@@ -22,3 +22,10 @@
     Given a loop with an echo server
     When a client connects to a port that nobody listens on
     Then the error callback was called once
+
+  # Guards against a planned stop that outlasts its grace period: a loop that
+  # a timer stopped waited for the next event.
+  Scenario: A loop that a timer stops waits for nothing more
+    Given a loop with an echo server
+    When a timer stops the loop while nothing else is due for 20 s
+    Then the loop ends within 0.1 s
--- a/tests/features/steps/loop_steps.py
+++ b/tests/features/steps/loop_steps.py
@@ -1,5 +1,7 @@
 """Steps for the event loop."""
 
+import time
+
 import behave
 import circuits
 
@@ -104,6 +106,23 @@
     _run(context)
 
 
+@behave.when('a timer stops the loop while nothing else is due for 20 s')
+def when_stopped(context):
+    def stop():
+        context.stopped_at = time.monotonic()
+        context.root.stop()
+
+    context.loop.call_later(0.2, stop)
+    _run(context)
+    context.ended_at = time.monotonic()
+
+
+@behave.then('the loop ends within {seconds:g} s')
+def then_ended(context, seconds):
+    took_s = context.ended_at - context.stopped_at
+    assert took_s <= seconds, took_s
+
+
 @behave.then('the client received exactly what it sent')
 def then_same(context):
     assert bytes(context.received) == context.sent, len(context.received)
