Let a planned stop take its last step at its end, and wake the rig's loops

The rig hands a call to a loop from another thread, and a loop that waits for events does not see it before its next timer. A signal does wake the loop of a real process (circuits resumes the poller), so this delay was the rig's alone. And steps of 0.05 s could pass the end of the stop by up to 0.05 of the 0.1 s that are kept in reserve.

Change: the rig wakes the loop, as a signal does; the last step of a stop is taken at its end. The check and its bound are untouched.

--- a/src/jasminehold/decisions/planned_stop.py
+++ b/src/jasminehold/decisions/planned_stop.py
@@ -110,6 +110,10 @@
             self._enter(Phase.ENDED, now)
         return self.phase
 
+    def left_s(self, now):
+        """Return the seconds until it ends, whatever is owed then."""
+        return max(self._ends_at - now, 0.0)
+
     def _enter(self, phase, now):
         self.phase = phase
         self._began_at[phase] = now
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -428,7 +428,8 @@
         elif phase is Phase.FINISHING:
             self.callers.close_idle()
         if phase is not Phase.ENDED:
-            self.loop.call_later(STOP_CHECK_EVERY_S, self._step_stop)
+            wait_s = min(STOP_CHECK_EVERY_S, stop.left_s(now))
+            self.loop.call_later(wait_s, self._step_stop)
             return
         _log(
             'instance stopped',
--- a/tests/builders/front_rig.py
+++ b/tests/builders/front_rig.py
@@ -206,6 +206,8 @@
                 ready.set()
 
         loop.call_soon(run)
+        # A loop that waits for events does not see calls of other threads.
+        loop.poller.resume()
         assert ready.wait(WAIT_S)
         return result[0]
 
