Promise nothing on an older version's word on an order

Callers of a cut-off instance of this version, beside helping instances of an older one (an upgrade), would be told 'not run' (REFUSED), or have the order sent once more (TWICE), on evidence that may belong to another send.

Cause: versions before may send an order to one upstream twice and take one rejection for both sends; their errors do not tell where the order went. Such an error was believed, and after 'nothing was sent' the order went on to another instance without knowing the addresses.

Change: an error without the list of addresses tells nothing about an order; it ends as 502, without another send. Repeatable requests go on as before.

The new scenario of front_cut_off_rejections.feature failed before: six of six orders got 503.

--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -450,14 +450,22 @@
 
     def _on_relay_error(self, kind, answer, single):
         step, kind = relay_choice.after_error(kind)
-        if errors.answer_for(kind).run is not errors.Run.NOT_RUN:
-            self._sends.end(may_have_run=True)
         sent_to = relay_module.read_sent_to(answer)
+        # Versions that do not tell where they sent an order may have sent it
+        # to one upstream twice, and taken one rejection for both.
+        is_told = self._route.idempotent or sent_to is not None
+        says_not_run = errors.answer_for(kind).run is errors.Run.NOT_RUN
+        if not (is_told and says_not_run):
+            self._sends.end(may_have_run=True)
         self._sends.add_elsewhere(sent_to or ())
         retry_after_s = wire.decode_retry_after(
             answer.get(wire.RETRY_AFTER) or b''
         )
         now = self._loop.now()
+        if not is_told:
+            reason = 'through another instance of an older version'
+            self._give_up(kind, retry_after_s, reason)
+            return
         if step is relay_choice.Step.OTHER or (
             single and kind is Kind.OVERLOADED
         ):
@@ -468,9 +476,7 @@
                 self._context.relay.pause_service(self._service)
             # A single request has upstreams here that were not tried.
             may_go_on = single or self._helper() is not None
-            # An older version does not say where it sent the request.
-            is_told = self._route.idempotent or sent_to is not None
-            if may_go_on and is_told and self._allow_retry(now):
+            if may_go_on and self._allow_retry(now):
                 self._start_attempt()
                 return
         self._give_up(kind, retry_after_s, 'through another instance')
--- a/tests/features/steps/front_late_rejections_steps.py
+++ b/tests/features/steps/front_late_rejections_steps.py
@@ -5,6 +5,7 @@
 
 import behave
 
+from jasminehold.front import relay
 from tests.builders import cut_upstreams
 
 # Between two orders; the first one has been rejected by then, and its
@@ -80,6 +81,36 @@
     context.tries = _order_at(context, context.cut_names[0], orders)
 
 
+@behave.when('helping instances do not tell where they sent an order')
+def when_older(context):
+    former = relay.error_headers
+    relay.error_headers = lambda request_id, addresses: []
+    context.add_cleanup(setattr, relay, 'error_headers', former)
+
+
+@behave.when(
+    '{count:d} callers order there with fault "{fault}" at all of its'
+    ' upstreams'
+)
+def when_all_there(context, count, fault):
+    context.callers.__exit__()
+    orders = [(number, {'X_Fault': fault}) for number in range(count)]
+    name = context.cut_names[0]
+    relayed = context.rig.apps[name].metrics
+    before = relayed.total('requests_relayed_total')
+    context.tries = _order_at(context, name, orders)
+    context.relays = relayed.total('requests_relayed_total') - before
+
+
+@behave.then(
+    'none of them is told that it has not run, and none is sent again'
+)
+def then_unknown(context):
+    statuses = [item.reply.status for item in context.tries]
+    assert statuses == [502] * len(statuses), statuses
+    assert context.relays == len(statuses), context.relays
+
+
 @behave.then('all were answered with 200 and ran once')
 def then_all(context):
     assert all(item.served for item in context.tries), context.tries
