Leave helping instances that stand still while requests wait at them

Silence was judged after 3.5 s on the link, whatever waited for it, and no request that waited there was moved.

Change: decisions/helper_watch.py asks for a sign of life while requests wait and nothing is heard, leaves an instance that gives none within a part of their time, and tries it again with one request at a time. Requests that may run again, or have not left, go on through another one.

--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -421,12 +421,28 @@
             self._deadline,
             not self._route.idempotent,
             done,
+            self._on_helper_silent,
         )
 
-    def _end_relay(self, outcome):
+    def _on_helper_silent(self):
+        # An order that was sent there waits on: it may run when the instance
+        # goes on.
+        if not self._relay_send.sent:
+            self._end_relay('not reached: silent')
+            self._start_attempt()
+        elif self._route.idempotent and self._helper() is not None:
+            granted, note = self._take_retry(self._loop.now())
+            if granted:
+                self._sends.end(may_have_run=True)
+                self._end_relay('silent')
+                self._attempts[-1]['repeat'] = note
+                self._last_failure = upstream_conn.ResponseError('silent')
+                self._start_attempt()
+
+    def _end_relay(self, outcome, answered=False):
         send, self._relay_send = self._relay_send, None
         send.cancel()
-        self._context.relay.on_end(send, outcome)
+        self._context.relay.on_end(send, outcome, answered)
         self._attempts.append({'instance': send.helper.id, 'end': outcome})
 
     def _on_relayed(self, send, answer, exc, single):
@@ -434,7 +450,7 @@
         if answer is not None and answer.get(wire.SEAL) is None:
             kind = errors.kind_of(answer.get(b'jasminehold-error'))
         if answer is not None and kind is not None:
-            self._end_relay(kind.value)
+            self._end_relay(kind.value, answered=True)
             self._on_relay_error(kind, answer, single)
         elif isinstance(exc, relay_module.NotReached):
             self._end_relay('not reached: %s' % exc)
@@ -445,7 +461,7 @@
             self._last_failure = exc or ValueError('not its response')
             self._end_failed('lost')
         else:
-            self._end_relay('%d' % answer.status)
+            self._end_relay('%d' % answer.status, answered=True)
             self._deliver(answer)
 
     def _on_relay_error(self, kind, answer, single):
--- a/src/jasminehold/front/relay.py
+++ b/src/jasminehold/front/relay.py
@@ -3,19 +3,22 @@
 A request goes to the callers' address of the other instance, with a marker
 that proves its origin. It is relayed once only.
 
-Message on the streams between instances: ``path_state``, whether the sender
-has lost its path to the upstreams, with the age of that in seconds.
+Messages on the streams between instances: ``path_state``, whether the sender
+has lost its path to the upstreams, with the age of that in seconds;
+``sign_of_life``, which is answered with an empty message.
 """
 
 import base64
 import binascii
 import hashlib
 import hmac
+import math
 import typing
 
 import h11
 import msgpack
 
+from jasminehold.decisions import helper_watch
 from jasminehold.decisions import relay_choice
 from jasminehold.front import upstream_conn
 from jasminehold.platform import wire
@@ -32,6 +35,8 @@
 # Time for which requests of a service that no instance reaches are not
 # relayed one by one.
 SERVICE_PAUSE_S = 2.0
+# Time after which nothing waits for a sign of life any more.
+SIGN_TIMEOUT_S = 2.0
 _REQUEST_HEADERS_DROPPED = proxy_exchange.HOP_BY_HOP | {
     b'expect',
     b'content-length',
@@ -171,11 +176,14 @@
     Attributes:
         helper: the :class:`~decisions.relay_choice.Helper`.
         sent: whether any byte of the request may have left this process.
+        on_silent: called without arguments when the instance is found to
+            stand still.
     """
 
-    def __init__(self, helper, done):
+    def __init__(self, helper, done, on_silent):
         self.helper = helper
         self.sent = False
+        self.on_silent = on_silent
         self._done = done
         self._conn = None
 
@@ -247,7 +255,10 @@
         self._in_flight = {}
         self._paused_until = {}
         self._service_paused_until = {}
+        self._watch = helper_watch.HelperWatch()
+        self._is_stepping = False
         mesh.handle('path_state', self._on_state)
+        mesh.handle('sign_of_life', lambda sender, message, reply: reply({}))
         mesh.on_down = self._on_down
 
     # Who has no path.
@@ -349,6 +360,7 @@
             and item.id not in self._cut_off
             and now >= self._paused_until.get(item.id, 0.0)
             and self._is_heard(item.id, now)
+            and self._watch.room(item.id, self._last_heard(item.id))
         ]
         place = self._cfg.place
         return relay_choice.choose(
@@ -357,13 +369,36 @@
 
     def _is_heard(self, name, now):
         # A process that stands still goes on accepting connections.
+        return now - self._last_heard(name) < relay_choice.HELPER_SILENCE_S
+
+    def _last_heard(self, name):
         heard_at = self._mesh.last_heard(name)
-        return (
-            heard_at is not None
-            and now - heard_at < relay_choice.HELPER_SILENCE_S
-        )
+        return -math.inf if heard_at is None else heard_at
+
+    def _step_watch(self):
+        self._is_stepping = self._watch.waiting
+        if not self._is_stepping:
+            return
+        self._loop.call_later(helper_watch.STEP_S, self._step_watch)
+        found = self._watch.step(self._last_heard, self._loop.now())
+        for name in found.ask:
+            message = {'type': 'sign_of_life'}
+            # Any frame is one, also the error of a version without it.
+            self._mesh.ask(name, message, SIGN_TIMEOUT_S, lambda *args: None)
+        for name, sends in found.silent:
+            self._metrics.inc('helpers_silent_total')
+            self._log(
+                'helping instance silent',
+                level='warning',
+                instance=name,
+                waiting=len(sends),
+                heard_s=round(self._loop.now() - self._last_heard(name), 2),
+            )
+            for send in sends:
+                if not send.ended:
+                    send.on_silent()
 
-    def send(self, helper, inbound, origin, deadline, fresh, done):
+    def send(self, helper, inbound, origin, deadline, fresh, done, on_silent):
         """Send a request through another instance.
 
         Args:
@@ -375,13 +410,19 @@
             done: ``done(RelayedSend, Response or None, exc)``, called once,
                 never before this returns; the error is
                 :class:`NotReached` if nothing was sent.
+            on_silent: called if the instance is found to stand still.
 
         Returns:
             The :class:`RelayedSend`.
         """
         name = helper.id
         self._in_flight[name] = self._in_flight.get(name, 0) + 1
-        send = RelayedSend(helper, done)
+        send = RelayedSend(helper, done, on_silent)
+        now = self._loop.now()
+        self._watch.begin(name, send, deadline - now, now)
+        if not self._is_stepping:
+            self._is_stepping = True
+            self._loop.call_later(helper_watch.STEP_S, self._step_watch)
 
         def ready(conn, reused):
             if send.ended:
@@ -428,14 +469,16 @@
             method=inbound.method, target=inbound.target, headers=headers
         )
 
-    def on_end(self, send, outcome):
+    def on_end(self, send, outcome, answered):
         """Count a request through another instance that has ended.
 
         Args:
             send: the :class:`RelayedSend`.
             outcome: for the metrics.
+            answered: whether that instance has sent a response.
         """
         name = send.helper.id
+        self._watch.end(name, send, answered, self._loop.now())
         self._in_flight[name] -= 1
         if not self._in_flight[name]:
             del self._in_flight[name]
@@ -457,6 +500,7 @@
             'instances_cut_off': len(self.cut_off()),
             'requests_relayed': sum(self._in_flight.values()),
             'requests_helped': self.helped,
+            'helpers_silent': len(self._watch.silent),
         }
 
 
--- a/tests/features/front_cut_off_promises.feature
+++ b/tests/features/front_cut_off_promises.feature
@@ -47,3 +47,11 @@
     When 1 instance is cut off and this is known
     And the others stand still for 3 s
     Then no order has run twice and none that was refused has run
+
+  # Guards against requests that wait at an instance that stands still while
+  # others could help.
+  Scenario: One of the instances that help stands still for a while
+    When 1 instance is cut off and this is known
+    And the nearest one stands still for 3 s
+    Then 0.95 of the tries at the cut-off instance are served meanwhile
+    And no order has run twice and none that was refused has run
--- a/tests/features/steps/front_cut_off_steps.py
+++ b/tests/features/steps/front_cut_off_steps.py
@@ -410,3 +410,28 @@
         cut_upstreams.block(context.rig, name, seconds)
     time.sleep(seconds + 1.0)
     context.callers.__exit__()
+
+
+@behave.when('the nearest one stands still for {seconds:g} s')
+def when_one_still(context, seconds):
+    places = {name: app.cfg.place for name, app in context.rig.apps.items()}
+    cut = context.cut_names[0]
+    near = [name for name in places if places[name] == places[cut]]
+    near.remove(cut)
+    assert len(near) == 1, places
+    context.begin = time.monotonic()
+    cut_upstreams.block(context.rig, near[0], seconds)
+    time.sleep(seconds)
+    context.end = time.monotonic()
+    time.sleep(1.0)
+    context.callers.__exit__()
+
+
+@behave.then(
+    '{part:g} of the tries at the cut-off instance are served meanwhile'
+)
+def then_served_meanwhile(context, part):
+    tries = context.callers.between(context.begin, context.end)
+    tries, _ = _split(context, tries)
+    assert len(tries) >= TRIES_MIN, len(tries)
+    assert _served(tries) >= part, _outcomes(tries)
--- a/tests/features/steps/relay_rules_steps.py
+++ b/tests/features/steps/relay_rules_steps.py
@@ -1,12 +1,14 @@
 """Steps for the rules of instances without a path to the upstreams."""
 
 import base64
+import math
 import random
 import types
 
 import behave
 import msgpack
 
+from jasminehold.decisions import helper_watch
 from jasminehold.decisions import path_monitor
 from jasminehold.decisions import relay_choice
 from jasminehold.decisions import sends
@@ -315,3 +317,38 @@
     before, since = context.loads
     assert before.ejected_until > 10.0, before.ejected_until
     assert since.ejected_until == 0.0, since.ejected_until
+
+
+@behave.when('requests go through an instance: "{events}"')
+def when_through(context, events):
+    rows = [row.split() for row in events.split(', ')]
+    watch = helper_watch.HelperWatch()
+    heard, context.asked, context.left = [-math.inf], [], []
+    until = 0.0
+    for tick in range(31):
+        now = round(tick * helper_watch.STEP_S, 3)
+        while rows and float(rows[0][0]) <= now:
+            _, verb, *key = rows.pop(0)
+            if verb == 'send':
+                watch.begin('b', key[0], 2.0, now)
+            elif verb == 'hear':
+                heard[0] = now
+            elif verb == 'stall':
+                until = now + 0.4
+            else:
+                watch.end('b', key[0], verb == 'answer', now)
+        if now < until:
+            continue
+        found = watch.step(lambda helper: heard[0], now)
+        context.asked += ['%g' % now for _ in found.ask]
+        context.left += ['%g' % now for _ in found.silent]
+    context.room = watch.room('b', heard[0])
+
+
+@behave.then(
+    'it is asked at "{asked}", left at "{left}", and has room for {room:g}'
+)
+@behave.then('it is asked at "{asked}", left at "", and has room for {room:g}')
+def then_left(context, asked, room, left=''):
+    found = (context.asked, context.left, context.room)
+    assert found == (asked.split(), left.split(), room), found
