--- a/tests/builders/front_rig.py
+++ b/tests/builders/front_rig.py
@@ -206,8 +206,6 @@
                 ready.set()
 
         loop.call_soon(run)
-        # A loop that waits for events does not see calls of other threads.
-        loop.poller.resume()
         assert ready.wait(WAIT_S)
         return result[0]
 
@@ -264,6 +262,12 @@
         thread.start()
         return app
 
+    def signal_stop(self, name):
+        """Tell an instance to stop; like a signal, this wakes its loop."""
+        app = self.apps[name]
+        app.loop.call_soon(app.leave)
+        app.loop.poller.resume()
+
     def stop_instance(self, name):
         """Stop an instance; it may be started again under its name."""
         self.apps.pop(name).stop()
--- a/tests/features/steps/front_settings_steps.py
+++ b/tests/features/steps/front_settings_steps.py
@@ -87,9 +87,8 @@
     client = rig.client()
     client.send('GET', '/browse/a', front_rig.request_headers({}))
     time.sleep(0.1)
-    app = rig.apps['i1']
     begin = time.monotonic()
-    rig.on_loop(app.loop, app.leave)
+    rig.signal_stop('i1')
     rig._threads['i1'].join(2 * seconds + 3)
     assert time.monotonic() - begin <= seconds, time.monotonic() - begin
     client.close()
