Let a quota's token hold from its grant, however often it is given back

Cause: a request that an upstream rejects gives its token back, and the token then held for its whole time again from the moment at which that request had taken it. Requests kept taking the same tokens, none lapsed, and the root went on granting. And tokens that did lapse went back to the root to be granted again, so while nothing ran their number grew in any case.

Class: a permission whose time starts anew with each holder.

Change: the grant says until when a token may be granted again, and requests hand that on. Of the tokens of rejected requests that lapse, one comes back for each request that ran; those that nobody took come back as before.

--- a/src/jasminehold/decisions/quotas.py
+++ b/src/jasminehold/decisions/quotas.py
@@ -15,6 +15,7 @@
 import collections
 import functools
 import math
+import operator
 import typing
 
 from jasminehold.decisions import fleet_size
@@ -58,6 +59,9 @@
 NEAR_HELD_FRACTION = 0.1
 FAR_HELD_FRACTION = 0.35
 USED_FRACTION = 0.8
+# Requests that ran at an instance for which tokens of rejected ones may still
+# come back to the root.
+RAN_MAX = 8
 HOLD_MAX_S = 0.5
 # Part of the room that a root has when it begins, once in its life: the former
 # one's tokens are lost.
@@ -152,9 +156,26 @@
     return heads + tuple(order[: min(place, NEAR_CANDIDATES)])
 
 
+class Granted(typing.NamedTuple):
+    """Tokens that were granted at once.
+
+    Attributes:
+        number: how many.
+        until: monotonic seconds until which one that was not used may be
+            granted again, however often it was given back before.
+    """
+
+    number: int
+    until: float
+
+
+_NOTHING = Granted(0, -math.inf)
+
+
 class _Pot:
     # Tokens of one account at one instance: what a root kept, and batches
-    # of ``[number, monotonic seconds until which they may be used]``.
+    # of ``[number, monotonic seconds until which they may be used, whether a
+    # request has held them]``.
 
     def __init__(self, quota, node):
         self.quota = quota
@@ -163,8 +184,11 @@
         self.has_begun = False
         self.seen = node.total
         self.batches = []
-        # Tokens that were held too long, for the root.
+        # Tokens that lapsed, for the root.
         self.back = 0
+        # Requests that ran, a few at most, less the tokens of rejected ones
+        # that came back.
+        self.ran = 0
         self.waiters = collections.deque()
         self.asked = None
         self.closed_until = 0.0
@@ -182,18 +206,36 @@
 
     def held(self, now):
         if any(item[1] <= now for item in self.batches):
-            old = [item for item in self.batches if item[1] <= now]
-            self.back += sum(number for number, _ in old)
+            self._lapse([item for item in self.batches if item[1] <= now])
             self.batches = [item for item in self.batches if item[1] > now]
-        return sum(number for number, _ in self.batches)
+        return sum(item[0] for item in self.batches)
+
+    def _lapse(self, old):
+        # While upstreams reject everything, the root goes on earning. If the
+        # tokens of rejected requests all came back too, their number would
+        # grow, and all would be used at the end. So one comes back for each
+        # request that runs.
+        taken = sum(number for number, _, was_taken in old if was_taken)
+        again = min(taken, max(self.ran, 0))
+        self.ran -= again
+        self.back += again
+        self.back += sum(number for number, _, was_taken in old) - taken
 
     def spend(self, number):
+        # Returns until when the oldest of the tokens may be used.
+        until = min(item[1] for item in self.batches)
         while number:
             used = min(number, self.batches[0][0])
             self.batches[0][0] -= used
             number -= used
             if not self.batches[0][0]:
                 self.batches.pop(0)
+        return until
+
+    def add(self, number, until, was_taken):
+        # The ones that lapse first are spent first.
+        self.batches.append([number, until, was_taken])
+        self.batches.sort(key=operator.itemgetter(1))
 
 
 class _Ask(typing.NamedTuple):
@@ -275,7 +317,8 @@
                 pot.closed_until = 0.0
                 until = now + self.bounds.hold_s(quota)
                 pot.batches = [
-                    [number, min(end, until)] for number, end in pot.batches
+                    [number, min(end, until), was_taken]
+                    for number, end, was_taken in pot.batches
                 ]
                 self._accrue(pot, now)
         self._used = {shard(name) for name in self._pots}
@@ -479,6 +522,8 @@
                 room = self.bounds.room(pot.quota)
                 pot.kept += START_FRACTION * room * pot.node.weight
         pot.seen = total
+        pot.kept += pot.back
+        pot.back = 0
         pot.kept = min(pot.kept, self._cap(pot))
 
     def _cap(self, pot):
@@ -569,7 +614,7 @@
             answer = {
                 'type': 'quota_grant',
                 'number': number,
-                'granted': granted,
+                'granted': granted.number,
                 'wait': round(wait_s, 3),
                 'waited': max(at - now, 0.0),
             }
@@ -592,7 +637,7 @@
             far = sender in pot.node.far
             granted_at = min(ask.at + waited_s, now)
             until = granted_at + self.bounds.hold_s(pot.quota, far)
-            pot.batches.append([granted, until])
+            pot.add(granted, until, False)
         if not granted:
             closed_s = min(max(wait_s, CLOSED_MIN_S), CLOSED_MAX_S)
             pot.closed_until = now + closed_s
@@ -611,48 +656,49 @@
         Args:
             account: name of a limited account.
             now: monotonic seconds.
-            done: ``done(seconds)``, called once, maybe before this returns;
-                None if the request may go, else seconds until its return.
+            done: ``done(seconds, until)``, called once, maybe before this
+                returns. The seconds are None if the request may go, else the
+                time until its return; ``until`` is for :meth:`give_back`.
         """
-        self._request(
-            account,
-            1,
-            now,
-            lambda granted, wait_s, _: done(
-                None if granted else max(wait_s, RETURN_MIN_S)
-            ),
-        )
 
-    def give_back(self, account, taken_at, now):
+        def taken(granted, wait_s, at):
+            if granted.number:
+                wait_s = None
+                pot = self._pots[account]
+                pot.ran = min(pot.ran + 1, RAN_MAX)
+            else:
+                wait_s = max(wait_s, RETURN_MIN_S)
+            done(wait_s, granted.until)
+
+        self._request(account, 1, now, taken)
+
+    def give_back(self, account, until):
         """Take a token back whose request did not run.
 
         Args:
             account: name of the account.
-            taken_at: monotonic seconds at which it was taken.
-            now: monotonic seconds.
+            until: what :meth:`take` said of the token.
         """
         pot = self._pots.get(account)
-        if pot is None:
-            return
-        until = taken_at + self.bounds.hold_s(pot.quota)
-        if until > now:
-            pot.batches.append([1, until])
+        if pot is not None:
+            pot.ran -= 1
+            pot.add(1, until, True)
 
     def _request(self, name, wanted, now, done):
         pot = self._pots.get(name)
         if pot is None:
-            done(0, RETURN_MIN_S, now)
+            done(_NOTHING, RETURN_MIN_S, now)
             return
         granted = self._grant(pot, wanted, now)
         node = pot.node
-        if granted:
+        if granted.number:
             # A root that grants less than asked has none left.
-            short = granted < wanted and node.parent is None
+            short = granted.number < wanted and node.parent is None
             done(granted, self._return_s(pot) if short else 0.0, now)
         elif node.parent is None:
-            done(0, self._return_s(pot), now)
+            done(_NOTHING, self._return_s(pot), now)
         elif now < pot.closed_until or len(pot.waiters) >= WAITERS_MAX:
-            done(0, max(pot.return_at - now, 0.0), now)
+            done(_NOTHING, max(pot.return_at - now, 0.0), now)
         else:
             pot.waiters.append((now, wanted, done))
         if node.parent is not None:
@@ -660,25 +706,25 @@
 
     def _grant(self, pot, wanted, now):
         granted = self._spend(pot, wanted, now)
-        pot.count(granted, now)
+        pot.count(granted.number, now)
         return granted
 
     def _spend(self, pot, wanted, now):
-        granted = min(wanted, pot.held(now))
-        if granted:
-            pot.spend(granted)
-            return granted
+        number = min(wanted, pot.held(now))
+        if number:
+            return Granted(number, pot.spend(number))
         if pot.node.parent is not None or now - self._ticked_at > PAUSED_S:
-            return 0
+            return _NOTHING
         self._accrue(pot, now)
-        granted = min(wanted, int(pot.kept))
-        if not granted and self._cap(pot) < 1.0:
+        until = now + self.bounds.hold_s(pot.quota)
+        number = min(wanted, int(pot.kept))
+        if not number and self._cap(pot) < 1.0:
             # The part of a lone instance never makes a whole token.
             chance, pot.kept = pot.kept, 0.0
-            return int(self._rng.random() < chance)
-        pot.kept -= granted
-        self._granted += granted
-        return granted
+            return Granted(int(self._rng.random() < chance), until)
+        pot.kept -= number
+        self._granted += number
+        return Granted(number, until)
 
     def _return_s(self, pot):
         rate = pot.quota.rate * max(pot.node.weight, 0.01)
@@ -714,7 +760,7 @@
         while pot.waiters:
             _, wanted, done = pot.waiters[0]
             granted = self._grant(pot, wanted, now)
-            if not granted:
+            if not granted.number:
                 break
             pot.waiters.popleft()
             done(granted, 0.0, now)
@@ -722,4 +768,4 @@
         early = [item for item in pot.waiters if item[0] <= since]
         pot.waiters = collections.deque(later)
         for _, _, done in early:
-            done(0, wait_s, now)
+            done(_NOTHING, wait_s, now)
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -266,7 +266,7 @@
     def _on_quota(self, wait_s):
         # ``wait_s``: None if the request may go.
         if self._ended:
-            self._token.give_back(self._loop.now())
+            self._token.give_back()
         elif wait_s is None:
             self._start_attempt()
         else:
@@ -398,7 +398,7 @@
         )
 
     def _relay(self, helper, single):
-        self._token.give_back(self._loop.now())
+        self._token.give_back()
         self._relays += 1
         self._helpers_tried.add(helper.id)
         origin = relay_module.Origin(
@@ -545,7 +545,7 @@
         if self._ended:
             # The caller has disconnected: send nothing more for it.
             self._release('after the caller left', limit, end)
-            self._token.give_back(now)
+            self._token.give_back()
             return
         if exc is not None:
             self._on_loss(exc, now, end)
@@ -805,7 +805,7 @@
     def _finish(self, outcome, reason=''):
         self._ended = True
         if self._token is not None:
-            self._token.give_back(self._loop.now())
+            self._token.give_back()
         if self._timer is not None:
             self._timer.cancel()
         self._context.exchanges.discard(self)
--- a/src/jasminehold/front/quotas.py
+++ b/src/jasminehold/front/quotas.py
@@ -110,13 +110,13 @@
         Args:
             account: a limited :class:`~decisions.accounts.Account`.
             now: monotonic seconds.
-            done: ``done(seconds)``, called once, maybe before this returns;
-                None if the request may go, else seconds until its return.
+            done: ``done(seconds, until)``, called once, maybe before this
+                returns; see :meth:`~decisions.quotas.QuotaShare.take`.
         """
 
-        def taken(wait_s):
+        def taken(wait_s, until):
             self._count(account.name, 'refused' if wait_s else 'used')
-            done(wait_s)
+            done(wait_s, until)
 
         self._share.take(account.name, now, taken)
 
@@ -132,16 +132,15 @@
         """Return the seconds for which a token that was taken may be used."""
         return self._share.bounds.hold_s(self._limits[account.name])
 
-    def give_back(self, account, taken_at, now):
+    def give_back(self, account, until):
         """Take a token back whose request did not run.
 
         Args:
             account: a limited :class:`~decisions.accounts.Account`.
-            taken_at: monotonic seconds at which it was taken.
-            now: monotonic seconds.
+            until: what :meth:`take` said of the token.
         """
         self._count(account.name, 'returned')
-        self._share.give_back(account.name, taken_at, now)
+        self._share.give_back(account.name, until)
 
     def note(self, account):
         """Return what the log says of an account's quota, or None."""
@@ -188,6 +187,7 @@
         self._quotas = quotas
         self._account = account
         self._taken_at = None
+        self._until = None
         self._held = False
 
     @property
@@ -205,9 +205,10 @@
     def take(self, now, done):
         """Take one; see :meth:`Quotas.take`."""
 
-        def taken(wait_s):
+        def taken(wait_s, until):
             self._held = wait_s is None
             self._taken_at = self._quotas.now()
+            self._until = until
             done(wait_s)
 
         self._quotas.take(self._account, now, taken)
@@ -220,8 +221,8 @@
         """Hold it again: the upstream did not run the request."""
         self._held = self._taken_at is not None
 
-    def give_back(self, now):
+    def give_back(self):
         """Return it if it is held."""
         if self._held and self._quotas.limits(self._account):
-            self._quotas.give_back(self._account, self._taken_at, now)
+            self._quotas.give_back(self._account, self._until)
         self._held = False
--- a/tests/builders/quota_fleet.py
+++ b/tests/builders/quota_fleet.py
@@ -13,6 +13,8 @@
 # Fractions of the messages that are lost, repeated or late.
 LOST, REPEATED, LATE = 0.002, 0.01, 0.01
 LATE_S = 0.5
+# Time after which a rejection is heard, seconds.
+REJECTED_S = (0.002, 0.02)
 
 
 class Fleet:
@@ -40,6 +42,9 @@
         self.messages = 0
         # Load of each account: requests a second, and who gets them.
         self.load = {}
+        # Until when upstreams reject all, and which part they reject else.
+        self.paused_until = 0.0
+        self.rejected = 0.0
         self._events = []
         self._order = itertools.count()
         self._weights = {
@@ -163,11 +168,28 @@
         row = [account, self.now, None]
         self.rows.append(row)
 
-        def done(seconds):
-            row[2] = self.now if seconds is None else None
+        def done(seconds, until):
+            if seconds is not None:
+                return
+            if self._is_rejected():
+                delay = self.rng.uniform(*REJECTED_S)
+                self.at(delay, self._give_back, name, share, account, until)
+            else:
+                row[2] = self.now
 
         share.take(account, self.now, done)
 
+    def _is_rejected(self):
+        if self.now < self.paused_until:
+            return True
+        return bool(self.rejected) and self.rng.random() < self.rejected
+
+    def _give_back(self, name, share, account, until):
+        if self.shares.get(name) is not share:
+            return
+        if not self._defer(name, self._give_back, name, share, account, until):
+            share.give_back(account, until)
+
     def run(self, until):
         """Run until a time, seconds."""
         while self._events and self._events[0][0] <= until:
--- a/tests/features/quotas.feature
+++ b/tests/features/quotas.feature
@@ -131,6 +131,34 @@
     Then 0.95 of the quota is used after 21 s
     And no window holds more than the quota allows
 
+  # Guards against tokens that hold anew each time that a rejected request
+  # gives them back, and are all used when the rejections end.
+  Scenario Outline: All upstreams reject for 5 s under <load> times the quota, <count> instances
+    Given <count> instances and an account with <rate> requests a second
+    When its callers use <load> of its quota for 8 s, <seeds> seeds
+    And all upstreams reject for 5 s
+    And its callers send on for 12 s
+    Then no window holds more than the quota allows
+
+    Examples:
+      | count | rate | load | seeds |
+      | 9     | 10   | 15   | 5     |
+      | 9     | 300  | 7    | 3     |
+      | 65    | 300  | 3    | 1     |
+
+  # Guards against tokens of rejected requests that are lost.
+  Scenario Outline: Upstreams reject <part> of all sends, <count> instances
+    Given <count> instances and an account with 300 requests a second
+    When upstreams reject <part> of all sends
+    And its callers use 4 of its quota for 12 s, <seeds> seeds
+    Then 0.95 of the quota is used after 3 s
+    And no window holds more than the quota allows
+
+    Examples:
+      | count | part | seeds |
+      | 9     | 0.45 | 3     |
+      | 65    | 0.45 | 1     |
+
   # Guards against requests beyond a quota that reach upstreams, and against
   # accounts that suffer from another one.
   Scenario: Instances refuse what is over an account's quota with 429
--- a/tests/features/steps/quotas_steps.py
+++ b/tests/features/steps/quotas_steps.py
@@ -116,6 +116,19 @@
     context.plan.append(lambda fleet: setattr(fleet, 'cut', frozenset()))
 
 
+@behave.when('all upstreams reject for {seconds:d} s')
+def when_paused(context, seconds):
+    def play(fleet):
+        fleet.paused_until = fleet.now + seconds
+
+    context.plan.append(play)
+
+
+@behave.when('upstreams reject {part:g} of all sends')
+def when_rejected(context, part):
+    context.plan.append(lambda fleet: setattr(fleet, 'rejected', part))
+
+
 @behave.when('its quota is {factor:g} of that')
 def when_changed(context, factor):
     def play(fleet):
@@ -298,9 +311,9 @@
         limits=lambda account: True,
         hold_s=lambda account: seconds,
         now=lambda: 1.0,
-        take=lambda account, now, done: done(None),
-        give_back=lambda account, taken_at, now: context.back.append(
-            max(taken_at + seconds - now, 0.0)
+        take=lambda account, now, done: done(None, 1.0 + seconds),
+        give_back=lambda account, until: context.back.append(
+            max(until - context.token_now, 0.0)
         ),
     )
     context.token = front_quotas.Token(stub, accounts.Account('ada'))
@@ -322,7 +335,7 @@
 def then_token(context, needed, left):
     found = context.token.is_needed(context.token_now)
     assert found == (needed == 'yes')
-    context.token.give_back(context.token_now)
+    context.token.give_back()
     assert abs(sum(context.back) - left) < 1e-6, context.back
 
 
@@ -361,5 +374,5 @@
     for tick in range(20):
         context.share.on_tick(1.0 + tick / 10)
     got = []
-    context.share.take('ada', 3.0, got.append)
-    assert got == [None], got
+    context.share.take('ada', 3.0, lambda *found: got.append(found))
+    assert [wait_s for wait_s, _ in got] == [None], got
