Slow readers and pipelining callers in the soak

One caller takes 0.8 s to read an answer of 4 MB through a small window, one sends four requests at once. An answer that ends early after a planned stop now counts as cut in planned_stop_cuts_nothing, as one that never came does.

--- a/src/jasminehold/standin/caller.py
+++ b/src/jasminehold/standin/caller.py
@@ -1,7 +1,9 @@
 """Fake caller: a blocking HTTP client that reports truncated responses."""
 
+import math
 import select
 import socket
+import time
 import typing
 
 import h11
@@ -26,6 +28,8 @@
         return self.headers.get('jasminehold-run', '')
 
 
+READ_BYTES = 65536
+SEGMENT_BYTES = 1400
 NO_REPLY = Reply(0, {}, b'', False)
 
 
@@ -36,15 +40,28 @@
         port: port on 127.0.0.1.
         timeout: timeout of each socket call, in seconds.
         source: source IP address.
+        window: size of the receive buffer in bytes, 0 for the system's.
 
     Attributes:
         received_continue: whether a 100 Continue response arrived.
     """
 
-    def __init__(self, port, timeout=8.0, source='127.0.0.1'):
-        self.sock = socket.create_connection(
-            ('127.0.0.1', port), timeout, (source, 0)
-        )
+    def __init__(self, port, timeout=8.0, source='127.0.0.1', window=0):
+        self.sock = socket.socket()
+        self.sock.settimeout(timeout)
+        if window:
+            # Segments as of a real network: on loopback the kernel would take
+            # a large response at once.
+            self.sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES
+            )
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window)
+        try:
+            self.sock.bind((source, 0))
+            self.sock.connect(('127.0.0.1', port))
+        except OSError:
+            self.sock.close()
+            raise
         self.http = h11.Connection(h11.CLIENT)
         self.received_continue = False
 
@@ -77,14 +94,21 @@
             data += self.http.send(h11.Data(data=body))
         self.sock.sendall(data + self.http.send(h11.EndOfMessage()))
 
-    def read(self):
-        """Read the next response and return it as a :class:`Reply`."""
+    def read(self, bytes_per_s=math.inf):
+        """Read the next response and return it as a :class:`Reply`.
+
+        Args:
+            bytes_per_s: rate at which it is read.
+        """
         reply = NO_REPLY
         try:
             while True:
                 event = self.http.next_event()
                 if event is h11.NEED_DATA:
-                    self.http.receive_data(self.sock.recv(65536))
+                    data = self.sock.recv(READ_BYTES)
+                    self.http.receive_data(data)
+                    if bytes_per_s < math.inf:
+                        time.sleep(len(data) / bytes_per_s)
                 elif isinstance(event, h11.InformationalResponse):
                     self.received_continue = True
                 elif isinstance(event, h11.Response):
@@ -108,6 +132,34 @@
                 self.http.start_next_cycle()
         return reply._replace(body=b''.join(reply.body or []))
 
+    def read_pipelined(self, count):
+        """Read the responses to requests that were sent at once.
+
+        Args:
+            count: number of the requests, all ``GET``.
+
+        Returns:
+            A list of :class:`Reply`; it ends with the one that closes the
+            connection or is not complete.
+        """
+        replies, rest = [], b''
+        for _ in range(count):
+            self.http = h11.Connection(h11.CLIENT)
+            head = h11.Request(
+                method='GET', target='/', headers=[('Host', '-')]
+            )
+            self.http.send(head)
+            self.http.send(h11.EndOfMessage())
+            if rest:
+                self.http.receive_data(rest)
+            reply = self.read()
+            replies.append(reply)
+            closes = reply.headers.get('connection') == 'close'
+            if not reply.complete or closes:
+                break
+            rest = bytes(self.http.trailing_data[0])
+        return replies
+
     def request(self, method, path, headers=(), body=b''):
         """Send a request and return the :class:`Reply`."""
         self.send(method, path, headers, body)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -35,6 +35,11 @@
 # Drawn on their own, so that the others are drawn as before: part of the
 # requests whose rejection comes again.
 REPEAT_PART = 0.03
+# Answers that are read slowly, and the time for that.
+LARGE_BYTES = 4_000_000
+LARGE_READ_S = 0.8
+# Requests that are sent at once.
+PIPELINED = 4
 REPEATS = tuple('repeat-' + how for how in sealed.REPEATS)
 
 
@@ -87,32 +92,37 @@
         except OSError:
             # A time-out or a lost connection: no answer.
             reply = caller.NO_REPLY
+        named = _named(reply)
+        self._record(request_id, path, begin, reply, named, read, fault)
+        closes = reply.headers.get('connection') == 'close'
+        if not reply.complete or closes or self._rng.random() < 0.05:
+            self._client.close()
+            self._client = None
+
+    def _record(self, request_id, path, begin, reply, named, read, fault):
         self._world.record.sent.append(
             checks.Sent(
                 request_id,
                 self._instance.name,
                 self._incarnation,
                 path,
-                method == 'GET',
+                not path.startswith('/order/'),
                 begin,
                 time.monotonic(),
                 reply.status,
                 reply.complete,
-                _named(reply),
+                named,
                 read,
                 fault,
             )
         )
-        closes = reply.headers.get('connection') == 'close'
-        if not reply.complete or closes or self._rng.random() < 0.05:
-            self._client.close()
-            self._client = None
 
-    def _connect(self):
+    def _connect(self, window=0):
         self._instance = self._rng.choice(self._world.instances)
         self._incarnation = self._instance.incarnation
         try:
-            self._client = caller.Client(self._instance.caller_port, TIMEOUT_S)
+            port = self._instance.caller_port
+            self._client = caller.Client(port, TIMEOUT_S, window=window)
         except OSError:
             return False
         return True
@@ -144,11 +154,11 @@
         self._copy = method, '%scrash-%d' % (prefix, number), fault
         world.record.crashing.add(self._copy[1])
 
-    def _connect(self):
+    def _connect(self, window=0):
         # A connection that idles between copies may be closed while the next
         # one is on its way, and nobody answers that one.
         time.sleep(COPY_PAUSE_S)
-        return super()._connect()
+        return super()._connect(window)
 
     def _draw(self):
         return self._copy
@@ -160,6 +170,62 @@
             self._client = None
 
 
+class SlowCaller(Caller):
+    """A caller that reads large answers slowly."""
+
+    WINDOW_BYTES = 4096
+
+    def _one(self, request_id):
+        if not self._connect(self.WINDOW_BYTES):
+            time.sleep(0.05)
+            return
+        path = '/browse/slow%d' % self._number
+        headers = front_rig.request_headers(
+            {
+                'X_Request_Id': request_id,
+                'X_Fault': 'large-measured',
+                'X_Size': str(LARGE_BYTES),
+            }
+        )
+        begin, reply, read = time.monotonic(), caller.NO_REPLY, False
+        try:
+            self._client.send('GET', path, headers)
+            read = True
+            reply = self._client.read(LARGE_BYTES / LARGE_READ_S)
+        except OSError:
+            reply = caller.NO_REPLY
+        whole = reply.body == sealed.large_body(LARGE_BYTES)
+        named = request_id if whole else None
+        self._record(request_id, path, begin, reply, named, read, 'large')
+        self._client.close()
+        self._client = None
+
+
+class PipeliningCaller(Caller):
+    """A caller that sends some requests at once."""
+
+    def _one(self, request_id):
+        if self._client is None and not self._connect():
+            time.sleep(0.05)
+            return
+        path = '/browse/p%d' % self._number
+        ids = ['%s-%d' % (request_id, turn) for turn in range(PIPELINED)]
+        begin, replies = time.monotonic(), []
+        try:
+            self._client.sock.sendall(front_rig.pipelined(ids, path))
+            replies = self._client.read_pipelined(PIPELINED)
+        except OSError:
+            pass
+        # What follows an answer that closes the connection was not read; of
+        # several that got no answer only the first one counts.
+        for name, reply in zip(ids, replies or [caller.NO_REPLY]):
+            self._record(name, path, begin, reply, _named(reply), True, '')
+        last = replies[-1] if replies else caller.NO_REPLY
+        if not last.complete or last.headers.get('connection') == 'close':
+            self._client.close()
+            self._client = None
+
+
 def _named(reply):
     if reply.status != 200 or not reply.complete:
         return None
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -428,7 +428,8 @@
             continue
         for sent in record.sent:
             same = (sent.instance, sent.incarnation) == (instance, incarnation)
-            if same and sent.read and sent.end > at and not sent.status:
+            cut = not sent.status or not sent.whole
+            if same and sent.read and sent.end > at and cut:
                 if record.in_touch(instance, sent.end):
                     yield '%s was cut at %s' % (sent.id, instance)
 
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -6,6 +6,7 @@
 import os
 import sys
 
+from jasminehold.decisions import planned_stop
 from jasminehold.decisions import retry_token_bucket
 from jasminehold.decisions import sends
 from jasminehold.decisions import stated_limits
@@ -137,6 +138,17 @@
     app.FrontApplication.leave = lambda self: os._exit(0)
 
 
+def forgets_what_it_owes():
+    """Ends with answers in its write buffers when told to stop."""
+    planned_stop.Owed.plus = lambda self, unanswered, unsent_bytes: self
+
+
+def keeps_connections_open():
+    """Reads on from callers with requests under way when told to stop."""
+    planned_stop.closes_connection = lambda leaving, unanswered: False
+    planned_stop.may_read = lambda leaving, unanswered: True
+
+
 def gives_up_without_a_path():
     """Rejects what an upstream could not be reached for."""
 
@@ -184,6 +196,8 @@
     'reads_without_end': 'endless_answers_end',
     'sends_crashing_requests_on': 'crashing_requests_are_stopped',
     'stops_at_once': 'planned_stop_cuts_nothing',
+    'forgets_what_it_owes': 'planned_stop_cuts_nothing',
+    'keeps_connections_open': 'planned_stop_cuts_nothing',
     'gives_up_without_a_path': 'cut_off_is_served',
     'sends_orders_back': 'promise_is_true',
     'never_returns': 'service_returns',
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -63,6 +63,9 @@
 CUT_KINDS = ('hang', 'reset', 'refuse')
 # Numbers of callers whose requests crash upstreams begin here.
 CRASHING_NUMBERS = 1000
+# Callers of other kinds, one each, and where their numbers begin.
+OTHER_CALLERS = (callers.SlowCaller, callers.PipeliningCaller)
+OTHER_NUMBERS = 500
 # Part of the seeds whose instances have clocks that step.
 CLOCKS_PART = 0.5
 # Age of the oldest copy that the store comes back from, seconds.
@@ -302,6 +305,10 @@
             callers.Caller(world, number, seed)
             for number in range(2 * instances)
         ]
+        threads += [
+            kind(world, OTHER_NUMBERS + number, seed)
+            for number, kind in enumerate(OTHER_CALLERS)
+        ]
         for thread in threads:
             thread.start()
         faults = Faults(world, rng, seed, kinds)
