Note the end of a pause before the upstream takes requests again

Soak (by hand on, load average 12 on 8 processors) failed with 'pauses_hold: u3 got 99 requests from i2 in its pause'.

Traced in i2's log: u3 asked for 3.0 s at 3749.93, and i2 sent it nothing until 3752.93. u3 answered c501-99-3 with 200 then, so its pause was over; at 3752.96 it rejected c5-114, as its queue was full, without a time to return (i2 logs none, as it does at each pause). The soak's thread had switched the pause off and had not noted the time yet, so the check took that rejection for one of the pause and the traffic after it for requests in it. The callers that send four requests at once make such rejections common.

Change: the time is noted first. The check and its bound are untouched.

--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -261,10 +261,11 @@
 
     def end_pause(self, name):
         """Let an upstream take requests again."""
-        self.upstreams[name].retry_after = None
+        # Noted first: it may run and reject some before this thread goes on.
         for item in self.record.pauses:
             if item[0] == name and item[3] is None:
                 item[3] = time.monotonic()
+        self.upstreams[name].retry_after = None
 
     def _observe(self, name, request_id, ran):
         self.record.arrivals.append(
