--- a/src/jasminehold/decisions/quotas.py
+++ b/src/jasminehold/decisions/quotas.py
@@ -59,9 +59,8 @@
 NEAR_HELD_FRACTION = 0.1
 FAR_HELD_FRACTION = 0.35
 USED_FRACTION = 0.8
-# Requests that ran at an instance for which tokens of rejected ones may still
-# come back to the root.
-RAN_MAX = 8
+# Tokens of rejected requests that may come back from an instance at once.
+RETURNS_MAX = 8
 HOLD_MAX_S = 0.5
 # Part of the room that a root has when it begins, once in its life: the former
 # one's tokens are lost.
@@ -186,9 +185,9 @@
         self.batches = []
         # Tokens that lapsed, for the root.
         self.back = 0
-        # Requests that ran, a few at most, less the tokens of rejected ones
-        # that came back.
-        self.ran = 0
+        # Tokens of rejected requests that may still come back: one for each
+        # request that ran.
+        self.may_return = 0
         self.waiters = collections.deque()
         self.asked = None
         self.closed_until = 0.0
@@ -216,8 +215,8 @@
         # grow, and all would be used at the end. So one comes back for each
         # request that runs.
         taken = sum(number for number, _, was_taken in old if was_taken)
-        again = min(taken, max(self.ran, 0))
-        self.ran -= again
+        again = min(taken, max(self.may_return, 0))
+        self.may_return -= again
         self.back += again
         self.back += sum(number for number, _, was_taken in old) - taken
 
@@ -665,7 +664,7 @@
             if granted.number:
                 wait_s = None
                 pot = self._pots[account]
-                pot.ran = min(pot.ran + 1, RAN_MAX)
+                pot.may_return = min(pot.may_return + 1, RETURNS_MAX)
             else:
                 wait_s = max(wait_s, RETURN_MIN_S)
             done(wait_s, granted.until)
@@ -681,7 +680,7 @@
         """
         pot = self._pots.get(account)
         if pot is not None:
-            pot.ran -= 1
+            pot.may_return -= 1
             pot.add(1, until, True)
 
     def _request(self, name, wanted, now, done):
