Keep no watch for a client that has left already

The operators' API of the product's own interface kept a watch for up to its 30 s when its client's disconnect was handled before its request; such a watch counts against the limit on waiting watches.

The new scenario fails without the change.

--- a/src/jasminehold/api.py
+++ b/src/jasminehold/api.py
@@ -361,6 +361,9 @@
             if self._long_polls.pop(req.sock, None) is not None:
                 long_poll.timer.cancel()
 
+        if req.sock.fileno() < 0:
+            # The client's disconnect was handled before its request.
+            return
         long_poll = _LongPoll(req, finish)
         long_poll.timer = self._loop.call_later(wait, finish)
         self._long_polls[req.sock] = long_poll
--- a/tests/features/api.feature
+++ b/tests/features/api.feature
@@ -85,6 +85,11 @@
   Scenario: Clients that leave before their answer leave nothing behind
     Then after 200 clients that left at once no state and no exception remains
 
+  # Guards against watches that are kept for clients that have left.
+  Scenario: A watch whose client has left already is not kept
+    Given an operators' API
+    Then a watch that begins on a closed connection leaves no state
+
   Scenario: Health, readiness and a stop
     Then healthz is 200, readyz follows the reasons, and a stop ends waiting watches and refuses new connections
 
--- a/tests/features/steps/api_steps.py
+++ b/tests/features/steps/api_steps.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import socket
 import time
+import types
 
 import behave
 import circuits
@@ -326,6 +327,15 @@
     assert exceptions.seen == 0
 
 
+@behave.then('a watch that begins on a closed connection leaves no state')
+def then_closed(context):
+    api = context.api.api
+    with socket.socket() as sock:
+        req = types.SimpleNamespace(sock=sock)
+    api._add_long_poll(req, None, 30.0, lambda allow_empty: False)
+    assert not api._long_polls, api._long_polls
+
+
 @behave.then(
     'a temporary drain starts, shows, ends and expires without the platform'
 )
