--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -35,12 +35,12 @@
 # Drawn on their own, so that the others are drawn as before: part of the
 # requests whose rejection comes again.
 REPEAT_PART = 0.03
+REPEATS = tuple('repeat-' + how for how in sealed.REPEATS)
 # Answers that are read slowly, and the time for that.
 LARGE_BYTES = 4_000_000
 LARGE_READ_S = 0.8
 # Requests that are sent at once.
 PIPELINED = 4
-REPEATS = tuple('repeat-' + how for how in sealed.REPEATS)
 
 
 class Caller(threading.Thread):
