Forget silent helping instances that have left the fleet

An instance that was found to stand still and then left the fleet stayed in the gauge helpers_silent for ever. The new scenario of relay_rules.feature calls what did not exist before.

--- a/src/jasminehold/decisions/helper_watch.py
+++ b/src/jasminehold/decisions/helper_watch.py
@@ -117,6 +117,16 @@
         if item.is_plain and not item.waiting:
             del self._helpers[helper]
 
+    def keep(self, helpers):
+        """Forget the instances that have left the fleet.
+
+        Args:
+            helpers: ids of those that are left.
+        """
+        for name in set(self._helpers) - set(helpers):
+            if not self._helpers[name].waiting:
+                del self._helpers[name]
+
     def room(self, helper, heard_at):
         """Return how many more requests an instance may get: 0, 1 or inf.
 
--- a/src/jasminehold/front/relay.py
+++ b/src/jasminehold/front/relay.py
@@ -332,6 +332,7 @@
         self._instances = {item.id: item for item in instances}
         for name in set(self._paused_until) - set(self._instances):
             del self._paused_until[name]
+        self._watch.keep(self._instances)
 
     def pause_service(self, service):
         """Relay no single requests of a service that others don't reach."""
--- a/tests/features/relay_rules.feature
+++ b/tests/features/relay_rules.feature
@@ -166,6 +166,11 @@
       | own process late          | 0.0 send a, 0.15 stall, 0.55 hear, 0.6 answer a            | 0.1                |          | inf  |
       | own process late, no news | 0.0 send a, 0.15 stall                                     | 0.1 0.55           | 0.8      | 0    |
 
+  # Guards against a count of silent instances that never falls again.
+  Scenario: A silent instance that leaves the fleet is forgotten
+    When requests go through an instance: "0.0 send a, 0.7 end a"
+    Then it is silent until the fleet has no such instance any more
+
   # Guards against a rush on a few upstreams after the end of a cut.
   Scenario: Failures of a time without a path are taken back, others stay
     When upstreams failed at 10 s and at 20 s, and the path was lost from 15 s
--- a/tests/features/steps/relay_rules_steps.py
+++ b/tests/features/steps/relay_rules_steps.py
@@ -343,6 +343,15 @@
         context.asked += ['%g' % now for _ in found.ask]
         context.left += ['%g' % now for _ in found.silent]
     context.room = watch.room('b', heard[0])
+    context.watch = watch
+
+
+@behave.then('it is silent until the fleet has no such instance any more')
+def then_forgotten(context):
+    context.watch.keep({'a', 'b'})
+    assert context.watch.silent == {'b'}, context.watch.silent
+    context.watch.keep({'a'})
+    assert not context.watch.silent, context.watch.silent
 
 
 @behave.then(
