Let odd documents stop no reader of the own interface's store

Found by looking at each use of json.loads: the relay's watch, the list of instances, operators' writes, the audit trail, the stored plan and the duties raised out of the store's callback on deeply nested bytes, and the watch was not started again. The relay also raised on documents that are no objects, of which a message cannot carry a value, or that are too large; the list of instances on entries without a field.

Change: documents.decode, read and check are the one way to read a stored document, with one error. Its readers skip the document, log its key and go on. A relay publishes only documents that lie under their own key; the spec is not checked, as newer versions may add fields. A stored plan that cannot be read leaves the one in force until its end. The log line `document is not JSON` is `document skipped` now, as it has more causes.

--- a/src/jasminehold/api.py
+++ b/src/jasminehold/api.py
@@ -30,6 +30,7 @@
 
 from jasminehold import api_guard
 from jasminehold import config as config_module
+from jasminehold import documents
 from jasminehold import errors
 from jasminehold import history as history_module
 from jasminehold import logs
@@ -393,7 +394,7 @@
         def add_entries(items):
             for item in items:
                 if item.key > store.audit_key(after):
-                    entries.append(json.loads(item.value))
+                    entries.extend(_audit_entry(item))
 
         def end_watch(exc):
             # The client may have disconnected or the wait may have ended.
@@ -522,6 +523,16 @@
         raise errors.RequestError(errors.Kind.METHOD_NOT_ALLOWED)
 
 
+def _audit_entry(item):
+    # Returns a list of one entry, or an empty one.
+    try:
+        documents.read(item.value, 'version', 'change')
+        return [documents.decode(item.value)]
+    except errors.UnreadableDocument as exc:
+        _log('audit entry skipped', level='error', key=item.key, error=exc)
+        return []
+
+
 def _parse_query(req, known):
     try:
         pairs = urllib.parse.parse_qsl(
--- a/src/jasminehold/api_client.py
+++ b/src/jasminehold/api_client.py
@@ -123,7 +123,7 @@
             error = document['error']
             kind = errors.Kind(error['kind'])
             message = str(error['message'])
-        except (ValueError, KeyError, TypeError) as exc:
+        except (ValueError, KeyError, TypeError, RecursionError) as exc:
             raise self._no_answer_error(
                 method,
                 server_address,
--- a/src/jasminehold/config.py
+++ b/src/jasminehold/config.py
@@ -15,6 +15,9 @@
 import hashlib
 import typing
 
+from jasminehold import documents
+from jasminehold import errors
+
 PREFIX = 'state/config/'
 
 
@@ -39,6 +42,26 @@
     return (kind, name) if name else None
 
 
+def check(key, doc):
+    """Check that a document is a resource, or its tombstone.
+
+    Its spec is not checked: newer versions may have added fields.
+
+    Args:
+        key: platform key.
+        doc: the stored document, a dictionary.
+
+    Raises:
+        UnreadableDocument: if it is neither.
+    """
+    kind, name = split_key(key)
+    documents.check(doc, {'kind': str, 'metadata': dict})
+    if doc['kind'] != kind or doc['metadata'].get('name') != name:
+        raise errors.UnreadableDocument('stored under the key of another one')
+    if not doc.get('deleted'):
+        documents.check(doc, {'spec': dict})
+
+
 class ConfigSet:
     """Resources by kind and name, with their versions.
 
--- a/src/jasminehold/control/planner.py
+++ b/src/jasminehold/control/planner.py
@@ -15,6 +15,7 @@
 from jasminehold.decisions import plan as plan_rules
 from jasminehold.decisions import progress
 from jasminehold.decisions import region_steps
+from jasminehold import documents
 from jasminehold import errors
 from jasminehold import logs
 
@@ -65,6 +66,8 @@
         self.token = token
         self.plan = None
         self.stored_version = 0
+        # Of the stored plan that could not be read.
+        self.skipped_version = 0
         self.busy = False
         self.fence = contact_quorum.Fence()
         self.steps = None
@@ -168,11 +171,8 @@
                 region.plan = plan_rules.empty_plan(region.name)
                 region.stored_version = 0
             elif exc is None:
-                region.plan = json.loads(item.value)
-                region.stored_version = item.version
-                self._context.publish(
-                    PLAN_PREFIX + region.name, region.plan, item.version
-                )
+                if not self._use_stored_plan(region, item):
+                    return
             else:
                 return
             steps = region.plan.get('steps', {})
@@ -185,6 +185,27 @@
 
         self._context.client.get(PLAN_PREFIX + region.name, done=done)
 
+    def _use_stored_plan(self, region, item):
+        # Returns whether the region has a plan now.
+        try:
+            plan = documents.decode(item.value)
+            self._context.publish(
+                PLAN_PREFIX + region.name, plan, item.version
+            )
+        except (
+            errors.UnreadableDocument,
+            errors.PeerError,
+            ValueError,
+        ) as exc:
+            # The plan in force goes on until its time is over.
+            if item.version != region.skipped_version:
+                _log('plan skipped', level='error', key=item.key, error=exc)
+            region.skipped_version = item.version
+            return False
+        region.plan = plan
+        region.stored_version = item.version
+        return True
+
     def _update_plan(self, region, now):
         members = self._context.members()
         names = {member.name for member in members}
--- a/src/jasminehold/control/relay.py
+++ b/src/jasminehold/control/relay.py
@@ -6,10 +6,9 @@
 in force. Each answer to the watch shows that the digest still holds.
 """
 
-import json
-
 from jasminehold import config as config_module
 from jasminehold.decisions import config_freshness
+from jasminehold import documents
 from jasminehold import errors
 from jasminehold import logs
 from jasminehold import store
@@ -154,18 +153,24 @@
 
     def _publish_item(self, key, value, version):
         try:
-            doc = json.loads(value)
-        except ValueError:
+            doc = documents.decode(value)
+            if config_module.split_key(key) is not None:
+                config_module.check(key, doc)
+            self._publish(key, doc, version)
+        except (
+            errors.UnreadableDocument,
+            errors.PeerError,
+            ValueError,
+        ) as exc:
+            # Too large, or of values that no message can carry.
             self._metrics.inc('relay_faulty_documents_total')
-            _log('document is not JSON', level='error', key=key)
+            _log('document skipped', level='error', key=key, error=exc)
             return
         self._metrics.inc('relay_documents_total')
-        self._publish(key, doc, version)
         # The head needs only keys, versions and what is deleted. Keeping the
         # values would store all client blocks a second time after a relay
         # read them again.
-        is_tombstone = isinstance(doc, dict) and doc.get('deleted')
-        value = {'deleted': True} if is_tombstone else {}
+        value = {'deleted': True} if doc.get('deleted') else {}
         entry = {'key': key, 'value': value, 'version': version}
         self._relayed.apply([entry], 0)
 
--- a/src/jasminehold/decisions/membership.py
+++ b/src/jasminehold/decisions/membership.py
@@ -12,6 +12,8 @@
 import typing
 
 from jasminehold.decisions import digest
+from jasminehold import documents
+from jasminehold import errors
 
 JOINING = 'joining'
 LIVE = 'live'
@@ -29,6 +31,14 @@
 # Incarnations start as a time in milliseconds. Above this value there is no
 # higher incarnation left to refute with.
 MAX_INCARNATION = 2**53
+# Fields of an entry of the platform's list that names a member.
+_ENTRY_FIELDS = {
+    'id': str,
+    'host': str,
+    'port': int,
+    'place': str,
+    'region': str,
+}
 
 
 class Member(typing.NamedTuple):
@@ -229,12 +239,14 @@
         """Add unknown members from the platform's list.
 
         The list lags behind. Its members get incarnation 0, so that it never
-        overrides entries published by the members themselves.
+        overrides entries published by the members themselves. Entries that
+        name no member are skipped.
 
         Args:
             entries: ``[{"id", "host", "port", "place", "region", ...}]``.
             now: current time.
         """
+        entries = [entry for entry in entries if _names_member(entry)]
         self.listed = frozenset(entry['id'] for entry in entries)
         self.listed_at = now
         for entry in entries:
@@ -533,3 +545,11 @@
 def _remove(ring, position):
     index = bisect.bisect_left(ring, position)
     del ring[index]
+
+
+def _names_member(entry):
+    try:
+        documents.check(entry, _ENTRY_FIELDS)
+    except errors.UnreadableDocument:
+        return False
+    return 0 < entry['port'] < 65536
--- a/src/jasminehold/duties.py
+++ b/src/jasminehold/duties.py
@@ -10,6 +10,7 @@
 import typing
 
 from jasminehold.decisions import duty_lease
+from jasminehold import documents
 from jasminehold import errors
 from jasminehold import logs
 
@@ -256,10 +257,14 @@
 
     def _process_keys(self, names, stored_keys, sent_at):
         for name, item in stored_keys.items():
-            doc = json.loads(item.value)
-            self.record_holder(name, doc['id'], item.version)
-            if doc['lease'] == self._lease.lease_id:
-                self._record_acquired(name, doc['lease'], item.version)
+            try:
+                holder, lease_id = documents.read(item.value, 'id', 'lease')
+            except errors.UnreadableDocument as exc:
+                _log('duty skipped', level='error', key=item.key, error=exc)
+                continue
+            self.record_holder(name, holder, item.version)
+            if lease_id == self._lease.lease_id:
+                self._record_acquired(name, lease_id, item.version)
         for name in sorted(set(self._lease.tokens) - set(stored_keys)):
             # A key that was stored after the list request is not missing.
             if self._acquired_at.get(name, 0.0) < sent_at:
@@ -313,7 +318,7 @@
             # A key that appears later is found by the next list request, which
             # compares lease ids too.
             self._acquiring.discard(name)
-            if exc is None and json.loads(item.value)['lease'] == lease_id:
+            if exc is None and _is_under_lease(item, lease_id):
                 self._record_acquired(name, lease_id, item.version)
 
         self._client.put(
@@ -337,5 +342,12 @@
             self._on_change(name, None)
 
 
+def _is_under_lease(item, lease_id):
+    try:
+        return documents.read(item.value, 'lease') == [lease_id]
+    except errors.UnreadableDocument:
+        return False
+
+
 def _ignore_result(result, exc):
     """Ignore the result of a call whose failure needs no action."""
--- a/src/jasminehold/errors.py
+++ b/src/jasminehold/errors.py
@@ -220,6 +220,10 @@
     """Raised when a platform call failed and definitely had no effect."""
 
 
+class UnreadableDocument(PlatformError):
+    """Raised when a stored value is not a document of this package."""
+
+
 class NotConnected(PlatformUnavailable):
     """Raised when a platform call was not sent."""
 
@@ -251,7 +255,7 @@
 
 
 class Compacted(PlatformError):
-    """Raised when a watch starts at a revision that is no longer kept."""
+    """Raised when a watch can't tell the changes; a list has to be read."""
 
     kind = Kind.GONE
 
--- a/src/jasminehold/explain.py
+++ b/src/jasminehold/explain.py
@@ -73,7 +73,7 @@
         return None
     try:
         fields = json.loads(brace + rest)
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
     if not isinstance(fields, dict) or 'event' not in fields:
         return None
--- a/src/jasminehold/platform/client.py
+++ b/src/jasminehold/platform/client.py
@@ -10,10 +10,10 @@
     >>> client.get('duty/planner/sul', print)  # doctest: +SKIP
 """
 
-import json
 import random
 import typing
 
+from jasminehold import documents
 from jasminehold import errors
 from jasminehold import logs
 from jasminehold import metrics as metrics_module
@@ -181,7 +181,7 @@
     def instances(self, done):
         """Read the list of instances; the result is a list of dictionaries.
 
-        The list may be out of date. Entries that are not JSON objects are
+        The list may be out of date. Entries that name no instance are
         skipped.
         """
 
@@ -189,7 +189,7 @@
             if exc is not None:
                 self._finish('instances', None, exc, done)
                 return
-            docs = [_document(item) for item in found.items]
+            docs = [_instance(item) for item in found.items]
             docs = [doc for doc in docs if doc is not None]
             self._finish('instances', docs, None, done)
 
@@ -252,10 +252,12 @@
     return Item(found.key, found.value, found.revision)
 
 
-def _document(item):
+def _instance(item):
+    # Returns the document of an instance, or None.
     try:
-        doc = json.loads(item.value)
-    except ValueError as exc:
+        doc = documents.decode(item.value)
+        documents.check(doc, {'id': str})
+        return doc
+    except errors.UnreadableDocument as exc:
         _log('entry skipped', level='warning', key=item.key, error=exc)
         return None
-    return doc if isinstance(doc, dict) else None
--- a/src/jasminehold/store.py
+++ b/src/jasminehold/store.py
@@ -14,6 +14,7 @@
 import typing
 
 from jasminehold import config as config_module
+from jasminehold import documents
 from jasminehold import errors
 from jasminehold import resources
 
@@ -156,8 +157,8 @@
             return
         event, (kind, name) = pending[0]
         try:
-            change = json.loads(event.value)['change']
-        except (ValueError, KeyError, TypeError):
+            (change,) = documents.read(event.value, 'change')
+        except errors.UnreadableDocument:
             # Not written by this package, so it has no change record.
             pending.pop(0)
             write_next()
@@ -246,12 +247,9 @@
             done(None, _unavailable_error(exc))
             return
         try:
-            old = json.loads(item.value)
-        except ValueError:
-            done(
-                None,
-                errors.PlatformError('The stored value is no JSON.'),
-            )
+            old = documents.decode(item.value)
+        except errors.UnreadableDocument as exc:
+            done(None, exc)
             return
         on_current(item, old)
 
@@ -316,7 +314,13 @@
         if exc is not None:
             retry(read_latest)
             return
-        find_change(found.version, json.loads(found.value)['change'], 0)
+        try:
+            (latest,) = documents.read(found.value, 'change')
+        except errors.UnreadableDocument:
+            # Another writer replaced what may have been this write.
+            retry(read_latest)
+            return
+        find_change(found.version, latest, 0)
 
     def find_change(version, latest, steps):
         # Searches the changes of the key for this write, from the newest back
@@ -338,8 +342,12 @@
                 # A relay may not have written the entry yet.
                 retry(read_latest)
                 return
-            earlier = json.loads(entry.value)
-            find_change(earlier['version'], earlier['change'], steps + 1)
+            try:
+                earlier = documents.read(entry.value, 'version', 'change')
+            except errors.UnreadableDocument:
+                retry(read_latest)
+                return
+            find_change(*earlier, steps + 1)
 
         context.client.get(audit_key(latest['from_version']), on_entry)
 
--- a/tests/builders/odd_entries.py
+++ b/tests/builders/odd_entries.py
@@ -62,6 +62,32 @@
     return found
 
 
+def documents(doc):
+    """Return ``{name: bytes}`` of documents that no instance can use.
+
+    Args:
+        doc: a valid one, which some of them are made from.
+    """
+    found = {
+        'nested': ('{"a": %s' % ('[' * DEPTH)).encode(),
+        'bytes': b'\xff\x00\x9a',
+        'a list': b'[1]',
+        'a number': b'7',
+        'empty': b'',
+    }
+    for name, changes in (
+        ('large number', {'extra': 10**30}),
+        ('broken text', {'extra': '\ud800'}),
+        ('large', {'extra': 'x' * 600_000}),
+        ('no spec', {'spec': None}),
+        ('no metadata', {'metadata': 1}),
+        ('another name', {'metadata': {'name': 'other', 'generation': 1}}),
+        ('another kind', {'kind': 'other'}),
+    ):
+        found[name] = json.dumps({**doc, **changes}).encode()
+    return found
+
+
 def keys(port):
     """Return ``{key: bytes}`` of keys under which nothing can be sent."""
     value = json.dumps(_entry(port)).encode()
--- a/tests/features/steps/store_steps.py
+++ b/tests/features/steps/store_steps.py
@@ -2,16 +2,21 @@
 
 import itertools
 import json
+import random
 import types
 
 import behave
 
 from builders import documents
 from builders import fake_platform
+from builders import odd_entries
 from jasminehold import config
 from jasminehold.control import relay as relay_module
+from jasminehold.decisions import membership
+from jasminehold.decisions import peer_state
 from jasminehold import errors
 from jasminehold import metrics
+from jasminehold.peers import frames
 from jasminehold.platform import client
 from jasminehold import store
 
@@ -231,6 +236,139 @@
     assert not any(item['value'] for item in relay._relayed.snapshot())
 
 
+class _Loop:
+    """A loop whose timers do not run."""
+
+    def now(self):
+        return 50.0
+
+    def call_later(self, delay, func, *args):
+        raise AssertionError('a read failed')
+
+
+def _odd_documents():
+    valid = documents.entry('region', 'odd', 1)['value']
+    return odd_entries.documents(valid)
+
+
+@behave.given(
+    'a relay of a store in which another writer leaves odd documents'
+)
+def given_odd(context):
+    context.platform.era = 1
+    context.published = {}
+    state = peer_state.PeerState(
+        membership.Member('a', 1, 'live', '127.0.0.1', 1, 'sul-1', 'sul'),
+        membership.MembershipCfg(),
+        random.Random(1),
+        peer_state.Hooks(),
+        0.0,
+    )
+
+    def publish(key, value, version):
+        # As an instance sends and reads it.
+        state.publish(key, frames.pack(value), version)
+        context.published[key] = frames.unpack(frames.pack(value))
+
+    context.relay = relay_module.Relay(
+        _Loop(), context.platform, publish, None, metrics.Metrics()
+    )
+    context.relay.on_duty_change('relay/sul/0', 1)
+    context.written = {}
+    for number, value in enumerate(_odd_documents().values()):
+        odd = config.key_of('region', 'odd')
+        version = context.platform.data.get(odd)
+        version = version.version if version else 0
+        _call(context, context.platform.put, odd, value, version)
+        good = documents.entry('region', 'good%d' % number, 1)
+        data = json.dumps(good['value']).encode()
+        _call(context, context.platform.put, good['key'], data, 0)
+        context.written[good['key']] = good['value']
+        while context.queue:
+            context.queue.pop(0)()
+
+
+@behave.then(
+    'it goes on to read, and publishes the documents written after them'
+)
+def then_goes_on(context):
+    found = dict(context.published)
+    found.pop(relay_module.HEAD_KEY)
+    assert found == context.written, sorted(found)
+
+
+@behave.then('its head has the digest of what it published')
+def then_odd_head(context):
+    known = config.ConfigSet()
+    known.apply(
+        [
+            {
+                'key': key,
+                'value': value,
+                'version': context.platform.data[key].version,
+            }
+            for key, value in context.written.items()
+        ]
+    )
+    head = context.published[relay_module.HEAD_KEY]
+    assert head['digest'] == known.digest()
+
+
+@behave.then('a write to each odd document ends with an error at once')
+def then_odd_write(context):
+    for name in ('nested', 'bytes', 'a list', 'a number', 'empty'):
+        found = context.platform.data.get(KEY)
+        version = found.version if found else 0
+        value = _odd_documents()[name]
+        _call(context, context.platform.put, KEY, value, version)
+        context.queue.clear()
+        _, exc = _put(context, 500, version + 1)
+        assert isinstance(exc, errors.UnreadableDocument), (name, exc)
+
+
+@behave.then('the audit trail is completed behind odd documents')
+def then_odd_audit(context):
+    context.platform.audit_down = True
+    del context.platform.data[KEY]
+    assert _put(context, 400, 0)[1] is None
+    context.platform.audit_down = False
+    assert _run(context, _complete(context)) == (1, None)
+
+
+@behave.then("the platform's list names its real members only")
+def then_odd_entries(context):
+    real = {
+        'id': 'b',
+        'host': '127.0.0.1',
+        'port': 7001,
+        'place': 'sul-1',
+        'region': 'sul',
+    }
+    entries = [real]
+    for name in real:
+        entries += [
+            {key: value for key, value in real.items() if key != name},
+            *({**real, 'id': 'c', name: odd} for odd in ([1], None, '\ud800')),
+        ]
+    entries += [{**real, 'id': 'c', 'port': port} for port in (0, 70000)]
+    own = membership.Member('a', 1, 'live', '127.0.0.1', 1, 'sul-1', 'sul')
+    members = membership.Membership(
+        own, membership.MembershipCfg(), random.Random(1), 0.0
+    )
+    members.on_platform_list(entries, 1.0)
+    assert members.listed == {'b'}, members.listed
+    assert members.get('b') and not members.get('c')
+    items = [
+        client.Item('instances/%d' % number, json.dumps(entry).encode(), 1)
+        for number, entry in enumerate(entries)
+    ]
+    values = [*odd_entries.documents({}).values(), b'{}']
+    items += [client.Item('instances/x', value, 1) for value in values]
+    found = [client._instance(item) for item in items]
+    assert all(doc is None or isinstance(doc['id'], str) for doc in found)
+    assert found[0] == real
+
+
 class _Store:
     """A store whose answers come when the test asks for them."""
 
--- a/tests/features/store.feature
+++ b/tests/features/store.feature
@@ -60,6 +60,22 @@
     When the store comes back from a copy without region sul
     Then the same holds for its digest of that copy
 
+  # Guards against one odd document after which no instance hears of any
+  # further change.
+  Scenario: Odd documents of another writer stop no relay
+    Given a relay of a store in which another writer leaves odd documents
+    Then it goes on to read, and publishes the documents written after them
+    And its head has the digest of what it published
+
+  # Guards against an odd document after which no operator's call is answered.
+  Scenario: Odd documents of another writer are told to operators
+    Then a write to each odd document ends with an error at once
+    And the audit trail is completed behind odd documents
+
+  # Guards against one odd entry after which no new member is heard of.
+  Scenario: Odd entries of another writer hide no instance
+    Then the platform's list names its real members only
+
   Scenario: Old tombstones are purged
     Given region sul is declared
     Then a purge removes its tombstone after the time to keep, not before
