Read on after large changes of the store, and list what is too large

What callers saw: a configuration that was acknowledged took effect seconds late, or not until the store had forgotten its history, after another writer had written some large values (values may have 1 MiB).

Cause: a response that the store had filled with large values counted as complete, as only the number of its events was looked at. So a copy counted as current that was not, and the rest came with the next read 0.6 s later, one response each. Where the store does not bound a response, one of more than 2 MiB was dropped and the same read tried again for ever.

Change: a response with values of 300 kB or more is followed by the next read at once and proves nothing about the copy's age, as one with 400 events. A response to a watch that is too large is told as Compacted, so the reader and the own interface's relay read the list, which has pages. A page may end with a value of the largest size, so 4 MiB are read.

--- a/src/jasminehold/front/reader.py
+++ b/src/jasminehold/front/reader.py
@@ -25,9 +25,10 @@
 # Proven age at which an instance reads for itself if it has to prove that
 # keys are valid: news do not reach it, or do not prove when they were read.
 PROOF_READ_AGE_S = 2.0
-# The store returns about 500 changes at most; a response with this many is
-# treated as incomplete.
+# The store returns about 500 changes or 1 MB at most; a response with this
+# many, or with values of so many bytes, is treated as incomplete.
 PARTIAL_READ_EVENTS = 400
+PARTIAL_READ_BYTES = 300_000
 # Time that a read waits at the store for a change.
 WATCH_WAIT_S = 0.05
 # Instances that lack changes read them within this time, not all at once.
@@ -248,7 +249,7 @@
             if result.era > self.replica.era:
                 self._read_all(self._loop.now())
                 return
-            if len(result.items) >= PARTIAL_READ_EVENTS:
+            if _is_partial(result.items):
                 # Incomplete: the copy is not yet current at the read's time.
                 as_of = self.replica.proven_as_of
                 if as_of is None:
@@ -419,6 +420,11 @@
             self._log('store read failed', level='warning', error=exc)
 
 
+def _is_partial(items):
+    size = sum(len(item.value or b'') for item in items)
+    return len(items) >= PARTIAL_READ_EVENTS or size >= PARTIAL_READ_BYTES
+
+
 def _is_same(item, known):
     # Reports of an upstream that change nothing but their time.
     if not item.key.startswith(wire.UPSTREAM_PREFIX):
--- a/src/jasminehold/platform/http.py
+++ b/src/jasminehold/platform/http.py
@@ -7,7 +7,8 @@
 
 from jasminehold import errors
 
-MAX_BODY_BYTES = 2 * 1024 * 1024
+# Holds a page of a list with a value of the largest size at its end.
+MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_CONNS = 16
 MAX_QUEUE = 1024
 BACKOFF_FIRST_S = 0.1
@@ -40,6 +41,10 @@
         self.sent = sent
 
 
+class ResponseTooLarge(RequestFailed):
+    """Raised when the body of a response is larger than the client takes."""
+
+
 class Client:
     """Client of one address, with a bounded queue and reconnect backoff.
 
@@ -328,16 +333,24 @@
                     self.conn.abort()
             elif isinstance(event, h11.Response):
                 self._head = event
+                self._check_size(_stated_length(event))
             elif isinstance(event, h11.Data):
                 self._body.extend(event.data)
-                if len(self._body) > self._client.max_body:
-                    self.conn.abort()
+                self._check_size(len(self._body))
             elif isinstance(event, h11.EndOfMessage):
                 self._on_response()
                 return
             elif isinstance(event, h11.ConnectionClosed):
                 self.conn.abort()
 
+    def _check_size(self, size):
+        if size <= self._client.max_body:
+            return
+        call, self._call = self._call, None
+        self.conn.abort()
+        message = 'response of %d bytes or more' % size
+        call.finish(None, ResponseTooLarge(message, sent=True))
+
     def _on_response(self):
         call, self._call = self._call, None
         head = self._head
@@ -353,3 +366,8 @@
         else:
             self.conn.abort()
         call.finish(response, None)
+
+
+def _stated_length(head):
+    # Of the body, in bytes; 0 if it is not stated. h11 has checked its form.
+    return int(dict(head.headers).get(b'content-length', 0))
--- a/src/jasminehold/platform/kv.py
+++ b/src/jasminehold/platform/kv.py
@@ -167,7 +167,8 @@
             prefix: prefix of the keys.
             after: the last revision already known.
             wait_s: seconds after which the store responds without events.
-            done: callback; ``Compacted`` if the revision is no longer kept.
+            done: callback; ``Compacted`` if the revision is no longer kept,
+                or the changes since then are too large.
             timeout_s: timeout of the call, including the wait.
         """
         query = {
@@ -241,6 +242,7 @@
         body = b'' if doc is None else json.dumps(doc).encode()
         label = target.partition('?')[0].partition('/')[0]
         is_read = method == 'GET'
+        is_watch = label == 'kv-watch'
         # After a lost or unusable response it is unknown whether a write took
         # effect.
         unusable_error = errors.OutcomeUnknown
@@ -253,6 +255,9 @@
                 exc = unusable_error('response of a former era of the store')
             elif exc is None:
                 result, exc = _parse_response(response, parse, unusable_error)
+            elif is_watch and isinstance(exc, http.ResponseTooLarge):
+                # The same changes would come again; a list has pages.
+                exc = errors.Compacted(str(exc))
             elif exc.sent:
                 exc = unusable_error(str(exc))
             else:
--- a/src/jasminehold/standin/store.py
+++ b/src/jasminehold/standin/store.py
@@ -40,10 +40,16 @@
 
 
 class Store:
-    """Keys with a global revision, leases and a bounded event log."""
+    """Keys with a global revision, leases and a bounded event log.
+
+    Attributes:
+        revision: of the last change.
+        watch_bytes_max: size of the changes that one response tells.
+    """
 
     def __init__(self, max_events=MAX_EVENTS):
         self.revision = 0
+        self.watch_bytes_max = MAX_PAGE_BYTES
         self.events = collections.deque(maxlen=max_events)
         self._items = {}
         self._keys = []
@@ -113,7 +119,7 @@
             if not event.key.startswith(prefix):
                 continue
             size += len(event.value) + len(event.key) + 64
-            if found and size > MAX_PAGE_BYTES:
+            if found and size > self.watch_bytes_max:
                 return found, found[-1].version
             found.append(event)
         return found, self.revision
--- a/tests/features/front_control.feature
+++ b/tests/features/front_control.feature
@@ -47,6 +47,19 @@
     And an instance that starts from the peers' copy knows the upstreams
     And orders at all instances are served by the known upstreams
 
+  # Guards against a read that is taken for complete though the response was
+  # full, and against one that is too large and is tried again for ever.
+  Scenario Outline: Large values of another writer delay no news: <store>
+    Given two linked instances of one service
+    And the store answers a read of changes with <size> bytes at most
+    When another writer writes 20 values of 600000 bytes
+    Then a new version is in force at all instances within 2 s
+
+    Examples:
+      | store              | size      |
+      | bounded responses  | 700000    |
+      | one large response | 100000000 |
+
   Scenario: Routes and upstreams stay in use while the store is down
     Given two upstreams of one service behind an instance
     When the store is "silent" for 3 s
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -55,11 +55,34 @@
     'another writer writes odd entries again and again for {seconds:g} s'
 )
 def when_written(context, seconds):
-    rig = context.rig
-    port = rig.upstreams['u1'].port
+    port = context.rig.upstreams['u1'].port
     entries = odd_entries.keys(port)
     for name, value in odd_entries.values(port).items():
         entries['%sodd-%s' % (wire.UPSTREAM_PREFIX, name)] = value
+    _write_for(context.rig, entries, seconds)
+
+
+@behave.given(
+    'the store answers a read of changes with {size:d} bytes at most'
+)
+def given_size(context, size):
+    context.rig.store.state.watch_bytes_max = size
+
+
+@behave.when('another writer writes {count:d} values of {size:d} bytes')
+def when_large(context, count, size):
+    rig = context.rig
+
+    def write():
+        for number in range(count):
+            key = '%slarge-%d' % (wire.UPSTREAM_PREFIX, number % 4)
+            rig.store.put(key, b'%d' % number + b' ' * size)
+
+    # At once, so that one read finds them all.
+    rig.call(write)
+
+
+def _write_for(rig, entries, seconds):
     until = time.monotonic() + seconds
     while time.monotonic() < until:
         for key, value in entries.items():
