Skip odd entries under the instances' own keys

Cause: the entry of an instance was taken for valid if its fields could be made text. A region with half of a surrogate pair raised UnicodeEncodeError in the quotas, an address without a port ValueError in the links, both out of the callback of each read, so nothing was applied any more.

Change: front/member_entry.py checks the entry as one of an upstream is checked: addresses, text, a finite room. Quarantines and the settled era were checked already.

'Odd entries under the instances' own keys stop nothing' failed before: the new version was not reached.

--- a/src/jasminehold/front/reader.py
+++ b/src/jasminehold/front/reader.py
@@ -1,12 +1,12 @@
 """Local copy of the store, updated by reads and by peers' messages."""
 
-import json
 import math
 
 from jasminehold.decisions import read_schedule
 from jasminehold.decisions import store_replica
 from jasminehold.decisions import upstream_view
 from jasminehold import errors
+from jasminehold.front import member_entry
 from jasminehold.platform import wire
 
 # Entries whose lease expired in a store outage are registered again within
@@ -33,8 +33,6 @@
 WATCH_WAIT_S = 0.05
 # Instances that lack changes read them within this time, not all at once.
 CATCH_UP_SPREAD_S = 0.3
-# Room of an instance whose entry tells none, requests a second.
-DEFAULT_ROOM = 100.0
 
 
 class StoreReader:
@@ -515,15 +513,8 @@
 
     def _member(self, item):
         try:
-            raw = json.loads(item.value)
-            doc = {
-                name: str(raw[name])
-                for name in ('callers', 'place', 'region', 'peers')
-            }
-            # Instances of an older version do not tell theirs.
-            doc['room'] = float(raw.get('room', DEFAULT_ROOM))
-            return doc
-        except errors.MALFORMED_MESSAGE_ERRORS as exc:
+            return member_entry.decode(item.value)
+        except errors.UnreadableDocument as exc:
             self._log(
                 'member skipped', level='warning', key=item.key, error=exc
             )
--- a/src/jasminehold/platform/wire.py
+++ b/src/jasminehold/platform/wire.py
@@ -318,7 +318,7 @@
     """
     try:
         doc = json.loads(item.value)
-        host, port = _address(_name(doc, 'Addr'))
+        host, port = decode_address(_name(doc, 'Addr'))
         entry = upstream_view.Entry(
             id=item.key[len(UPSTREAM_PREFIX) :],
             service=_name(doc, 'Service'),
@@ -343,7 +343,12 @@
     return entry
 
 
-def _address(value):
+def decode_address(value):
+    """Return ``(host, port)`` of the text ``IP:port`` of one IPv4 host.
+
+    Raises:
+        ValueError: if it is none.
+    """
     host, _, port = value.rpartition(':')
     address = ipaddress.IPv4Address(host)
     if address.is_unspecified or address.is_multicast:
--- a/tests/builders/odd_entries.py
+++ b/tests/builders/odd_entries.py
@@ -88,6 +88,40 @@
     return found
 
 
+def own_keys():
+    """Return ``{key: bytes}`` under the keys that instances write."""
+    member = {
+        'callers': '127.0.0.1:80',
+        'place': 'sul-a',
+        'region': 'sul',
+        'peers': '127.0.0.1:81',
+        'room': 10.0,
+    }
+    found = {}
+    for prefix in (wire.MEMBER_PREFIX, wire.QUARANTINE_PREFIX):
+        for name, value in documents({}).items():
+            found[prefix + name.replace(' ', '-')] = value
+        found[prefix + '\ud800'] = b'{}'
+    for name, changes in (
+        ('no-port', {'peers': 'x'}),
+        ('port-out-of-range', {'peers': '127.0.0.1:70000'}),
+        ('name', {'peers': 'localhost:81', 'callers': 'localhost:80'}),
+        ('no-callers', {'callers': ''}),
+        ('no-room', {'room': float('nan')}),
+        ('much-room', {'room': 10**400}),
+        ('negative-room', {'room': -1e9}),
+        ('text', {'region': '\ud800'}),
+        ('long', {'region': 'x' * 100_000}),
+    ):
+        value = json.dumps({**member, **changes}).encode()
+        found[wire.MEMBER_PREFIX + name] = value
+    for name, left in (('11', float('inf')), ('22', float('nan')), ('zz', 1)):
+        value = json.dumps({'left_s': left}).encode()
+        found[wire.QUARANTINE_PREFIX + name] = value
+    found[wire.SETTLED_KEY] = b'[' * DEPTH
+    return found
+
+
 def keys(port):
     """Return ``{key: bytes}`` of keys under which nothing can be sent."""
     value = json.dumps(_entry(port)).encode()
--- a/tests/features/front_control.feature
+++ b/tests/features/front_control.feature
@@ -60,6 +60,14 @@
       | bounded responses  | 700000    |
       | one large response | 100000000 |
 
+  # Guards against the same under the keys that instances write themselves.
+  Scenario: Odd entries under the instances' own keys stop nothing
+    Given two linked instances of one service
+    When another writer writes odd entries under the instances' own keys for 2 s
+    Then a new version is in force at all instances within 2 s
+    And an instance that starts from the peers' copy knows the upstreams
+    And orders at all instances are served by the known upstreams
+
   Scenario: Routes and upstreams stay in use while the store is down
     Given two upstreams of one service behind an instance
     When the store is "silent" for 3 s
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -62,6 +62,14 @@
     _write_for(context.rig, entries, seconds)
 
 
+@behave.when(
+    "another writer writes odd entries under the instances' own keys for"
+    ' {seconds:g} s'
+)
+def when_own_written(context, seconds):
+    _write_for(context.rig, odd_entries.own_keys(), seconds)
+
+
 @behave.given(
     'the store answers a read of changes with {size:d} bytes at most'
 )
