Pass no request on in a planned stop that would end too late

Cause: an instance that stops accepted connections for half of its grace period and passed on whatever came over them, however long it takes. None without the SIGTERM.

Change: decisions/answer_times.py knows how long requests of a route have taken lately, up to the last byte that the caller took. While an instance stops, a request is sent, or sent again, only if it is expected to end in time, or if its deadline ends before the instance does. Others are told at once that they have not run (503, Retry-After 0.05 s: other instances are ready), those whose bodies are still on their way too. The same holds for requests of other instances, which then send them through another one, as nothing was sent.

--- a/src/jasminehold/decisions/planned_stop.py
+++ b/src/jasminehold/decisions/planned_stop.py
@@ -5,7 +5,8 @@
 behind which nothing was read, so that no request that was read goes without
 one. After a part of the grace period no connection is accepted any more, and
 the instance ends when it owes nothing, or a reserve before the end of the
-grace period.
+grace period. Until then it passes a request on only if that is expected to end
+in time: the others are refused at once, so that callers go elsewhere.
 """
 
 import enum
@@ -16,6 +17,11 @@
 ACCEPT_FRACTION = 0.5
 # Time before the end of the grace period in which the process ends by itself.
 RESERVE_S = 0.1
+# Time before that end by which an answer has to be ready.
+ANSWER_RESERVE_S = 0.15
+
+# Time to return for callers that it refuses; other instances are ready.
+RETRY_AFTER_S = 0.05
 
 
 class Phase(enum.Enum):
@@ -75,6 +81,17 @@
     return leaving and not unanswered
 
 
+def ends_in_time(expected_s, left_s, until_end_s):
+    """Return whether a request is over before the instance ends.
+
+    Args:
+        expected_s: seconds that it takes, as expected.
+        left_s: seconds until its deadline, which ends it in any case.
+        until_end_s: seconds until the instance ends.
+    """
+    return min(expected_s, left_s) + ANSWER_RESERVE_S <= until_end_s
+
+
 class PlannedStop:
     """The stop of an instance.
 
@@ -114,6 +131,15 @@
         """Return the seconds until it ends, whatever is owed then."""
         return max(self._ends_at - now, 0.0)
 
+    def ends_in_time(self, expected_s, left_s, now):
+        """Return whether a request is over before this instance ends.
+
+        Args:
+            expected_s, left_s: as for :func:`ends_in_time`.
+            now: monotonic seconds.
+        """
+        return ends_in_time(expected_s, left_s, self.left_s(now))
+
     def _enter(self, phase, now):
         self.phase = phase
         self._began_at[phase] = now
--- a/src/jasminehold/front/app.py
+++ b/src/jasminehold/front/app.py
@@ -410,6 +410,7 @@
         self._peering.leave()
         grace = self.cfg.stop_grace
         self._planned_stop = planned_stop.PlannedStop(self.loop.now(), grace)
+        self.exchanges.planned_stop = self._planned_stop
         _log('instance leaving', instance=self.cfg.id, grace_s=grace)
         self._step_stop()
 
@@ -427,6 +428,7 @@
             )
         elif phase is Phase.FINISHING:
             self.callers.close_idle()
+        self.callers.refuse_unfinished(self.exchanges.may_end_in_time)
         if phase is not Phase.ENDED:
             wait_s = min(STOP_CHECK_EVERY_S, stop.left_s(now))
             self.loop.call_later(wait_s, self._step_stop)
--- a/src/jasminehold/front/caller.py
+++ b/src/jasminehold/front/caller.py
@@ -47,6 +47,7 @@
         arrived_at: monotonic seconds at which the request was complete.
         on_disconnect: called when the caller disconnects before the
             response was sent.
+        on_taken: called when the caller has taken the whole response.
     """
 
     def __init__(self, conn, http, event, now):
@@ -57,6 +58,7 @@
         self.body = b''
         self.arrived_at = now
         self.on_disconnect = None
+        self.on_taken = None
         self.answered = False
         self._conn = conn
         self._http = http
@@ -166,6 +168,9 @@
         self._closing = False
         self._receiving = False
         self._discarded = None
+        # ``on_taken`` of the responses that wait in the write buffer.
+        self._untaken = []
+        self._linger_s = LINGER_S
         self._reading = True
         self._parsing = False
         self._http = self._parser()
@@ -297,11 +302,11 @@
             )
             self._http.receive_data(rest)
 
-    def _reject(self, kind):
+    def _reject(self, kind, retry_after_s=None):
         self._closing = True
         if kind in _LIMIT_KINDS and not self._port.may_deny():
             kind = Kind.UNAVAILABLE
-        self._current.fail(kind, close=True)
+        self._current.fail(kind, retry_after_s, close=True)
 
     def _malformed(self, exc):
         kind = _KIND_BY_STATUS_HINT.get(
@@ -338,6 +343,10 @@
             )
             data, last = inbound.serialize(closes)
             self._conn.write(data)
+            if inbound.on_taken is not None:
+                self._untaken.append(inbound.on_taken)
+            if not self._conn.buffered:
+                self._note_taken()
             if last:
                 self._end()
                 self._port.note_held(self)
@@ -382,7 +391,13 @@
         """Bytes of responses and of requests that are held."""
         return self.unread_bytes + sum(item.body_bytes for item in self._queue)
 
+    def _note_taken(self):
+        found, self._untaken = self._untaken, []
+        for func in found:
+            func()
+
     def _on_drain(self):
+        self._note_taken()
         self._port.note_held(self)
         self._read_on()
 
@@ -399,7 +414,7 @@
             # the response before the caller reads it.
             self._reading = True
             self._conn.resume()
-            self.timeout_at = self._port.loop.now() + LINGER_S
+            self.timeout_at = self._port.loop.now() + self._linger_s
         else:
             self._conn.close()
 
@@ -437,6 +452,19 @@
         if self.idle:
             self._conn.close()
 
+    def refuse_unfinished(self, ends_in_time):
+        """Refuse the request that is being received, if it comes too late.
+
+        Args:
+            ends_in_time: ``CallerRequest -> bool``, judged by its head.
+        """
+        if self._current is None or self._closing:
+            return
+        if not ends_in_time(self._current):
+            # It may go on sending, and read the response only afterwards.
+            self._linger_s = self._port.limits().head_s
+            self._reject(Kind.LEAVING, planned_stop.RETRY_AFTER_S)
+
     def abort(self):
         """Close the connection immediately."""
         self._conn.abort()
@@ -558,6 +586,15 @@
         for caller in list(self._conns):
             caller.close_idle()
 
+    def refuse_unfinished(self, ends_in_time):
+        """Refuse requests that are being received and come too late.
+
+        Args:
+            ends_in_time: ``CallerRequest -> bool``, judged by its head.
+        """
+        for caller in list(self._conns):
+            caller.refuse_unfinished(ends_in_time)
+
     def owed(self):
         """Return the :class:`~decisions.planned_stop.Owed` to all callers."""
         owed = planned_stop.Owed()
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -1,9 +1,12 @@
 """Forwarding of a caller's request to upstreams, with retries."""
 
+import functools
 import math
 
 import h11
 
+from jasminehold.decisions import answer_times
+from jasminehold.decisions import planned_stop
 from jasminehold.decisions import relay_choice
 from jasminehold.decisions import request_digest
 from jasminehold.decisions import send_end
@@ -94,6 +97,8 @@
         self._path_retry_asked = False
         # Of the account's quota, once the account is known.
         self._token = None
+        # Of the time that it takes, once it may be sent.
+        self._timed = None
 
     def start(self):
         """Match the route and send the request, or answer with an error."""
@@ -150,12 +155,11 @@
         self._timer = self._loop.call_later(remaining_s, self._on_deadline)
         inbound.on_disconnect = self._on_caller_disconnect
         self._context.exchanges.add(self)
+        self._timed = self._context.answer_times.begin(route.name, now)
         self._start_attempt()
 
     def _address(self):
-        # Host without port, and path.
-        host = self._header_values.get(b'host', b'').decode('latin-1')
-        return host.partition(':')[0], self._inbound.target.decode('latin-1')
+        return address_of(self._inbound)
 
     def on_config(self):
         """End at the time-out now in force, if that is earlier."""
@@ -185,6 +189,9 @@
         if quarantine_s:
             self._end_quarantined(quarantine_s)
             return
+        if not self._ends_in_time(now):
+            self._end_leaving()
+            return
         if self._context.path.lost:
             self._start_relay()
             return
@@ -207,6 +214,9 @@
             self._owners = found.owners
             self._give_up(found.kind, found.retry_after_s, found.reason)
             return
+        if not self._ends_in_time(now, found.run.wait_s + found.run.run_s):
+            self._end_leaving()
+            return
         self._choice = found
         entry = found.upstream.entry
         self._tried.add(entry.id)
@@ -225,7 +235,9 @@
                 self._tried.discard(entry.id)
                 self._release('not sent: quota')
                 self._start_attempt()
-            elif self._steering.is_usable(found, self._loop.now()):
+            elif self._steering.is_usable(
+                found, self._loop.now()
+            ) and self._ends_in_time(self._loop.now()):
                 self._send(conn, reused)
             else:
                 self._context.pool.put_back(conn)
@@ -245,6 +257,16 @@
             avoid=self._used_conns,
         )
 
+    def _ends_in_time(self, now, expected_s=0.0):
+        # Whether an instance that stops may still pass it on.
+        return self._context.ends_in_time(
+            self._route, self._deadline - now, now, expected_s
+        )
+
+    def _end_leaving(self):
+        kind = Kind.NOT_RUN if self._sent_to else Kind.LEAVING
+        self._give_up(kind, planned_stop.RETRY_AFTER_S, 'leaving')
+
     def _excluded_upstreams(self):
         closed = self._sends.closed
         if not closed:
@@ -759,11 +781,16 @@
             answer.headers, _RESPONSE_HEADERS_DROPPED
         )
         self._finish('%d' % status)
+        # Keeps nothing of the request for callers that read slowly.
+        self._inbound.on_taken = functools.partial(
+            self._context.on_taken, self._timed
+        )
         self._inbound.answer(status, headers, answer.body)
 
     def _on_deadline(self):
         if self._ended:
             return
+        self._context.answer_times.end(self._timed, self._loop.now())
         self._cancel('deadline', End.DEADLINE)
         if isinstance(self._last_failure, upstream_conn.Response):
             self._deliver(self._last_failure)
@@ -806,6 +833,8 @@
         self._ended = True
         if self._token is not None:
             self._token.give_back()
+        if self._timed is not None:
+            self._context.answer_times.leave(self._timed)
         if self._timer is not None:
             self._timer.cancel()
         self._context.exchanges.discard(self)
@@ -850,11 +879,24 @@
         return {'quota': self._context.quotas.note(self._sender.account)}
 
 
+def address_of(inbound):
+    """Return the host without port, and the path, of a request.
+
+    Args:
+        inbound: the :class:`~jasminehold.front.caller.CallerRequest`.
+    """
+    host = dict(inbound.headers).get(b'host', b'').decode('latin-1')
+    return host.partition(':')[0], inbound.target.decode('latin-1')
+
+
 class ExchangeContext:
     """Objects of the instance that its exchanges share.
 
     Attributes:
         exchanges: set of the exchanges in flight.
+        answer_times: the :class:`~decisions.answer_times.AnswerTimes`.
+        planned_stop: the :class:`~decisions.planned_stop.PlannedStop` of
+            this instance, None until it is told to stop.
     """
 
     def __init__(
@@ -887,6 +929,49 @@
         self.rng = rng
         self.log = log
         self.exchanges = set()
+        self.answer_times = answer_times.AnswerTimes()
+        self.planned_stop = None
+
+    def ends_in_time(self, route, left_s, now, expected_s=0.0):
+        """Return whether a request is over before this instance ends.
+
+        Args:
+            route: its route.
+            left_s: seconds until its deadline.
+            now: monotonic seconds.
+            expected_s: seconds that it takes at least, as expected.
+        """
+        if self.planned_stop is None:
+            return True
+        expected_s = max(
+            expected_s,
+            self.answer_times.expected_s(
+                route.name, route.latency_target_s, now
+            ),
+        )
+        return self.planned_stop.ends_in_time(expected_s, left_s, now)
+
+    def on_taken(self, timed):
+        """Note that a caller has taken a whole answer.
+
+        Args:
+            timed: the :class:`~decisions.answer_times.Request`.
+        """
+        self.answer_times.end(timed, self.loop.now())
+
+    def may_end_in_time(self, inbound):
+        """Return whether a request may be over before this instance ends.
+
+        Args:
+            inbound: a :class:`~front.caller.CallerRequest` whose body is
+                being received.
+        """
+        now = self.loop.now()
+        host, path = address_of(inbound)
+        route = self.steering.route(host, path, now)
+        if isinstance(route, Kind):
+            return True
+        return self.ends_in_time(route, route.timeout_s, now)
 
     def on_request(self, inbound):
         """Start the exchange for a complete request."""
--- a/tests/features/front_stop.feature
+++ b/tests/features/front_stop.feature
@@ -41,6 +41,53 @@
       | slow callers               | 4.5   | 3.0     | 4.5  |
       | callers slower than grace  | 9.0   | 3.0     | 5.9  |
 
+  # Guards against requests that come so late that no time is left for them,
+  # are passed on all the same and end without an answer.
+  Scenario Outline: Late requests are answered in time or refused: <what>, <kind>
+    Given two upstreams of one service behind an instance
+    And each request takes <work> s, all slots free
+    And the instance has a grace period of 4 s
+    When orders of kind "<kind>" come every 0.08 s around a stop, <what>
+    Then none that reached an upstream ends without its answer
+    And the others are told at once that they have not run
+    And those that come 0.7 s before it is too late are served
+
+    Examples:
+      | what                        | work | kind   |
+      | on new connections          | 2.5  | unsafe |
+      | on new connections          | 2.5  | safe   |
+      | with bodies that take 1.2 s | 1.5  | unsafe |
+      | with more signals           | 2.5  | unsafe |
+
+  # Guards against the same at an instance that sends for another one.
+  Scenario: An instance that stops leaves late requests of others to others
+    Given an instance without a path to the upstreams and two that send for it
+    When one of these is told to stop, before the others know
+    Then late orders of the first one are refused there and served by the other
+    And none of them ran twice
+
+  # Guards against a request that is sent again when no time is left for it.
+  Scenario: An instance that stops sends nothing again that would end too late
+    Given two upstreams of one service behind an instance
+    And each request takes 2.5 s, all slots free
+    And the instance has a grace period of 4 s
+    When an order is rejected by its upstream 2.5 s after a stop
+    Then it is told at once that it has not run, and no upstream has run it
+
+  Scenario Outline: Expected time of a request: <case>
+    When requests took <times> s and one is under way for <age> s
+    Then the next one is expected to take <least> to <most> s
+
+    Examples:
+      | case                       | times       | age | least | most |
+      | nothing is known           | none        | 0.0 | 1.5   | 1.5  |
+      | none was answered          | none        | 3.0 | 6.0   | 6.0  |
+      | all take as long           | 2.0 * 40    | 1.0 | 2.0   | 2.2  |
+      | few were answered          | 2.0 * 1     | 0.0 | 4.0   | 4.0  |
+      | times differ               | 1.0 * 40, 3.0 | 0.0 | 3.5 | 4.5  |
+      | one takes longer than all  | 2.0 * 40    | 4.0 | 4.8   | 4.8  |
+      | the long ones are long ago | 9.0 * 9, 0.0 * 9, 0.0 * 9 | 0.0 | 0.0 | 0.1 |
+
   # Guards against any order of events in which a request that was read gets
   # no answer, or is read behind one that closes its connection.
   Scenario: Random stops keep what was read
