Pass nothing on at the own interface that its stop would cut off

The proxy knows how long requests of a service have lately taken, and refuses with `leaving` what is not expected to end before the instance stops. Without any answer a request counts with its whole time-out.

'A stop passes nothing on that would end too late' failed before: the request was sent 0.4 s before the stop and answered after it.

--- a/src/jasminehold/app.py
+++ b/src/jasminehold/app.py
@@ -414,6 +414,7 @@
             entry.set_state('leaving')
         self._update_view()
         self.loop.call_later(self.cfg.drain_bound, self._stop_overdue)
+        self.proxy.stops_at = self.loop.now() + self.cfg.drain_bound
         # Callers may use a look-up answer until its TTL has expired.
         delay = self.cfg.lookup_ttl + LEAVE_MARGIN_S
         self.loop.call_later(delay, self._drain)
--- a/src/jasminehold/proxy/exchange.py
+++ b/src/jasminehold/proxy/exchange.py
@@ -133,6 +133,8 @@
         self._request_digest = b''
         self._started_at = self._loop.now()
         self._deadline = 0.0
+        # Of the time that it takes.
+        self._timed = None
         self._tried = ()
         self._target = None
         # Identifies the current attempt in the check of the path.
@@ -186,6 +188,9 @@
             self._key_digest = hashlib.blake2b(scope, digest_size=16).digest()
         self._state = request.RequestState(plan.idempotent, claimed)
         self._server.exchanges.add(self)
+        self._timed = self._server.answer_times.begin(
+            plan.service, self._started_at
+        )
         if timeout <= 0:
             return self.on_event(Event.DEADLINE)
         if claimed and (self._content_length or 0) > CLAIMED_BODY_MAX_BYTES:
@@ -287,8 +292,16 @@
         self._finished = True
         if self._timer is not None:
             self._timer.cancel()
+        self._note_time()
         self._server.exchange_ended(self)
 
+    def _note_time(self):
+        times, now = self._server.answer_times, self._loop.now()
+        if self._state.kind is None or now >= self._deadline:
+            times.end(self._timed, now)
+        else:
+            times.leave(self._timed)
+
     def _begin_sending(self):
         self._request_digest = request_digest.of_request(
             (self._head.method, self._head.target), self._body_chunks
@@ -324,6 +337,9 @@
             self._on_target(_NO_PATH)
             return
         now = self._loop.now()
+        if not self._ends_in_time(now):
+            self.on_event(Event.NO_TARGET, Kind.LEAVING)
+            return
         found = self._hooks.pick(self._req, self._tried, now)
         overloaded = (
             isinstance(found, hooks_module.Refusal)
@@ -339,6 +355,12 @@
         else:
             self._on_target(found)
 
+    def _ends_in_time(self, now):
+        plan = self._req.plan
+        return self._server.ends_in_time(
+            plan.service, plan.timeout_s, self._deadline - now, now
+        )
+
     def _on_target(self, found):
         if isinstance(found, hooks_module.Refusal):
             self._retry_after = found.retry_after_s
@@ -348,6 +370,9 @@
         elif self._server.path.lost:
             found.release('unused')
             self._on_target(_NO_PATH)
+        elif not self._ends_in_time(self._loop.now()):
+            found.release('unused')
+            self.on_event(Event.NO_TARGET, Kind.LEAVING)
         else:
             self._target = found
             self.on_event(Event.TARGET)
--- a/src/jasminehold/proxy/server.py
+++ b/src/jasminehold/proxy/server.py
@@ -13,6 +13,8 @@
 
 import h11
 
+from jasminehold.decisions import answer_times
+from jasminehold.decisions import planned_stop
 from jasminehold import errors
 from jasminehold import lookup_handler
 from jasminehold.proxy import exchange as exchange_module
@@ -453,6 +455,10 @@
         exchanges: set of exchanges in flight.
         callers: set of open connections.
         draining: whether new requests are refused with ``leaving``.
+        answer_times: the :class:`~decisions.answer_times.AnswerTimes` by
+            service.
+        stops_at: monotonic seconds at which this instance stops at the
+            latest, infinite until it is told to.
         path: the :class:`~jasminehold.proxy.path_check.PathCheck`.
     """
 
@@ -483,6 +489,8 @@
         self.exchanges = set()
         self.callers = set()
         self.draining = False
+        self.answer_times = answer_times.AnswerTimes()
+        self.stops_at = math.inf
         self._listeners = []
         self._on_drained = None
         shortest = min(
@@ -527,6 +535,23 @@
                 exchange.on_path_lost()
         self.hooks.path_checked(lost, self.path.since)
 
+    def ends_in_time(self, service, timeout_s, left_s, now):
+        """Return whether a request is over before this instance stops.
+
+        Args:
+            service: its service.
+            timeout_s: its time-out.
+            left_s: seconds until its deadline.
+            now: monotonic seconds.
+        """
+        if self.stops_at == math.inf:
+            return True
+        # Without any answer it may take all of its time.
+        expected_s = self.answer_times.expected_s(service, timeout_s, now)
+        return planned_stop.ends_in_time(
+            expected_s, left_s, self.stops_at - now
+        )
+
     def exchange_ended(self, exchange):
         """Remove an exchange that has ended."""
         self.exchanges.discard(exchange)
--- a/tests/features/proxy_path.feature
+++ b/tests/features/proxy_path.feature
@@ -146,6 +146,13 @@
     When the proxy drains while a caller has not taken its answer
     Then the drain ends when it has, and not before
 
+  # Guards against requests that are passed on though the instance stops before
+  # they can end.
+  Scenario: A stop passes nothing on that would end too late
+    Given the rig "proxies"
+    When the body of a slow request ends 0.4 s before the proxy stops
+    Then it ends as "leaving" at once, and no upstream runs it
+
   Scenario: A hard stop ends requests in flight with a kind that is certain
     Given the rig "proxies"
     Then a slow request ends as "outcome_unknown" when the proxy stops
--- a/tests/features/steps/proxy_path_steps.py
+++ b/tests/features/steps/proxy_path_steps.py
@@ -406,6 +406,40 @@
     raise AssertionError('still accepts')
 
 
+@behave.when('the body of a slow request ends 0.4 s before the proxy stops')
+def when_late_body(context):
+    # The proxy knows then how long a slow request takes.
+    for _ in range(4):
+        assert _correct(_slow(context).read(), 'POST', '/slow')
+    context.client = client = _client(context)
+    head = h11.Request(
+        method='POST',
+        target='/slow',
+        headers={
+            'Host': 'loja.example',
+            'X-Service-Ms': '500',
+            'Content-Length': '4',
+        }.items(),
+    )
+    client.sock.sendall(client.http.send(head))
+    proxy = context.rig.proxies[0]
+    proxy.stops_at = proxy.loop.now() + 0.4
+    context.rig.call(proxy.drain, lambda: None)
+    context.runs = _runs(context.rig)
+    context.begin = time.monotonic()
+    body = client.http.send(h11.Data(data=b'late'))
+    client.sock.sendall(body + client.http.send(h11.EndOfMessage()))
+
+
+@behave.then('it ends as "leaving" at once, and no upstream runs it')
+def then_leaving(context):
+    reply = context.client.read()
+    seconds = time.monotonic() - context.begin
+    _expect(reply, 'leaving', 'not-run')
+    assert seconds < 0.3, seconds
+    assert _runs(context.rig) == context.runs
+
+
 class _SlowCaller:
     # A connection whose last answer is still in its write buffer.
     idle = True
