Late requests in the soak

Three callers of long work (1.2 s), whose bodies take 0.6 s, go to instances that were told to stop, where the grace period of 3 s is too short for some of them.

--- a/src/jasminehold/standin/caller.py
+++ b/src/jasminehold/standin/caller.py
@@ -88,11 +88,24 @@
         fields += [(name, str(value)) for name, value in dict(headers).items()]
         if body or method == 'POST':
             fields.append(('Content-Length', str(len(body))))
+        self.sock.sendall(b''.join(self.parts(method, path, fields, body)))
+
+    def parts(self, method, path, headers, body):
+        """Return the bytes of a request: its head, and parts of its body.
+
+        Args:
+            method: HTTP method.
+            path: request target.
+            headers: dict or pairs of headers, complete.
+            body: bytes.
+        """
+        fields = [(name, str(value)) for name, value in dict(headers).items()]
         head = h11.Request(method=method, target=path, headers=fields)
-        data = self.http.send(head)
-        if body:
-            data += self.http.send(h11.Data(data=body))
-        self.sock.sendall(data + self.http.send(h11.EndOfMessage()))
+        found = [self.http.send(head)]
+        half = len(body) // 2
+        for part in filter(None, (body[:half], body[half:])):
+            found.append(self.http.send(h11.Data(data=part)))
+        return found + [self.http.send(h11.EndOfMessage())]
 
     def read(self, bytes_per_s=math.inf):
         """Read the next response and return it as a :class:`Reply`.
--- a/src/jasminehold/standin/sealed.py
+++ b/src/jasminehold/standin/sealed.py
@@ -34,6 +34,7 @@
 - ``crash-later``: the same ``CRASH_LATER_S`` after the request began, whether
   or not its connection is still open.
 - ``broken-head``: executed, then closed after half a head.
+- ``long``: executed for ``LONG_S``.
 """
 
 import collections
@@ -44,6 +45,7 @@
 ERROR_STATUS = 500
 DOWN_S = 1.0
 CRASH_LATER_S = 0.08
+LONG_S = 1.2
 # How a rejection is sent again.
 REPEATS = ('late', 'unnamed', 'renamed', 'everywhere', 'behind')
 REPEAT_S = 0.02
@@ -273,6 +275,8 @@
             req.session.conn.write(sent)
             self.loop.call_later(delay_s, self._go_down)
             work_s += delay_s
+        elif fault == 'long':
+            work_s = LONG_S
         self.loop.call_later(work_s, self._finish, req)
 
     def _crash(self):
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -41,6 +41,11 @@
 LARGE_READ_S = 0.8
 # Requests that are sent at once.
 PIPELINED = 4
+# Time that the body of a late request takes, what it says, and the time in
+# which an instance that was told to stop still accepts connections.
+LATE_BODY_S = 0.6
+LATE_BODY = b'one locomotive'
+STOPPING_S = 1.5
 
 
 class Caller(threading.Thread):
@@ -118,7 +123,7 @@
         )
 
     def _connect(self, window=0):
-        self._instance = self._rng.choice(self._world.instances)
+        self._instance = self._choose()
         self._incarnation = self._instance.incarnation
         try:
             port = self._instance.caller_port
@@ -127,6 +132,9 @@
             return False
         return True
 
+    def _choose(self):
+        return self._rng.choice(self._world.instances)
+
     def _draw(self):
         fault = ''
         if self._rng.random() < FAULT_PART:
@@ -201,6 +209,49 @@
         self._client = None
 
 
+class LateCaller(Caller):
+    """A caller of long work whose bodies take a while.
+
+    It goes to an instance that was told to stop, if there is one, where some
+    of its requests come too late to be answered.
+    """
+
+    def _choose(self):
+        since = time.monotonic() - STOPPING_S
+        stops = self._world.record.stops
+        told = {name for name, _, at in stops if at > since}
+        found = [item for item in self._world.instances if item.name in told]
+        return self._rng.choice(found or self._world.instances)
+
+    def _one(self, request_id):
+        if not self._connect():
+            time.sleep(0.05)
+            return
+        path = '/order/late%d' % self._number
+        headers = front_rig.request_headers(
+            {
+                'X_Request_Id': request_id,
+                'X_Fault': 'long',
+                'Content_Length': str(len(LATE_BODY)),
+            }
+        )
+        begin, reply, read = time.monotonic(), caller.NO_REPLY, False
+        try:
+            parts = self._client.parts('POST', path, headers, LATE_BODY)
+            for part in parts:
+                self._client.sock.sendall(part)
+                time.sleep(LATE_BODY_S / len(parts))
+            read = True
+            reply = self._client.read()
+        except OSError:
+            # It was refused before the end of its body, or lost.
+            reply = caller.NO_REPLY
+        named = _named(reply)
+        self._record(request_id, path, begin, reply, named, read, 'long')
+        self._client.close()
+        self._client = None
+
+
 class PipeliningCaller(Caller):
     """A caller that sends some requests at once."""
 
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -149,6 +149,11 @@
     planned_stop.may_read = lambda leaving, unanswered: True
 
 
+def passes_late_requests_on():
+    """Passes on what would not end before its planned stop does."""
+    planned_stop.ends_in_time = lambda expected_s, left_s, until_end_s: True
+
+
 def gives_up_without_a_path():
     """Rejects what an upstream could not be reached for."""
 
@@ -198,6 +203,7 @@
     'stops_at_once': 'planned_stop_cuts_nothing',
     'forgets_what_it_owes': 'planned_stop_cuts_nothing',
     'keeps_connections_open': 'planned_stop_cuts_nothing',
+    'passes_late_requests_on': 'planned_stop_cuts_nothing',
     'gives_up_without_a_path': 'cut_off_is_served',
     'sends_orders_back': 'promise_is_true',
     'never_returns': 'service_returns',
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -63,8 +63,14 @@
 CUT_KINDS = ('hang', 'reset', 'refuse')
 # Numbers of callers whose requests crash upstreams begin here.
 CRASHING_NUMBERS = 1000
-# Callers of other kinds, one each, and where their numbers begin.
-OTHER_CALLERS = (callers.SlowCaller, callers.PipeliningCaller)
+# Callers of other kinds, and where their numbers begin.
+OTHER_CALLERS = (
+    callers.SlowCaller,
+    callers.PipeliningCaller,
+    callers.LateCaller,
+    callers.LateCaller,
+    callers.LateCaller,
+)
 OTHER_NUMBERS = 500
 # Part of the seeds whose instances have clocks that step.
 CLOCKS_PART = 0.5
