Keep reading from callers whose last answer is on its way

Cause: with the last byte handed to the kernel the connection was closed. A request that comes after that is answered by the kernel with a reset, which discards what the caller has not read.

Change: while an instance stops, a connection whose last answer was written is read on, and what comes is discarded, until the caller closes it or 1 s, 3 s for one that did not take its answer at once, after the last byte. A caller that sends more than 256 kB meanwhile is read no further, where it was cut off with bytes unsent.

The callers of the random stops close their side now when they have the answer that closes the connection, as callers do; else all stops last until then.

--- a/src/jasminehold/front/caller.py
+++ b/src/jasminehold/front/caller.py
@@ -23,6 +23,7 @@
 BODY_MAX_BYTES = 16 * 1024 * 1024
 # Limits on input that is read and discarded after a rejected request.
 LINGER_S = proxy_server.LINGER_S
+SLOW_LINGER_S = 3.0
 LINGER_MAX_BYTES = proxy_server.LINGER_MAX_BYTES
 
 # Interval at which all callers' bytes are read anew while they are too many.
@@ -167,7 +168,7 @@
         self._current = None
         self._closing = False
         self._receiving = False
-        self._discarded = None
+        self._discarded = 0
         # ``on_taken`` of the responses that wait in the write buffer.
         self._untaken = []
         self._linger_s = LINGER_S
@@ -209,9 +210,7 @@
 
     def _on_data(self, data):
         if self._closing:
-            self._discarded = (self._discarded or 0) + len(data)
-            if self._discarded > LINGER_MAX_BYTES:
-                self._conn.abort()
+            self._discard(len(data))
             return
         if not self._receiving:
             self._receiving = True
@@ -399,6 +398,9 @@
     def _on_drain(self):
         self._note_taken()
         self._port.note_held(self)
+        if self._closing:
+            self._linger()
+            return
         self._read_on()
 
     def _end(self):
@@ -409,15 +411,33 @@
             if inbound.on_disconnect is not None:
                 inbound.on_disconnect()
         self._queue = []
-        if self._receiving or not self._reading:
+        if self._receiving or not self._reading or self._port.leaving:
             # Closing with unread input sends a TCP reset, which can discard
-            # the response before the caller reads it.
+            # the response before the caller reads it. So does input that
+            # comes after the close.
             self._reading = True
             self._conn.resume()
-            self.timeout_at = self._port.loop.now() + self._linger_s
+            self._linger()
         else:
             self._conn.close()
 
+    def _linger(self):
+        # A slow caller also takes a while for what the kernel holds.
+        if self._conn.buffered:
+            self._linger_s = SLOW_LINGER_S
+            self.timeout_at = math.inf
+        else:
+            self.timeout_at = self._port.loop.now() + self._linger_s
+
+    def _discard(self, size):
+        self._discarded += size
+        if self._discarded <= LINGER_MAX_BYTES:
+            return
+        if self._conn.buffered:
+            self._conn.pause()
+        else:
+            self._conn.abort()
+
     def _set_reading(self, reading):
         self._reading = reading
         limits = self._port.limits()
@@ -449,7 +469,7 @@
 
     def close_idle(self):
         """Close the connection if it is idle."""
-        if self.idle:
+        if self.idle and not self._closing:
             self._conn.close()
 
     def refuse_unfinished(self, ends_in_time):
@@ -462,7 +482,7 @@
             return
         if not ends_in_time(self._current):
             # It may go on sending, and read the response only afterwards.
-            self._linger_s = self._port.limits().head_s
+            self._linger_s = SLOW_LINGER_S
             self._reject(Kind.LEAVING, planned_stop.RETRY_AFTER_S)
 
     def abort(self):
--- a/tests/builders/stopping_port.py
+++ b/tests/builders/stopping_port.py
@@ -69,11 +69,13 @@
         if self.closed or not self.buffered:
             return
         self.buffered -= min(size, self.buffered)
-        if not self.buffered:
-            if self._closing:
-                self.abort()
-            elif self.on_drain is not None:
-                self.on_drain()
+        if self.buffered:
+            return
+        if not self._closing and self.on_drain is not None:
+            self.on_drain()
+        # A caller closes its side when it has the answer that says so.
+        if self._closing or b'connection: close' in self.out:
+            self.abort()
 
 
 class StoppingPort:
--- a/tests/features/front_stop.feature
+++ b/tests/features/front_stop.feature
@@ -9,6 +9,13 @@
     Then each of them gets a whole answer
     And the instance has ended within its grace period
 
+  # Guards against a reset that discards what the kernel holds of an answer, as
+  # its caller goes on sending.
+  Scenario: Callers that read slowly and go on sending get their whole answers
+    Given two upstreams of one service behind an instance
+    When 4 callers take 2 s to read an answer, go on sending, and the instance is told to stop
+    Then each of them gets a whole answer
+
   # Guards against callers that are never told to close, and are cut off.
   Scenario Outline: A caller that always has requests under way: <step>
     Given two upstreams of one service behind an instance
--- a/tests/features/steps/front_stop_steps.py
+++ b/tests/features/steps/front_stop_steps.py
@@ -18,6 +18,10 @@
 ANSWER_BYTES = 5_000_000
 READ_EVERY_S = 0.02
 GIVE_UP_S = 5.0
+STOP_AFTER_S = 0.3
+# Requests that are sent while an answer is read.
+FURTHER = 40
+FURTHER_EVERY_S = 0.07
 # Between the first requests of a caller, so that one is always under way.
 SPREAD_S = 0.08
 
@@ -79,20 +83,53 @@
             self.body = bytes(data.partition(b'\r\n\r\n')[2])
 
 
+class SendingCaller(SlowCaller):
+    """A slow caller that sends further requests while it reads."""
+
+    def run(self):
+        """Read the answer, and send."""
+        threading.Thread(target=self._send, daemon=True).start()
+        super().run()
+        # The answer to the first one that was sent behind it may follow.
+        self.body = self.body[:ANSWER_BYTES]
+
+    def _send(self):
+        # What is sent before the stop is answered.
+        time.sleep(STOP_AFTER_S + FURTHER_EVERY_S)
+        try:
+            for number in range(FURTHER):
+                time.sleep(FURTHER_EVERY_S)
+                name = 'further-%d-%d' % (id(self), number)
+                self._sock.sendall(front_rig.pipelined([name]))
+        except OSError:
+            # The instance has closed the connection.
+            pass
+
+
 @behave.when(
     '{count:d} callers take {seconds:g} s to read an answer and the instance'
     ' is told to stop'
 )
 def when_slow(context, count, seconds):
+    _play_slow(context, SlowCaller, count, seconds)
+
+
+@behave.when(
+    '{count:d} callers take {seconds:g} s to read an answer, go on sending,'
+    ' and the instance is told to stop'
+)
+def when_slow_sending(context, count, seconds):
+    _play_slow(context, SendingCaller, count, seconds)
+
+
+def _play_slow(context, kind, count, seconds):
     app = context.rig.apps['i1']
     port = app.cfg.caller_listen.port
-    context.slow = [
-        SlowCaller(port, number, seconds) for number in range(count)
-    ]
+    context.slow = [kind(port, number, seconds) for number in range(count)]
     for item in context.slow:
         item.start()
     # The upstreams' answers have come by then.
-    time.sleep(0.3)
+    time.sleep(STOP_AFTER_S)
     context.told_at = time.monotonic()
     context.rig.on_loop(app.loop, app.leave)
 
