Keep reading at the own interface while the last answer is on its way

A draining proxy reads on and discards until the caller closes, or 1 s after its last byte has left, and such a connection is no idle one.

--- a/src/jasminehold/proxy/server.py
+++ b/src/jasminehold/proxy/server.py
@@ -114,8 +114,9 @@
 
     @property
     def idle(self):
-        """Whether no request is being received or processed."""
-        return self._handler is None and not self._receiving
+        """Whether no request is received or processed, nor input discarded."""
+        is_open = self._lingering_bytes is None
+        return self._handler is None and not self._receiving and is_open
 
     @property
     def buffered(self):
@@ -127,6 +128,11 @@
 
     def expire(self):
         """Process a timeout while waiting for the caller's input."""
+        if self._lingering_bytes is not None and self._server.draining:
+            if self._conn.buffered:
+                # It reads slowly; the drain ends in any case.
+                self._set_timeout(LINGER_S)
+                return
         self.timeout_at = math.inf
         self._input_unusable = True
         metrics = self._server.metrics
@@ -426,14 +432,23 @@
             )
             self._set_reading(True)
             self._process_events()
+        elif self._server.draining:
+            # The caller may send further requests before it has the response.
+            self._linger()
         elif http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
             self._conn.close()
             self._set_timeout(self._server.limits.idle_s)
         else:
-            self._lingering_bytes = 0
-            self._body_paused = False
-            self._set_reading(True)
-            self._set_timeout(LINGER_S)
+            self._linger()
+
+    def _linger(self):
+        # Closing with unread input sends a TCP reset, which can discard the
+        # response before the caller reads it. So does input that comes after
+        # the close.
+        self._lingering_bytes = 0
+        self._body_paused = False
+        self._set_reading(True)
+        self._set_timeout(LINGER_S)
 
     def close(self):
         """Close an idle connection."""
--- a/tests/features/proxy_path.feature
+++ b/tests/features/proxy_path.feature
@@ -146,6 +146,13 @@
     When the proxy drains while a caller has not taken its answer
     Then the drain ends when it has, and not before
 
+  # Guards against a reset that discards what the kernel holds of an answer, as
+  # its caller goes on sending.
+  Scenario: A graceful stop waits for callers that go on sending
+    Given the rig "proxies with one upstream"
+    When the proxy drains while a caller takes 1 s to read and goes on sending
+    Then it gets its whole answer
+
   # Guards against requests that are passed on though the instance stops before
   # they can end.
   Scenario: A stop passes nothing on that would end too late
--- a/tests/features/steps/proxy_path_steps.py
+++ b/tests/features/steps/proxy_path_steps.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import threading
 import time
 
 import behave
@@ -18,6 +19,7 @@
     head_bytes=4096, body_bytes=60_000, head_s=0.4, body_s=0.4, idle_s=0.4
 )
 HOST = b'Host: loja.example\r\n'
+LARGE = 3_000_000
 POST = b'POST / HTTP/1.1\r\n' + HOST
 GET = b'GET / HTTP/1.1\r\n' + HOST
 CHUNKED = b'Transfer-Encoding: chunked\r\n'
@@ -406,6 +408,37 @@
     raise AssertionError('still accepts')
 
 
+@behave.when(
+    'the proxy drains while a caller takes 1 s to read and goes on sending'
+)
+def when_sending(context):
+    client = caller.Client(context.rig.ports[0], window=4096)
+    context.add_cleanup(client.close)
+    client.send('GET', '/large', {'X-Size': LARGE})
+    time.sleep(0.1)
+    context.rig.call(context.rig.proxies[0].drain, lambda: None)
+
+    def send():
+        try:
+            for _ in range(30):
+                client.sock.sendall(
+                    b'GET /more HTTP/1.1\r\nhost: loja.example\r\n\r\n'
+                )
+                time.sleep(0.05)
+        except OSError:
+            # The proxy has closed the connection.
+            pass
+
+    threading.Thread(target=send, daemon=True).start()
+    context.reply = client.read(LARGE)
+
+
+@behave.then('it gets its whole answer')
+def then_whole_answer(context):
+    reply = context.reply
+    assert reply.complete and len(reply.body) == LARGE, len(reply.body)
+
+
 @behave.when('the body of a slow request ends 0.4 s before the proxy stops')
 def when_late_body(context):
     # The proxy knows then how long a slow request takes.
