Close no connection with a request under way for what follows it

What callers would have seen: requests without an answer, where garbage had been sent behind them. Since the time to linger began when an earlier answer had been taken, and ended the connection 1 or 3 s later; before it, the time for a head ended it (`HeaderTimeoutMs`), as the garbage counts as one that is being received. Both were found by reading and by the scenario.

A connection lingers when no request is left, and its time-out ends none that is under way.

Timings are named after what they are, and a request whose deadline passes with a response at hand is recorded once.

--- a/src/jasminehold/decisions/answer_times.py
+++ b/src/jasminehold/decisions/answer_times.py
@@ -54,8 +54,14 @@
             self.since += windows * WINDOW_S
 
 
-class Request(typing.NamedTuple):
-    """A request whose time is taken."""
+class Timing(typing.NamedTuple):
+    """A request whose time is being taken.
+
+    Attributes:
+        name: what its time depends on.
+        number: its own among all.
+        begin_at: monotonic seconds of its arrival.
+    """
 
     name: str
     number: int
@@ -77,20 +83,31 @@
             now: monotonic seconds.
 
         Returns:
-            The :class:`Request`.
+            The :class:`Timing`.
         """
         number = next(self._numbers)
         self._of(name, now).under_way[number] = now
-        return Request(name, number, now)
+        return Timing(name, number, now)
+
+    def answered(self, timing):
+        """Note that a request has an answer, which may be a refusal.
+
+        Args:
+            timing: its :class:`Timing`.
+        """
+        self._times[timing.name].under_way.pop(timing.number, None)
 
-    def leave(self, request):
-        """Note that a request has an answer, which may be a refusal."""
-        self._times[request.name].under_way.pop(request.number, None)
+    def end(self, timing, now):
+        """Record the time of a request: its caller has the whole answer.
 
-    def end(self, request, now):
-        """Note that the caller has the answer, or that time ran out."""
-        self.leave(request)
-        self._of(request.name, now).newest.add(now - request.begin_at)
+        A request whose time ran out counts too.
+
+        Args:
+            timing: its :class:`Timing`.
+            now: monotonic seconds.
+        """
+        self.answered(timing)
+        self._of(timing.name, now).newest.add(now - timing.begin_at)
 
     def expected_s(self, name, target_s, now):
         """Return the time that a request takes at most, as expected.
--- a/src/jasminehold/front/caller.py
+++ b/src/jasminehold/front/caller.py
@@ -23,6 +23,7 @@
 BODY_MAX_BYTES = 16 * 1024 * 1024
 # Limits on input that is read and discarded after a rejected request.
 LINGER_S = proxy_server.LINGER_S
+# The same for callers that take a response slowly, or send slowly.
 SLOW_LINGER_S = 3.0
 LINGER_MAX_BYTES = proxy_server.LINGER_MAX_BYTES
 
@@ -398,9 +399,8 @@
     def _on_drain(self):
         self._note_taken()
         self._port.note_held(self)
-        if self._closing:
+        if self._closing and not self._queue:
             self._linger()
-            return
         self._read_on()
 
     def _end(self):
@@ -455,6 +455,9 @@
     def expire(self):
         """Handle the timeout for receiving a request or for being idle."""
         self.timeout_at = math.inf
+        if self._closing and self._queue:
+            # Requests before what is no request have times of their own.
+            return
         if self._closing or not self._receiving:
             self._conn.close()
             return
--- a/src/jasminehold/front/exchange.py
+++ b/src/jasminehold/front/exchange.py
@@ -98,7 +98,7 @@
         # Of the account's quota, once the account is known.
         self._token = None
         # Of the time that it takes, once it may be sent.
-        self._timed = None
+        self._timing = None
 
     def start(self):
         """Match the route and send the request, or answer with an error."""
@@ -155,7 +155,7 @@
         self._timer = self._loop.call_later(remaining_s, self._on_deadline)
         inbound.on_disconnect = self._on_caller_disconnect
         self._context.exchanges.add(self)
-        self._timed = self._context.answer_times.begin(route.name, now)
+        self._timing = self._context.answer_times.begin(route.name, now)
         self._start_attempt()
 
     def _address(self):
@@ -783,18 +783,18 @@
         self._finish('%d' % status)
         # Keeps nothing of the request for callers that read slowly.
         self._inbound.on_taken = functools.partial(
-            self._context.on_taken, self._timed
+            self._context.on_taken, self._timing
         )
         self._inbound.answer(status, headers, answer.body)
 
     def _on_deadline(self):
         if self._ended:
             return
-        self._context.answer_times.end(self._timed, self._loop.now())
         self._cancel('deadline', End.DEADLINE)
         if isinstance(self._last_failure, upstream_conn.Response):
             self._deliver(self._last_failure)
             return
+        self._context.answer_times.end(self._timing, self._loop.now())
         may_have_run = self._sends.may_have_run
         kind = Kind.DEADLINE_UNKNOWN if may_have_run else Kind.NOT_RUN
         self._fail(kind, self._retry_after_s(), 'deadline')
@@ -833,8 +833,8 @@
         self._ended = True
         if self._token is not None:
             self._token.give_back()
-        if self._timed is not None:
-            self._context.answer_times.leave(self._timed)
+        if self._timing is not None:
+            self._context.answer_times.answered(self._timing)
         if self._timer is not None:
             self._timer.cancel()
         self._context.exchanges.discard(self)
@@ -951,13 +951,13 @@
         )
         return self.planned_stop.ends_in_time(expected_s, left_s, now)
 
-    def on_taken(self, timed):
+    def on_taken(self, timing):
         """Note that a caller has taken a whole answer.
 
         Args:
-            timed: the :class:`~decisions.answer_times.Request`.
+            timing: the :class:`~decisions.answer_times.Timing`.
         """
-        self.answer_times.end(timed, self.loop.now())
+        self.answer_times.end(timing, self.loop.now())
 
     def may_end_in_time(self, inbound):
         """Return whether a request may be over before this instance ends.
--- a/src/jasminehold/proxy/exchange.py
+++ b/src/jasminehold/proxy/exchange.py
@@ -134,7 +134,7 @@
         self._started_at = self._loop.now()
         self._deadline = 0.0
         # Of the time that it takes.
-        self._timed = None
+        self._timing = None
         self._tried = ()
         self._target = None
         # Identifies the current attempt in the check of the path.
@@ -188,7 +188,7 @@
             self._key_digest = hashlib.blake2b(scope, digest_size=16).digest()
         self._state = request.RequestState(plan.idempotent, claimed)
         self._server.exchanges.add(self)
-        self._timed = self._server.answer_times.begin(
+        self._timing = self._server.answer_times.begin(
             plan.service, self._started_at
         )
         if timeout <= 0:
@@ -298,9 +298,9 @@
     def _note_time(self):
         times, now = self._server.answer_times, self._loop.now()
         if self._state.kind is None or now >= self._deadline:
-            times.end(self._timed, now)
+            times.end(self._timing, now)
         else:
-            times.leave(self._timed)
+            times.answered(self._timing)
 
     def _begin_sending(self):
         self._request_digest = request_digest.of_request(
--- a/tests/builders/stopping_port.py
+++ b/tests/builders/stopping_port.py
@@ -167,12 +167,7 @@
             if not calm:
                 acts.append(self._send)
             self._rng.choice(acts)(conn)
-            for late in [
-                item
-                for item in self._port._conns
-                if item.timeout_at <= self._now
-            ]:
-                late.expire()
+            self._expire()
             if self._stop is not None and self._step_stop():
                 return True
         return False
@@ -183,6 +178,31 @@
             self._port.close_idle()
         return phase is planned_stop.Phase.ENDED
 
+    def send_garbage(self):
+        """Let a caller send two requests and garbage, and take one answer.
+
+        Returns:
+            Its connection.
+        """
+        conn = self._conns[0]
+        conn.on_data(front_rig.pipelined(['r1', 'r2']) + b'\0\0\r\n\r\n')
+        self._passed_on[conn.peer[0]][0].answer(200, [], b'x' * 1000)
+        conn.take(len(conn.out))
+        return conn
+
+    def wait(self, seconds):
+        """Let time pass in which nothing comes."""
+        until = self._now + seconds
+        while self._now < until:
+            self._now += STEP_S
+            self._expire()
+
+    def _expire(self):
+        for late in [
+            item for item in self._port._conns if item.timeout_at <= self._now
+        ]:
+            late.expire()
+
     def check(self, in_time):
         """Note what is wrong when the stop has ended.
 
--- a/tests/features/front_stop.feature
+++ b/tests/features/front_stop.feature
@@ -16,6 +16,12 @@
     When 4 callers take 2 s to read an answer, go on sending, and the instance is told to stop
     Then each of them gets a whole answer
 
+  # Guards against a connection that ends with a request under way, because an
+  # earlier answer has been taken and what follows is no request.
+  Scenario: A connection waits for the answers before what is no request
+    When a caller sends two requests and garbage, and has the first answer
+    Then its connection waits 10 s for the second one
+
   # Guards against callers that are never told to close, and are cut off.
   Scenario Outline: A caller that always has requests under way: <step>
     Given two upstreams of one service behind an instance
--- a/tests/features/steps/front_late_steps.py
+++ b/tests/features/steps/front_late_steps.py
@@ -195,8 +195,8 @@
     for part in parts:
         seconds, _, count = part.partition('*')
         for _ in range(int(count or 1)):
-            timed = context.times.begin('order', context.now)
-            context.times.end(timed, context.now + float(seconds))
+            timing = context.times.begin('order', context.now)
+            context.times.end(timing, context.now + float(seconds))
         if count.strip() == '9':
             # A row of nine ends a window.
             context.now += answer_times.WINDOW_S
--- a/tests/features/steps/front_stop_steps.py
+++ b/tests/features/steps/front_stop_steps.py
@@ -134,6 +134,20 @@
     context.rig.on_loop(app.loop, app.leave)
 
 
+@behave.when(
+    'a caller sends two requests and garbage, and has the first answer'
+)
+def when_garbage(context):
+    context.port = stopping_port.StoppingPort(1)
+    context.conn = context.port.send_garbage()
+
+
+@behave.then('its connection waits {seconds:g} s for the second one')
+def then_waits(context, seconds):
+    context.port.wait(seconds)
+    assert not context.conn.closed
+
+
 @behave.when('it is told again, the store is lost and all paths are checked')
 def when_more(context):
     rig = context.rig
