--- a/tests/features/steps/proxy_path_steps.py
+++ b/tests/features/steps/proxy_path_steps.py
@@ -456,6 +456,10 @@
     )
     client.sock.sendall(client.http.send(head))
     proxy = context.rig.proxies[0]
+    # A drain closes connections that have not been accepted.
+    assert _until(
+        lambda: any(not item._body_complete for item in list(proxy.exchanges))
+    )
     proxy.stops_at = proxy.loop.now() + 0.4
     context.rig.call(proxy.drain, lambda: None)
     context.runs = _runs(context.rig)
