--- a/bench/late_requests.py
+++ b/bench/late_requests.py
@@ -62,7 +62,12 @@
     async def open(self, count):
         """Open connections that later requests are sent on."""
         for _ in range(count):
-            self._kept.append(await self._connect())
+            reader, writer = await self._connect()
+            # Without a first request they would be closed early.
+            headers = {'X-Request-Id': st.new_id()}
+            writer.write(st.request_bytes('GET', st.HOST, '/none', headers))
+            await st.read_message(reader)
+            self._kept.append((reader, writer))
 
     def close(self):
         """Close the connections that no request was sent on."""
@@ -98,6 +103,7 @@
     async def _exchange(self, request_id, conn=None):
         sent = False
         writer = None
+        keeps = conn is not None
         try:
             if conn is None and self._args.come == 'kept' and self._kept:
                 conn = self._kept.pop()
@@ -123,7 +129,7 @@
         except asyncio.TimeoutError:
             return 'nothing'
         finally:
-            if writer is not None and conn is None:
+            if writer is not None and not keeps:
                 writer.close()
 
     async def send_on(self, until):
