--- a/tests/features/steps/front_late_steps.py
+++ b/tests/features/steps/front_late_steps.py
@@ -16,7 +16,7 @@
 BEFORE_S = 3.5
 RETRY_AFTER_MAX_S = 0.1
 TOLD_WITHIN_S = 0.3
-# More than a look at the members takes.
+# Time for which orders come at the instance without a path.
 HELPED_S = 0.6
 
 
@@ -147,13 +147,13 @@
     paths = cut_upstreams.Paths(rig)
     context.add_cleanup(paths.heal)
     paths.cut(['i0'], 'refuse')
-    path = rig.apps['i0'].path
-    rig.wait(lambda: path.lost or not _ask_once(rig), 'the loss of the path')
 
+    def is_lost():
+        # An instance suspects its path when requests fail.
+        rig.ask('/browse/a', name='i0')
+        return rig.apps['i0'].path.lost
 
-def _ask_once(rig):
-    rig.ask('/browse/a', name='i0')
-    return True
+    rig.wait(is_lost, 'the loss of the path')
 
 
 @behave.when('one of these is told to stop, before the others know')
