--- a/review/9/run.py
+++ b/review/9/run.py
@@ -28,8 +28,10 @@
 TURNS = 3
 COLD_S = 3.0
 COLD_PER_S = 2.1
+COLD_SLACK = 8
+INSTANCES = 3
 # The bound of the rule: ColdPerS x ColdOver + ColdSlack.
-BOUND = COLD_PER_S * 1.5 + 5
+BOUND = COLD_PER_S * 1.5 + COLD_SLACK
 # A cold server crashes "at a rate well above that".
 CRASH_AT = 1.5 * BOUND
 
@@ -85,7 +87,7 @@
             await asyncio.sleep(1.5)
 
     beats = [asyncio.create_task(beat(item)) for item in items]
-    await case.start_instances(3)
+    await case.start_instances(INSTANCES, cold_slack=COLD_SLACK)
 
     sent_at = {}
     statuses = {}
@@ -93,7 +95,7 @@
     async def send(number, attempt=0):
         kind, method = ('order', 'POST') if number % 4 == 0 else ('browse', 'GET')
         request_id = 'r%06d-%d' % (number, attempt)
-        port = case.instances[rng.randrange(3)].ports['caller']
+        port = case.instances[rng.randrange(INSTANCES)].ports['caller']
         head = [('X-Request-Id', request_id), ('X-Timeout-Ms', '4000')]
         sent_at[request_id] = kit.now()
         try:
