--- a/review/10/run.py
+++ b/review/10/run.py
@@ -88,6 +88,7 @@
         request_id = 'r%06d' % number
         port = case.instances[0].ports['caller']
         head = [('X-Request-Id', request_id), ('X-Timeout-Ms', '8000')]
+        case.record('%s sent to port %d', request_id, port)
         try:
             answer = await kit.get(port, '/browse/%d' % number, head)
         except (OSError, asyncio.TimeoutError):
--- a/review/9/run.py
+++ b/review/9/run.py
@@ -98,6 +98,7 @@
         port = case.instances[rng.randrange(INSTANCES)].ports['caller']
         head = [('X-Request-Id', request_id), ('X-Timeout-Ms', '4000')]
         sent_at[request_id] = kit.now()
+        case.record('%s sent to port %d', request_id, port)
         try:
             answer = await kit.get(
                 port, '/%s/%d' % (kind, number), head, method
