--- a/review/10/run.py
+++ b/review/10/run.py
@@ -1,9 +1,9 @@
 """A helping instance freezes: on how many servers does a request run?
 
-Three instances, eight servers, a store; the route allows one server for each
+Twelve instances, 16 servers, a store; the route allows one server for each
 request (``MaxAttempts`` 1). One instance is partitioned from all servers for
-some seconds, so its requests go through the others. One of these is frozen
-for 3 s. With TROUBLE=0 neither happens.
+some seconds, so its requests go through the others. One of these at a time is
+frozen for 3 s. With TROUBLE=0 neither happens.
 """
 
 import asyncio
@@ -23,14 +23,15 @@
 # With TROUBLE=0 in the environment there is no disruption.
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 
-SERVERS = 8
-PER_S = 16.0
+INSTANCES = 12
+SERVERS = 16
+PER_S = 30.0
 WORK_S = 1.2
 MAX_ATTEMPTS = 1
 # When the cut begins and for how long; when the freezes begin, and for how
 # long.
 CUT_S = (4.0, 12.0)
-FREEZES_S = (6.0, 11.5)
+FREEZES_S = (5.5, 9.0, 12.5)
 FROZEN_S = 3.0
 LENGTH_S = 19.0
 
@@ -82,8 +83,9 @@
             await asyncio.sleep(1.5)
 
     beats = asyncio.create_task(beat())
-    ports = [await case.store.listen(view), case.store.port, case.store.port]
-    await case.start_instances(3, ports)
+    ports = [await case.store.listen(view)]
+    ports += [case.store.port] * (INSTANCES - 1)
+    await case.start_instances(INSTANCES, ports)
 
     statuses = {}
     sent_at = {}
@@ -117,7 +119,7 @@
         began = kit.now()
         for turn, at in enumerate(FREEZES_S):
             await asyncio.sleep(began + at - kit.now())
-            helper = case.instances[1 + turn % 2]
+            helper = case.instances[1 + turn]
             os.kill(helper.process.pid, signal.SIGSTOP)
             case.record.say('%s is frozen', helper.id)
             await asyncio.sleep(FROZEN_S)
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -31,17 +31,24 @@
     return time.monotonic()
 
 
+_given_ports = set()
+
+
 def _free_ports(count):
     # Below the range from which the system takes those of connections.
     found = []
     while len(found) < count:
         port = random.randrange(12_000, 30_000)
+        if port in _given_ports:
+            # Of an instance that does not listen yet.
+            continue
         with socket.socket() as sock:
             try:
                 sock.bind((HOST, port))
             except OSError:
                 continue
         found.append(port)
+        _given_ports.add(port)
     return found
 
 
