--- a/review/10/run.py
+++ b/review/10/run.py
@@ -1,6 +1,6 @@
 """A helping instance freezes: on how many servers does a request run?
 
-Twelve instances, 16 servers, a store; the route allows one server for each
+Twelve instances, 14 servers, a store; the route allows one server for each
 request (``MaxAttempts`` 1). One instance is partitioned from all servers for
 some seconds, so its requests go through the others. One of these at a time is
 frozen for 3 s. With TROUBLE=0 neither happens.
@@ -24,14 +24,15 @@
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 
 INSTANCES = 12
-SERVERS = 16
-PER_S = 30.0
+SERVERS = 14
+SLOTS, QUEUE = 9, 27
+PER_S = 50.0
 WORK_S = 1.2
 MAX_ATTEMPTS = 1
 # When the cut begins and for how long; when the freezes begin, and for how
 # long.
 CUT_S = (4.0, 12.0)
-FREEZES_S = (5.5, 9.0, 12.5)
+FREEZES_S = (6.0, 9.4, 12.8)
 FROZEN_S = 3.0
 LENGTH_S = 19.0
 
@@ -52,6 +53,8 @@
             'loja',
             lambda path, headers: WORK_S,
             lambda path, headers: b'done ' + path.encode(),
+            slots=SLOTS,
+            queue=QUEUE,
         )
         item.on_event = on_event
         await item.start()
