--- a/review/10/run.py
+++ b/review/10/run.py
@@ -1,6 +1,6 @@
 """A helping instance freezes: on how many servers does a request run?
 
-Twelve instances, 14 servers, a store; the route allows one server for each
+Twelve instances, 24 servers, a store; the route allows one server for each
 request (``MaxAttempts`` 1). One instance is partitioned from all servers for
 some seconds, so its requests go through the others. One of these at a time is
 frozen for 3 s. With TROUBLE=0 neither happens.
@@ -24,8 +24,8 @@
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 
 INSTANCES = 12
-SERVERS = 14
-SLOTS, QUEUE = 9, 27
+SERVERS = 24
+SLOTS, QUEUE = 3, 9
 PER_S = 50.0
 WORK_S = 1.2
 MAX_ATTEMPTS = 1
